--- /dev/null
+++ b/scripts/start.sh
@@ -0,0 +1,75 @@
+#!/bin/sh
+# Runs a deployment on loopback: stand-ins, a steer and an entry for each entry
+# VM, then the load. Stops everything by its process id, also after Ctrl-C.
+#
+#   npm start -- --deployment nordvern|asca --duration-s N --rate N --report FILE
+set -u
+cd "$(dirname "$0")/.." || exit 1
+bin=dist/bin
+dir=$(mktemp -d "${TMPDIR:-/tmp}/hawthorngw.XXXXXX") || exit 1
+pids=
+load=
+
+stop_all() {
+  trap '' INT TERM
+  [ -n "$load" ] && kill -TERM "$load" 2>/dev/null
+  # Last started, first stopped: daemons before what they talk to.
+  for pid in $pids; do
+    kill -TERM "$pid" 2>/dev/null
+  done
+  for pid in $pids; do
+    wait "$pid" 2>/dev/null
+  done
+  rm -rf "$dir"
+}
+trap 'stop_all; exit 130' INT TERM
+
+node $bin/hawthorngw_load.js prepare --dir "$dir" "$@" || {
+  code=$?
+  rm -rf "$dir"
+  exit $code
+}
+HAWTHORNGW_PLATFORM=$(cat "$dir/platform.txt")
+export HAWTHORNGW_PLATFORM
+
+start_group() {
+  while read -r name binary settings; do
+    case $binary in
+      "$1") ;;
+      *) continue ;;
+    esac
+    node $bin/hawthorngw_"$binary".js --settings "$settings" </dev/null &
+    pids="$! $pids"
+  done <"$dir/processes.txt"
+}
+
+start_group standin
+tries=0
+until node $bin/hawthorngw.js put "$dir"/documents/fleet.jsonc >/dev/null 2>&1; do
+  tries=$((tries + 1))
+  [ $tries -gt 30 ] && { echo "The platform stand-in did not start" >&2; stop_all; exit 1; }
+  sleep 0.3
+done
+for document in "$dir"/documents/*.jsonc; do
+  case $document in */fleet.jsonc) continue ;; esac
+  node $bin/hawthorngw.js put "$document" >&2 || { stop_all; exit 1; }
+done
+start_group steer
+start_group entry
+leaver=${pids%% *}
+
+node $bin/hawthorngw_load.js run --settings "$dir/load.jsonc" &
+load=$!
+# A planned stop of the entry started last, while the load is on.
+stop_after=$(sed -n 's/.*"durationS": *\([0-9]*\).*/\1/p' "$dir/load.jsonc")
+(
+  sleep $((stop_after / 2))
+  kill -TERM "$leaver" 2>/dev/null
+) &
+stopper=$!
+wait $load
+code=$?
+load=
+kill $stopper 2>/dev/null
+stop_all
+exit $code
--- /dev/null
+++ b/src/bin/hawthorngw_entry.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+/**
+ * `hawthorngw-entry`: see `entry/entry.ts`.
+ *
+ * @module
+ */
+import { createSystemClock } from "../runtime/clock.ts";
+import { runDaemon } from "../runtime/process.ts";
+import { daemonSettingsSchema, loadSettings } from "../runtime/settings.ts";
+import { startEntry } from "../entry/entry.ts";
+
+await runDaemon(
+  "hawthorngw-entry",
+  (file) =>
+    startEntry(loadSettings(file, daemonSettingsSchema), createSystemClock()),
+);
--- /dev/null
+++ b/src/bin/hawthorngw_load.ts
@@ -0,0 +1,151 @@
+#!/usr/bin/env node
+/**
+ * `hawthorngw-load`: prepares a deployment on loopback and loads it.
+ *
+ * @module
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { readFileSync, writeFileSync } from "node:fs";
+import cliProgress from "cli-progress";
+import { parseDocument } from "../config/jsonc.ts";
+import { prepareDeployment } from "../deployment/prepare.ts";
+import { loadSettingsSchema } from "../deployment/types.ts";
+import { type Progress, runExperiment } from "../load/experiment.ts";
+import type { Report } from "../load/types.ts";
+import { createSystemClock } from "../runtime/clock.ts";
+import { describeError, StepError } from "../runtime/errors.ts";
+import { EXIT_CODES } from "../runtime/process.ts";
+
+const USAGE = `Usage:
+  hawthorngw-load prepare --dir DIR [--deployment nordvern|asca|FILE]
+      [--duration-s N] [--rate N] [--report FILE.json] [--html FILE.html]
+      [--seed N]
+    Writes the settings and documents of a deployment on loopback to DIR.
+  hawthorngw-load run --settings FILE
+    Loads a deployment that is up, and prints a report as JSON.
+
+Exit codes: 0 done, 1 a promise was broken or the run failed, 2 bad arguments.
+`;
+
+async function main(): Promise<number> {
+  const [command, ...args] = process.argv.slice(2);
+  if (command === "prepare") return await prepare(args);
+  if (command === "run") return await run(args);
+  const wantsHelp = command === "--help" || command === "-h";
+  (wantsHelp ? process.stdout : process.stderr).write(USAGE);
+  return wantsHelp ? EXIT_CODES.ok : EXIT_CODES.usage;
+}
+
+async function prepare(args: string[]): Promise<number> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      dir: { type: "string" },
+      deployment: { type: "string", default: "nordvern" },
+      "duration-s": { type: "string", default: "20" },
+      rate: { type: "string" },
+      report: { type: "string" },
+      html: { type: "string" },
+      seed: { type: "string", default: "1" },
+    },
+  });
+  await prepareDeployment({
+    dir: requireText("--dir", values.dir),
+    deployment: values.deployment,
+    durationS: requireNumber("--duration-s", values["duration-s"], 5),
+    requestsPerS: values.rate === undefined
+      ? undefined
+      : requireNumber("--rate", values.rate, 1),
+    reportFile: values.report,
+    htmlFile: values.html,
+    seed: requireNumber("--seed", values.seed, 0),
+  });
+  return EXIT_CODES.ok;
+}
+
+function requireText(name: string, text: string | undefined): string {
+  if (text) return text;
+  throw makeUsageError(`${name} is missing`);
+}
+
+function requireNumber(name: string, text: string, least: number): number {
+  const number = Number(text);
+  if (Number.isFinite(number) && number >= least) return number;
+  throw makeUsageError(`${name} ${text} is not a number of at least ${least}`);
+}
+
+function makeUsageError(message: string): StepError {
+  return new StepError(message, {
+    step: "arguments",
+    peer: "self",
+    kind: "invalid",
+  });
+}
+
+async function run(args: string[]): Promise<number> {
+  const { values } = parseArgs({
+    args,
+    options: { settings: { type: "string" } },
+  });
+  const file = requireText("--settings", values.settings);
+  const text = readFileSync(file, "utf8");
+  const settings = parseDocument({ file, text }, loadSettingsSchema)
+    ._unsafeUnwrap();
+  const show = createProgress(settings.durationS);
+  const { report, html } = await runExperiment(
+    settings,
+    createSystemClock(),
+    show.update,
+  );
+  show.stop();
+  const json = JSON.stringify(report, null, 2);
+  process.stdout.write(`${json}\n`);
+  if (settings.reportFile) writeFileSync(settings.reportFile, `${json}\n`);
+  if (settings.htmlFile) writeFileSync(settings.htmlFile, html);
+  return isBroken(report) ? EXIT_CODES.failure : EXIT_CODES.ok;
+}
+
+function isBroken({ invariants }: Report): boolean {
+  return Object.values(invariants).some((count) => count > 0);
+}
+
+/** A bar on a terminal, a line every 5 s elsewhere. */
+function createProgress(durationS: number) {
+  if (!process.stderr.isTTY) {
+    return {
+      update(progress: Progress) {
+        if (Math.round(progress.elapsedS) % 5 !== 0) return;
+        process.stderr.write(`${describeProgress(progress)}\n`);
+      },
+      stop() {},
+    };
+  }
+  const bar = new cliProgress.SingleBar({
+    format: "{bar} {value}/{total} s  {text}",
+  }, cliProgress.Presets.shades_classic);
+  bar.start(durationS, 0, { text: "" });
+  return {
+    update(progress: Progress) {
+      const elapsedS = Math.min(durationS, Math.round(progress.elapsedS));
+      bar.update(elapsedS, { text: describeProgress(progress) });
+    },
+    stop: () => bar.stop(),
+  };
+}
+
+function describeProgress(progress: Progress): string {
+  const { elapsedS, sent, pending, notAnswered } = progress;
+  return `${elapsedS.toFixed(0)} s: ${sent} sent, ${pending} pending, ` +
+    `${notAnswered} not answered`;
+}
+
+try {
+  process.exit(await main());
+} catch (cause) {
+  process.stderr.write(`hawthorngw-load: ${describeError(cause)}\n`);
+  const code = (cause as { code?: unknown }).code;
+  const isUsage = cause instanceof StepError && cause.kind === "invalid" ||
+    typeof code === "string" && code.startsWith("ERR_PARSE_ARGS");
+  process.exit(isUsage ? EXIT_CODES.usage : EXIT_CODES.failure);
+}
--- /dev/null
+++ b/src/bin/hawthorngw_steer.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+/**
+ * `hawthorngw-steer`: see `steer/steer.ts`.
+ *
+ * @module
+ */
+import { createSystemClock } from "../runtime/clock.ts";
+import { runDaemon } from "../runtime/process.ts";
+import { daemonSettingsSchema, loadSettings } from "../runtime/settings.ts";
+import { startSteer } from "../steer/steer.ts";
+
+await runDaemon(
+  "hawthorngw-steer",
+  (file) =>
+    startSteer(loadSettings(file, daemonSettingsSchema), createSystemClock()),
+);
--- /dev/null
+++ b/src/caller/mod.ts
@@ -0,0 +1,229 @@
+/**
+ * The callers' library: finds an entry, falls over to the next, keeps the
+ * deadline, makes idempotency keys, and says `not_run`, `unknown` or the
+ * answer. It does nothing that a plain HTTP caller could not do by the docs.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { Agent, request } from "undici";
+import type { Dispatcher } from "undici";
+import { HEADERS } from "../forwarding/types.ts";
+import type { EntryChoice, LookupAnswer } from "../lookup/types.ts";
+import { type Clock, createSystemClock } from "../runtime/clock.ts";
+import { classifyTransportError, describeError } from "../runtime/errors.ts";
+import { createId } from "../runtime/ids.ts";
+import { createRandom, type Random } from "../runtime/random.ts";
+import { createLookupCache } from "./lookup_cache.ts";
+import type { Call, CallResult } from "./types.ts";
+
+export type { Call, CallResult } from "./types.ts";
+
+/** A caller. */
+export interface Caller {
+  /** Makes a call; never throws. */
+  call(call: Call): Promise<CallResult>;
+  /** @returns Connections that broke while a request was under way. */
+  brokenCount(): number;
+  close(): Promise<void>;
+}
+
+/** What a caller needs. */
+export interface CallerOptions {
+  /** Callers' addresses of steers, `host:port`, nearest first. */
+  steers: readonly string[];
+  clock?: Clock;
+  random?: Random;
+}
+
+const CONNECT_TIMEOUT_MS = 300;
+const CONNECTIONS_PER_ENTRY = 256;
+
+interface Attempt {
+  call: Call;
+  answer: LookupAnswer;
+  entry: EntryChoice;
+  requestId: string;
+  key: string | undefined;
+  remainingMs: number;
+}
+
+type AttemptResult =
+  | { kind: "final"; result: CallResult }
+  /** Nothing was sent: another entry may be tried, with a new key. */
+  | { kind: "not_sent"; reason: string }
+  /** The connection broke: another entry may be asked, with the same key. */
+  | { kind: "broken"; reason: string };
+
+/**
+ * @param options See there.
+ * @returns A caller.
+ */
+export function createCaller(options: CallerOptions): Caller {
+  const clock = options.clock ?? createSystemClock();
+  const random = options.random ?? createRandom(Date.now() & 0x7fff_ffff);
+  const agent = new Agent({
+    connections: CONNECTIONS_PER_ENTRY,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  let brokenCount = 0;
+  const lookups = createLookupCache({
+    steers: options.steers,
+    clock,
+    random,
+    agent,
+  });
+
+  async function call(made: Call): Promise<CallResult> {
+    const endMs = clock.monotonicMs() + made.deadlineMs;
+    const requestId = createId();
+    const found = await lookups.find(made);
+    if ("reason" in found) {
+      const { reason } = found;
+      return { kind: "not_run", reason, retryAfterS: 1, requestId };
+    }
+    return tryEntries(made, found, { requestId, endMs });
+  }
+
+  /** A key stays the same from the moment that anything was sent under it. */
+  async function tryEntries(
+    made: Call,
+    answer: LookupAnswer,
+    { requestId, endMs }: { requestId: string; endMs: number },
+  ): Promise<CallResult> {
+    let key: string | undefined;
+    let wasSent = false;
+    let reason = "No entry was named";
+    for (const entry of answer.entries) {
+      const remainingMs = endMs - clock.monotonicMs();
+      if (remainingMs <= 0) break;
+      if (!made.idempotent && !wasSent) {
+        key = `${entry.keyPrefix}.${createId()}`;
+      }
+      const attempt = {
+        call: made,
+        answer,
+        entry,
+        requestId,
+        key,
+        remainingMs,
+      };
+      const result = await send(attempt);
+      if (result.kind === "final") {
+        return weighNotRun(made, result.result, wasSent);
+      }
+      lookups.forget(made);
+      reason = result.reason;
+      wasSent ||= result.kind === "broken";
+    }
+    if (!wasSent) return { kind: "not_run", reason, retryAfterS: 1, requestId };
+    return { kind: "unknown", reason, requestId, idempotencyKey: key };
+  }
+
+  async function send(attempt: Attempt): Promise<AttemptResult> {
+    const { call: made, entry, remainingMs } = attempt;
+    try {
+      const url = `http://${entry.address}/v1/services/` +
+        `${encodeURIComponent(made.service)}${made.path}`;
+      const response = await request(url, {
+        dispatcher: agent,
+        method: made.method as Dispatcher.HttpMethod,
+        headers: makeHeaders(attempt),
+        body: made.body,
+        signal: AbortSignal.timeout(Math.ceil(remainingMs)),
+      });
+      const body = Buffer.from(await response.body.arrayBuffer());
+      return readResponse(attempt, response, body);
+    } catch (cause) {
+      const reason = `${entry.address}: ${describeError(cause)}`;
+      if (classifyTransportError(cause) === "not_sent") {
+        return { kind: "not_sent", reason };
+      }
+      const timedOut = (cause as Error).name === "TimeoutError";
+      if (!timedOut) brokenCount += 1;
+      return { kind: "broken", reason };
+    }
+  }
+
+  return { call, brokenCount: () => brokenCount, close: () => agent.destroy() };
+}
+
+/**
+ * A refusal speaks for the last attempt only. The owner of a key speaks for all
+ * attempts under it; without a key, an earlier one may have run.
+ */
+function weighNotRun(
+  made: Call,
+  result: CallResult,
+  wasSent: boolean,
+): CallResult {
+  if (result.kind !== "not_run" || !wasSent || !made.idempotent) return result;
+  const { reason, requestId } = result;
+  return { kind: "unknown", reason, requestId, idempotencyKey: undefined };
+}
+
+function makeHeaders(
+  { call, answer, requestId, key, remainingMs }: Attempt,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    [HEADERS.requestId]: requestId,
+    [HEADERS.clientBlock]: answer.clientBlock,
+    [HEADERS.deadlineMs]: String(Math.max(1, Math.floor(remainingMs))),
+  };
+  if (call.contentType) headers["content-type"] = call.contentType;
+  if (key) headers[HEADERS.idempotencyKey] = key;
+  return headers;
+}
+
+function readResponse(
+  { requestId, key }: Attempt,
+  response: Dispatcher.ResponseData,
+  body: Buffer,
+): AttemptResult {
+  const header = (name: string) => {
+    const value = response.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+  };
+  const outcome = header(HEADERS.outcome);
+  const answeredId = header(HEADERS.requestId);
+  if (answeredId !== undefined && answeredId !== requestId) {
+    return { kind: "broken", reason: "The answer belongs to another request" };
+  }
+  if (outcome === "answer") {
+    return {
+      kind: "final",
+      result: {
+        kind: "answer",
+        status: response.statusCode,
+        contentType: header("content-type"),
+        body,
+        requestId,
+        serverId: header(HEADERS.server) ?? "",
+      },
+    };
+  }
+  const problem = readProblem(body);
+  const reason = problem.detail ?? `Status ${response.statusCode}`;
+  if ((outcome ?? problem.outcome) === "not_run") {
+    const retryAfterS = Number(header("retry-after") ?? 1);
+    return {
+      kind: "final",
+      result: { kind: "not_run", reason, retryAfterS, requestId },
+    };
+  }
+  return {
+    kind: "final",
+    result: { kind: "unknown", reason, requestId, idempotencyKey: key },
+  };
+}
+
+function readProblem(body: Buffer): { detail?: string; outcome?: string } {
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/src/config/check.ts
@@ -0,0 +1,233 @@
+/**
+ * Checks that a schema alone can't make: names that must exist, and promises
+ * that can't all be kept.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { parseIpv4 } from "../runtime/address.ts";
+import {
+  type DocumentProblem,
+  type DocumentSource,
+  type FieldPath,
+  locateProblem,
+  parseDocument,
+} from "./jsonc.ts";
+import {
+  type FleetDocument,
+  fleetSchema,
+  type ServiceDocument,
+  serviceSchema,
+} from "./schema.ts";
+
+interface Finding {
+  path: FieldPath;
+  problem: string;
+}
+
+/** A checked document and what an operator should know about it. */
+export interface Checked<T> {
+  document: T;
+  /** Conflicts that do not stop it; the safe side wins at run time. */
+  warnings: DocumentProblem[];
+}
+
+/**
+ * Checks a service's document.
+ *
+ * @param source Its text and file name.
+ * @param fleet The fleet it will run in; absent, names are not checked.
+ * @returns The document with warnings, or all problems.
+ */
+export function checkService(
+  source: DocumentSource,
+  fleet?: FleetDocument,
+): Result<Checked<ServiceDocument>, DocumentProblem[]> {
+  return parseDocument(source, serviceSchema).andThen((document) => {
+    const findings = [
+      ...findDuplicates(document.backendServers, "backendServers"),
+      ...findUnknownDrains(document),
+      ...(fleet ? findUnknownPlaces(document, fleet) : []),
+    ];
+    if (findings.length > 0) {
+      return err(findings.map((found) => locateProblem(source, found)));
+    }
+    const warnings = findConflicts(document, fleet)
+      .map((found) => locateProblem(source, found));
+    return ok({ document, warnings });
+  });
+}
+
+/**
+ * Checks the fleet's document.
+ *
+ * @param source Its text and file name.
+ * @returns The document, or all problems.
+ */
+export function checkFleet(
+  source: DocumentSource,
+): Result<Checked<FleetDocument>, DocumentProblem[]> {
+  return parseDocument(source, fleetSchema).andThen((document) => {
+    const findings = [
+      ...findDuplicates(document.entryVms, "entryVms"),
+      ...findUnknownFleetNames(document),
+      ...findBadBlocks(document),
+    ];
+    if (findings.length > 0) {
+      return err(findings.map((found) => locateProblem(source, found)));
+    }
+    return ok({ document, warnings: [] });
+  });
+}
+
+function findDuplicates(items: { id: string }[], field: string): Finding[] {
+  const seen = new Set<string>();
+  return items.flatMap(({ id }, index) => {
+    if (seen.has(id)) {
+      return [{
+        path: [field, index, "id"],
+        problem: `"${id}" stands twice; names must be unique`,
+      }];
+    }
+    seen.add(id);
+    return [];
+  });
+}
+
+function findUnknownDrains(document: ServiceDocument): Finding[] {
+  const known = {
+    backendServer: new Set(document.backendServers.map(({ id }) => id)),
+    failureDomain: new Set(
+      document.backendServers.map(({ failureDomain }) => failureDomain),
+    ),
+    region: new Set(document.regions),
+  };
+  return document.drains.flatMap((drain, index) =>
+    known[drain.scope].has(drain.name) ? [] : [{
+      path: ["drains", index, "name"],
+      problem: `No ${drain.scope} is named "${drain.name}"; allowed: ${
+        [...known[drain.scope]].join(", ")
+      }`,
+    }]
+  );
+}
+
+function findUnknownPlaces(
+  document: ServiceDocument,
+  fleet: FleetDocument,
+): Finding[] {
+  const regions = fleet.regions.map(({ name }) => name);
+  const domains = fleet.regions.flatMap(({ failureDomains }) => failureDomains);
+  const unknownRegions = document.regions.flatMap((name, index) =>
+    regions.includes(name) ? [] : [{
+      path: ["regions", index],
+      problem: `No region is named "${name}"; allowed: ${regions.join(", ")}`,
+    }]
+  );
+  const unknownDomains = document.backendServers.flatMap((server, index) =>
+    domains.includes(server.failureDomain) ? [] : [{
+      path: ["backendServers", index, "failureDomain"],
+      problem: `No failure domain is named "${server.failureDomain}"; ` +
+        `allowed: ${domains.join(", ")}`,
+    }]
+  );
+  return [...unknownRegions, ...unknownDomains];
+}
+
+/** Promises of one document that can't all be kept. */
+function findConflicts(
+  document: ServiceDocument,
+  fleet: FleetDocument | undefined,
+): Finding[] {
+  const findings: Finding[] = [];
+  const expected = Object.values(document.expectedRequestsPerS)
+    .reduce((sum, rate) => sum + rate, 0);
+  const neededSlots = expected * document.expectedServiceMs / 1_000;
+  const keptSlots = countUndrainedSlots(document, fleet) *
+    (1 - document.headroomShare);
+  if (neededSlots > keptSlots) {
+    findings.push({
+      path: ["expectedRequestsPerS"],
+      problem: `Needs ${neededSlots.toFixed(0)} slots, but capacity less ` +
+        `drains and headroom is ${keptSlots.toFixed(0)}; the excess will be ` +
+        "refused as not run",
+    });
+  }
+  if (document.shiftCap.maxShare === 0 && document.drains.length > 0) {
+    findings.push({
+      path: ["shiftCap", "maxShare"],
+      problem: "A cap of 0 never lets a drained place's traffic move; " +
+        "it will be refused as not run",
+    });
+  }
+  return findings;
+}
+
+function countUndrainedSlots(
+  document: ServiceDocument,
+  fleet: FleetDocument | undefined,
+): number {
+  const drained = new Set(document.drains.map(({ name }) => name));
+  const regionOf = new Map(
+    fleet?.regions.flatMap(({ name, failureDomains }) =>
+      failureDomains.map((domain) => [domain, name] as const)
+    ),
+  );
+  return document.backendServers
+    .filter(({ id, failureDomain }) =>
+      !drained.has(id) && !drained.has(failureDomain) &&
+      !drained.has(regionOf.get(failureDomain) ?? "") &&
+      !document.excludedFailureDomains.includes(failureDomain)
+    )
+    .reduce((sum, { slots }) => sum + slots, 0);
+}
+
+function findUnknownFleetNames(document: FleetDocument): Finding[] {
+  const regions = document.regions.map(({ name }) => name);
+  const domains = document.regions.flatMap((region) => region.failureDomains);
+  const findings: Finding[] = [];
+  document.entryVms.forEach((vm, index) => {
+    if (domains.includes(vm.failureDomain)) return;
+    findings.push({
+      path: ["entryVms", index, "failureDomain"],
+      problem: `No failure domain is named "${vm.failureDomain}"; allowed: ${
+        domains.join(", ")
+      }`,
+    });
+  });
+  document.links.forEach((link, index) => {
+    for (const end of ["from", "to"] as const) {
+      if (regions.includes(link[end])) continue;
+      findings.push({
+        path: ["links", index, end],
+        problem: `No region is named "${link[end]}"; allowed: ${
+          regions.join(", ")
+        }`,
+      });
+    }
+  });
+  document.clientBlocks.forEach((block, index) => {
+    if (regions.includes(block.region)) return;
+    findings.push({
+      path: ["clientBlocks", index, "region"],
+      problem: `No region is named "${block.region}"; allowed: ${
+        regions.join(", ")
+      }`,
+    });
+  });
+  return findings;
+}
+
+function findBadBlocks(document: FleetDocument): Finding[] {
+  return document.clientBlocks.flatMap(({ cidr, blockPrefixLength }, index) => {
+    const [address, length] = cidr.split("/");
+    const prefixLength = Number(length);
+    const fits = parseIpv4(address) !== undefined && prefixLength <= 32 &&
+      prefixLength <= blockPrefixLength;
+    return fits ? [] : [{
+      path: ["clientBlocks", index, "cidr"],
+      problem: `"${cidr}" is not a range of /${blockPrefixLength} blocks; ` +
+        `allowed: an IPv4 number and a prefix length up to ${blockPrefixLength}`,
+    }];
+  });
+}
--- /dev/null
+++ b/src/config/jsonc.ts
@@ -0,0 +1,124 @@
+/**
+ * JSON with comments, checked by a schema; problems name line and field.
+ *
+ * @module
+ */
+import {
+  findNodeAtLocation,
+  type Node,
+  parse,
+  type ParseError,
+  parseTree,
+  printParseErrorCode,
+} from "jsonc-parser";
+import { err, ok, type Result } from "neverthrow";
+import type { z } from "zod";
+
+/** One thing wrong in a document. */
+export interface DocumentProblem {
+  file: string;
+  /** From 1. */
+  line: number;
+  /** From 1. */
+  column: number;
+  /** Path of the field, such as `classes[0].weight`. */
+  field: string;
+  /** What is wrong and what is allowed. */
+  problem: string;
+}
+
+/** Path of a field: names and indexes. */
+export type FieldPath = readonly (string | number)[];
+
+/** A document's text and where it came from. */
+export interface DocumentSource {
+  file: string;
+  text: string;
+}
+
+/**
+ * Parses and checks a document.
+ *
+ * @param source Its text and file name.
+ * @param schema The schema that it must satisfy.
+ * @returns The value with defaults, or all problems found.
+ */
+export function parseDocument<S extends z.ZodType>(
+  source: DocumentSource,
+  schema: S,
+): Result<z.infer<S>, DocumentProblem[]> {
+  const errors: ParseError[] = [];
+  const value: unknown = parse(source.text, errors, {
+    allowTrailingComma: true,
+  });
+  if (errors.length > 0) {
+    return err(errors.map((error) => ({
+      file: source.file,
+      ...findPosition(source.text, error.offset),
+      field: "",
+      problem: `Not JSON with comments: ${printParseErrorCode(error.error)}`,
+    })));
+  }
+  const checked = schema.safeParse(value);
+  if (checked.success) return ok(checked.data);
+  return err(checked.error.issues.map((issue) =>
+    locateProblem(source, {
+      path: issue.path.map((part) =>
+        typeof part === "symbol" ? String(part) : part
+      ),
+      problem: issue.message,
+    })
+  ));
+}
+
+/**
+ * @param source The document.
+ * @param found The field's path and what is wrong with it.
+ * @returns The problem with its line and column.
+ */
+export function locateProblem(
+  source: DocumentSource,
+  found: { path: FieldPath; problem: string },
+): DocumentProblem {
+  const tree = parseTree(source.text, [], { allowTrailingComma: true });
+  const node = tree && findNearest(tree, found.path);
+  return {
+    file: source.file,
+    ...findPosition(source.text, node?.offset ?? 0),
+    field: formatPath(found.path),
+    problem: found.problem,
+  };
+}
+
+/**
+ * @param problem A problem.
+ * @returns One line for a person: `file:line:column: field: problem`.
+ */
+export function formatProblem(problem: DocumentProblem): string {
+  const { file, line, column, field } = problem;
+  const place = `${file}:${line}:${column}`;
+  return field === ""
+    ? `${place}: ${problem.problem}`
+    : `${place}: ${field}: ${problem.problem}`;
+}
+
+/** A missing field has no place of its own: its nearest parent's is taken. */
+function findNearest(tree: Node, path: FieldPath): Node | undefined {
+  for (let length = path.length; length >= 0; length--) {
+    const node = findNodeAtLocation(tree, path.slice(0, length));
+    if (node !== undefined) return node;
+  }
+  return undefined;
+}
+
+function findPosition(text: string, offset: number) {
+  const before = text.slice(0, offset).split("\n");
+  return { line: before.length, column: before[before.length - 1].length + 1 };
+}
+
+function formatPath(path: FieldPath): string {
+  return path.reduce<string>((text, part) => {
+    if (typeof part === "number") return `${text}[${part}]`;
+    return text === "" ? part : `${text}.${part}`;
+  }, "");
+}
--- /dev/null
+++ b/src/config/store.ts
@@ -0,0 +1,142 @@
+/**
+ * Puts documents into the table: compare-and-set from the version they were
+ * edited from, and a read-back where the answer was lost.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { TableService } from "../platform/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { StepError } from "../runtime/errors.ts";
+import { createId } from "../runtime/ids.ts";
+import {
+  getHistoryKey,
+  parseStoredDocument,
+  type StoredDocument,
+} from "./rows.ts";
+
+/** A document as read for editing. */
+export interface ReadDocument {
+  /** Version of the row, to be given back with a put; 0 where there is none. */
+  rowVersion: number;
+  stored: StoredDocument | undefined;
+}
+
+/** A put of a new version. */
+export interface PutDocument {
+  key: string;
+  text: string;
+  author: string;
+  /** Row version that the text was edited from. */
+  editedFrom: number;
+}
+
+/** How a put ended. */
+export type PutOutcome =
+  | { outcome: "accepted"; number: number; rowVersion: number }
+  /** Another edit came first; nothing was written. */
+  | { outcome: "race"; theirs: ReadDocument };
+
+/** Reads and writes documents. */
+export interface DocumentStore {
+  read(key: string): Promise<Result<ReadDocument, StepError>>;
+  /** @returns How it ended; an error of kind `unknown` leaves it open. */
+  put(put: PutDocument): Promise<Result<PutOutcome, StepError>>;
+  /** @returns All versions, oldest first. */
+  history(key: string): Promise<Result<StoredDocument[], StepError>>;
+}
+
+/** Reads that resolve a lost answer before giving up. */
+const READ_BACK_TRIES = 5;
+const READ_BACK_PAUSE_MS = 300;
+
+/**
+ * @param table The platform's table.
+ * @param clock For dates and pauses.
+ * @returns The store.
+ */
+export function createDocumentStore(
+  table: TableService,
+  clock: Clock,
+): DocumentStore {
+  async function read(key: string) {
+    const row = await table.read(key);
+    return row.map((found): ReadDocument => ({
+      rowVersion: found.version,
+      stored: parseStoredDocument(found),
+    }));
+  }
+
+  async function put(
+    { key, text, author, editedFrom }: PutDocument,
+  ): Promise<Result<PutOutcome, StepError>> {
+    const before = await read(key);
+    if (before.isErr()) return err(before.error);
+    if (before.value.rowVersion !== editedFrom) {
+      return ok({ outcome: "race", theirs: before.value });
+    }
+    const number = (before.value.stored?.number ?? 0) + 1;
+    const stored = { number, text, author, atMs: clock.now().getTime() };
+    const value = JSON.stringify(stored);
+    const historyKey = getHistoryKey(key, number);
+    const writeId = createId();
+    const commit = await table.transact({
+      writeId,
+      conditions: [
+        { key, version: editedFrom },
+        { key: historyKey, version: 0 },
+      ],
+      puts: [{ key, value }, { key: historyKey, value }],
+    });
+    if (commit.isErr()) {
+      if (commit.error.kind !== "unknown") return err(commit.error);
+      return readBack({ key, historyKey, writeId, number });
+    }
+    if (commit.value.outcome === "committed") {
+      const rowVersion = commit.value.version;
+      return ok({ outcome: "accepted", number, rowVersion });
+    }
+    const theirs = await read(key);
+    return theirs.map((document) => ({ outcome: "race", theirs: document }));
+  }
+
+  /** The history row of a number is written once, by whoever won it. */
+  async function readBack(
+    write: { key: string; historyKey: string; writeId: string; number: number },
+  ): Promise<Result<PutOutcome, StepError>> {
+    for (let attempt = 0; attempt < READ_BACK_TRIES; attempt++) {
+      const row = await table.read(write.historyKey);
+      if (row.isOk() && row.value.version > 0) {
+        if (row.value.writeId === write.writeId) {
+          const rowVersion = row.value.version;
+          return ok({ outcome: "accepted", number: write.number, rowVersion });
+        }
+        const theirs = await read(write.key);
+        return theirs.map((document) => ({
+          outcome: "race",
+          theirs: document,
+        }));
+      }
+      await new Promise<void>((resolve) =>
+        clock.after(READ_BACK_PAUSE_MS, resolve)
+      );
+    }
+    return err(
+      new StepError(
+        "The answer was lost and the table shows no write yet; " +
+          "read the document before putting it again",
+        { step: "config.put", peer: "table", kind: "unknown" },
+      ),
+    );
+  }
+
+  async function history(key: string) {
+    const rows = await table.list(`history/${key}/`);
+    return rows.map((found) =>
+      found.map(parseStoredDocument)
+        .filter((stored) => stored !== undefined)
+    );
+  }
+
+  return { read, put, history };
+}
--- /dev/null
+++ b/src/config/view.ts
@@ -0,0 +1,95 @@
+/**
+ * The configuration in force in a process: the newest acceptable version of
+ * each document.
+ *
+ * @module
+ */
+import type { Row } from "../platform/types.ts";
+import { createLogger } from "../runtime/logger.ts";
+import { checkFleet, checkService } from "./check.ts";
+import { formatProblem } from "./jsonc.ts";
+import { FLEET_KEY, parseServiceKey, parseStoredDocument } from "./rows.ts";
+import type { DomainName, FleetDocument, ServiceDocument } from "./schema.ts";
+
+const log = createLogger("config");
+
+/** A document in force. */
+export interface InForce<T> {
+  document: T;
+  /** Number of the document's version. */
+  number: number;
+  /** Version of its row. */
+  rowVersion: number;
+}
+
+/** The configuration in force. */
+export interface ConfigView {
+  fleet: InForce<FleetDocument> | undefined;
+  /** By service name. */
+  services: Map<string, InForce<ServiceDocument>>;
+  /** Region of each failure domain. */
+  regionOf: Map<DomainName, string>;
+}
+
+/** @returns A view with nothing in force. */
+export function createConfigView(): ConfigView {
+  return { fleet: undefined, services: new Map(), regionOf: new Map() };
+}
+
+/**
+ * Brings a changed row into force. A row that is older than what is in force,
+ * or not acceptable, changes nothing: the last good version stays.
+ *
+ * @param view Changed in place.
+ * @param row The changed row.
+ * @returns Whether anything came into force.
+ */
+export function applyConfigRow(view: ConfigView, row: Row): boolean {
+  if (row.key === FLEET_KEY) return applyFleetRow(view, row);
+  const service = parseServiceKey(row.key);
+  if (service === undefined) return false;
+  return applyServiceRow(view, service, row);
+}
+
+function applyFleetRow(view: ConfigView, row: Row): boolean {
+  if (row.version <= (view.fleet?.rowVersion ?? 0)) return false;
+  const stored = parseStoredDocument(row);
+  if (stored === undefined) return false;
+  const checked = checkFleet({ file: row.key, text: stored.text });
+  if (checked.isErr()) {
+    log.error(formatProblem(checked.error[0]), { step: "config.apply" });
+    return false;
+  }
+  const { document } = checked.value;
+  const { number } = stored;
+  view.fleet = { document, number, rowVersion: row.version };
+  view.regionOf = new Map(
+    document.regions.flatMap(({ name, failureDomains }) =>
+      failureDomains.map((domain) => [domain, name] as const)
+    ),
+  );
+  return true;
+}
+
+function applyServiceRow(
+  view: ConfigView,
+  service: string,
+  row: Row,
+): boolean {
+  if (row.version <= (view.services.get(service)?.rowVersion ?? 0)) {
+    return false;
+  }
+  const stored = parseStoredDocument(row);
+  if (stored === undefined) return false;
+  const checked = checkService({ file: row.key, text: stored.text });
+  if (checked.isErr()) {
+    log.error(formatProblem(checked.error[0]), { step: "config.apply" });
+    return false;
+  }
+  view.services.set(service, {
+    document: checked.value.document,
+    number: stored.number,
+    rowVersion: row.version,
+  });
+  return true;
+}
--- /dev/null
+++ b/src/forwarding/backend_client.ts
@@ -0,0 +1,178 @@
+/**
+ * Exchanges with backend servers.
+ *
+ * A backend server says that it did not run a request by the header
+ * `hawthorngw-outcome: not_run` or by a status that the service's document
+ * lists in `shedStatuses`; `hawthorngw-state: leaving` adds that it takes no
+ * more work.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { type Dispatcher, Pool } from "undici";
+import type { BackendServer, ServiceDocument } from "../config/schema.ts";
+import { classifyTransportError, describeError } from "../runtime/errors.ts";
+import type { HealthReport } from "../control/messages.ts";
+import type { ExchangeResult, ForwardRequest } from "./types.ts";
+import { HEADERS } from "./types.ts";
+
+/** Largest answer that is passed on. */
+export const MAX_ANSWER_BYTES = 4_194_304;
+const CONNECT_TIMEOUT_MS = 500;
+const IDLE_CONNECTION_MS = 4_000;
+const PROBE_TIMEOUT_MS = 400;
+
+/** One exchange. */
+export interface BackendExchange {
+  document: ServiceDocument;
+  server: BackendServer;
+  request: ForwardRequest;
+  /** Time that the server has, in ms. */
+  remainingMs: number;
+  signal: AbortSignal;
+}
+
+/** How backend servers are reached. */
+export abstract class BackendClient {
+  /** Sends a request once; never throws. */
+  abstract exchange(exchange: BackendExchange): Promise<ExchangeResult>;
+  /** Asks a server how it is; never throws. */
+  abstract probe(server: BackendServer): Promise<HealthReport>;
+  /** Closes connections to servers that are no longer needed. */
+  abstract close(): Promise<void>;
+}
+
+/** Reaches backend servers over HTTP. */
+export class HttpBackendClient extends BackendClient {
+  readonly #pools = new Map<string, Pool>();
+
+  override async exchange(
+    exchange: BackendExchange,
+  ): Promise<ExchangeResult> {
+    const { server, request, document, remainingMs, signal } = exchange;
+    const headers: Record<string, string> = {
+      [HEADERS.requestId]: request.id,
+      [HEADERS.deadlineMs]: String(Math.max(1, Math.floor(remainingMs))),
+      [HEADERS.clientBlock]: request.block,
+    };
+    if (request.contentType) headers["content-type"] = request.contentType;
+    if (request.key) headers[HEADERS.idempotencyKey] = request.key.text;
+    try {
+      const response = await this.#poolOf(server).request({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers,
+        body: request.body.length > 0 ? request.body : undefined,
+        signal,
+      });
+      return await readAnswer(response, { document, server, request });
+    } catch (cause) {
+      const kind = classifyTransportError(cause);
+      const reason = `${server.id}: ${describeError(cause)}`;
+      return kind === "not_sent"
+        ? { kind: "not_sent", reason }
+        : { kind: "failed", reason };
+    }
+  }
+
+  override async probe(server: BackendServer): Promise<HealthReport> {
+    try {
+      const response = await this.#poolOf(server).request({
+        method: "GET",
+        path: "/health",
+        signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+      });
+      const body = await response.body.json() as {
+        state?: string;
+        use?: number;
+      };
+      const state = body.state === "draining" || body.state === "leaving"
+        ? "draining"
+        : response.statusCode < 500
+        ? "healthy"
+        : "failing";
+      const reportedUse = Number(body.use ?? 0) || 0;
+      return { serverId: server.id, state, reportedUse, ageMs: 0 };
+    } catch {
+      return {
+        serverId: server.id,
+        state: "failing",
+        reportedUse: 0,
+        ageMs: 0,
+      };
+    }
+  }
+
+  override async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  #poolOf(server: BackendServer): Pool {
+    const known = this.#pools.get(server.address);
+    if (known) return known;
+    const pool = new Pool(`http://${server.address}`, {
+      connections: Math.min(server.slots + 1, server.connections),
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.#pools.set(server.address, pool);
+    return pool;
+  }
+}
+
+interface AnswerContext {
+  document: ServiceDocument;
+  server: BackendServer;
+  request: ForwardRequest;
+}
+
+/** Only a whole answer that names its request, or names none, is an answer. */
+async function readAnswer(
+  response: Dispatcher.ResponseData,
+  { document, server, request }: AnswerContext,
+): Promise<ExchangeResult> {
+  const body = await readWhole(response.body);
+  if (body === undefined) {
+    return { kind: "failed", reason: `${server.id}: answer is too large` };
+  }
+  const answeredId = response.headers[HEADERS.requestId];
+  if (answeredId !== undefined && answeredId !== request.id) {
+    const reason = `${server.id}: answer belongs to request ${answeredId}`;
+    return { kind: "failed", reason };
+  }
+  const isShed = response.headers[HEADERS.outcome] === "not_run" ||
+    document.shedStatuses.includes(response.statusCode);
+  if (isShed) {
+    const leaving = response.headers[HEADERS.state] === "leaving";
+    return { kind: "shed", leaving };
+  }
+  const contentType = response.headers["content-type"];
+  return {
+    kind: "answer",
+    answer: {
+      status: response.statusCode,
+      contentType: Array.isArray(contentType) ? contentType[0] : contentType,
+      body,
+      serverId: server.id,
+    },
+  };
+}
+
+/** undici throws where the body ends before its stated length. */
+async function readWhole(
+  body: Dispatcher.ResponseData["body"],
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of body) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > MAX_ANSWER_BYTES) return undefined;
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+}
--- /dev/null
+++ b/src/forwarding/flow.ts
@@ -0,0 +1,362 @@
+/**
+ * The way of a request through an entry: its key, its place, then the own
+ * failure domain's backend servers or another entry.
+ *
+ * @module
+ */
+import type { ServiceDocument } from "../config/schema.ts";
+import type { ControlAgent } from "../control/agent.ts";
+import { isDomainDrained } from "../draining/logic.ts";
+import type { Member } from "../membership/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { hashToHex } from "../runtime/hash.ts";
+import type { Random } from "../runtime/random.ts";
+import { findLink, getDelayMs } from "../steering/estimate.ts";
+import { pickRegion, rankDomains } from "../steering/place.ts";
+import type { Steering } from "../steering/steering.ts";
+import { makeRetryAfter } from "../admission/logic.ts";
+import type { KeyRegistry } from "./key_registry.ts";
+import { getKeyEpoch, type IdempotencyKey } from "./keys.ts";
+import type { LinkLimiter } from "./link_limit.ts";
+import type { LocalRunner } from "./local_runner.ts";
+import type {
+  HandoverMode,
+  HandoverResult,
+  PeerClient,
+} from "./peer_client.ts";
+import type { ForwardRequest, Outcome } from "./types.ts";
+
+/** Hand-overs that a request may take, from its first entry on. */
+const MAX_HOPS = 2;
+/** Failure domains tried for one request. */
+const MAX_DOMAINS = 3;
+/** A peer that uses more than this share of its slots is not handed work. */
+const PEER_HAS_ROOM = 0.85;
+/** Age at which a peer's figures say nothing. */
+const PEER_FIGURES_MS = 1_500;
+/** How much longer than its deadline an at-most-once request is waited for. */
+const LATE_ANSWER_MS = 10_000;
+
+/** What the flow needs. */
+export interface FlowOptions {
+  agent: ControlAgent;
+  steering: Steering;
+  runner: LocalRunner;
+  peers: PeerClient;
+  links: LinkLimiter;
+  registry: KeyRegistry;
+  clock: Clock;
+  random: Random;
+}
+
+/** Carries requests. */
+export interface Flow {
+  /** Carries a caller's request, or one whose key this entry owns. */
+  carry(document: ServiceDocument, request: ForwardRequest): Promise<Outcome>;
+  /** Runs a request that another entry placed here. */
+  runHere(document: ServiceDocument, request: ForwardRequest): Promise<Outcome>;
+}
+
+/**
+ * @param options See there.
+ * @returns The flow.
+ */
+export function createFlow(options: FlowOptions): Flow {
+  const { agent, steering, runner, peers, links, registry, clock, random } =
+    options;
+  const { self } = agent;
+
+  function carry(
+    document: ServiceDocument,
+    request: ForwardRequest,
+  ): Promise<Outcome> {
+    const { key } = request;
+    if (key === undefined) return place(document, request);
+    const isOwn = key.vmId === self.vmId &&
+      key.incarnation === self.incarnation;
+    const carried = isOwn
+      ? carryOwn(document, request, key)
+      : askOwner(request, key);
+    return untilDeadline(carried, request);
+  }
+
+  function carryOwn(
+    document: ServiceDocument,
+    request: ForwardRequest,
+    key: IdempotencyKey,
+  ): Promise<Outcome> {
+    const fingerprint = hashToHex(
+      `${request.service} ${request.method} ${request.path} ` +
+        request.body.toString("latin1"),
+    );
+    const epoch = getKeyEpoch(clock.now().getTime());
+    const decided = registry.begin(key, fingerprint, epoch);
+    switch (decided.decision) {
+      case "run":
+        return runOnce(document, request, key);
+      case "replay":
+        return decided.outcome;
+      case "mismatch":
+        return Promise.resolve(
+          notRun("The key was used with another request", 0),
+        );
+      case "expired":
+        return Promise.resolve(unknown("The key's epoch is not accepted"));
+      case "full":
+        return Promise.resolve(notRun("Too many keys are remembered", 5_000));
+    }
+  }
+
+  async function runOnce(
+    document: ServiceDocument,
+    request: ForwardRequest,
+    key: IdempotencyKey,
+  ): Promise<Outcome> {
+    let outcome: Outcome = unknown("It failed inside this entry");
+    try {
+      outcome = await place(document, request);
+    } finally {
+      registry.finish(key, outcome);
+    }
+    return outcome;
+  }
+
+  /** Only the owner may say anything certain about a key. */
+  async function askOwner(
+    request: ForwardRequest,
+    key: IdempotencyKey,
+  ): Promise<Outcome> {
+    const owner = agent.members().find(({ member }) =>
+      member.role === "entry" && member.vmId === key.vmId &&
+      member.incarnation === key.incarnation
+    );
+    if (owner === undefined || request.hops > 0) {
+      return unknown("The entry that owns the key is gone");
+    }
+    const result = await handOver(owner.member, "own", request);
+    if (result.kind === "outcome") return result.outcome;
+    return unknown(`The entry that owns the key did not answer`);
+  }
+
+  function place(
+    document: ServiceDocument,
+    request: ForwardRequest,
+  ): Promise<Outcome> {
+    const placing = {
+      service: request.service,
+      block: request.block,
+      row: steering.rowFor(request.service, request.callerRegion),
+      regionOf: agent.config().regionOf,
+    };
+    const region = pickRegion(placing);
+    if (region === undefined) {
+      return Promise.resolve(
+        notRun("No region is planned for these callers", 1_000),
+      );
+    }
+    const domains = listDomains(document, region);
+    const ranked = [
+      ...rankDomains(placing, domains.open),
+      ...rankDomains(placing, domains.drained),
+    ].slice(0, MAX_DOMAINS);
+    if (ranked.length === 0) {
+      return Promise.resolve(
+        notRun(`No entry of region ${region} can be reached`, 1_000),
+      );
+    }
+    return tryDomains(document, request, ranked);
+  }
+
+  /** Drained failure domains serve what does not fit elsewhere. */
+  function listDomains(document: ServiceDocument, region: string) {
+    const context = {
+      wallMs: clock.now().getTime(),
+      regionOf: agent.config().regionOf,
+    };
+    const reachable = new Set(
+      listEntries(region).map((member) => member.failureDomain),
+    );
+    const withServers = new Set(
+      document.backendServers.map((server) => server.failureDomain),
+    );
+    const usable = [...reachable].filter((domain) => withServers.has(domain));
+    const isDrained = (domain: string) =>
+      isDomainDrained(document, domain, context);
+    return {
+      open: usable.filter((domain) => !isDrained(domain)),
+      drained: usable.filter(isDrained),
+    };
+  }
+
+  function listEntries(region: string): Member[] {
+    return agent.serving("entry").filter((member) => member.region === region);
+  }
+
+  /** Goes on only while it is proven that nothing ran. */
+  async function tryDomains(
+    document: ServiceDocument,
+    request: ForwardRequest,
+    domains: readonly string[],
+  ): Promise<Outcome> {
+    let last: Outcome = notRun("No failure domain took it", 1_000);
+    for (const domain of domains) {
+      last = domain === self.failureDomain
+        ? await runHere(document, request)
+        : await sendTo(domain, document, request);
+      const hasTime = clock.monotonicMs() < request.deadlineMs;
+      if (last.kind !== "not_run" || !hasTime) return last;
+    }
+    return last;
+  }
+
+  async function runHere(
+    document: ServiceDocument,
+    request: ForwardRequest,
+  ): Promise<Outcome> {
+    if (!runner.hasRoom(document) && request.hops < MAX_HOPS) {
+      const peer = findPeerWithRoom();
+      if (peer) {
+        const result = await handOver(peer, "run", {
+          ...request,
+          hops: MAX_HOPS,
+        });
+        const outcome = toOutcome(result);
+        if (outcome.kind !== "not_run") return outcome;
+      }
+    }
+    return runner.run(document, request);
+  }
+
+  /** Work moves to where slots are free; slots never move. */
+  function findPeerWithRoom(): Member | undefined {
+    const nowMs = clock.monotonicMs();
+    const candidates = agent.serving("entry")
+      .filter((member) =>
+        member.failureDomain === self.failureDomain && member.id !== self.id
+      )
+      .flatMap((member) => {
+        const figures = agent.loads().get(member.id);
+        if (!figures || nowMs - figures.receivedMs > PEER_FIGURES_MS) return [];
+        const { utilization } = figures.load;
+        return utilization < PEER_HAS_ROOM ? [{ member, utilization }] : [];
+      })
+      .sort((a, b) => a.utilization - b.utilization);
+    return candidates[0]?.member;
+  }
+
+  async function sendTo(
+    domain: string,
+    document: ServiceDocument,
+    request: ForwardRequest,
+  ): Promise<Outcome> {
+    const region = agent.config().regionOf.get(domain) ?? domain;
+    if (!mayCross(region)) {
+      return notRun(`The link to region ${region} is full`, 1_000);
+    }
+    const candidates = listEntries(region)
+      .filter((member) => member.failureDomain === domain);
+    const start = Math.floor(random() * candidates.length);
+    let last: Outcome = notRun(`No entry of ${domain} took it`, 1_000);
+    for (let index = 0; index < candidates.length; index++) {
+      const member = candidates[(start + index) % candidates.length];
+      const result = await handOver(member, "run", request);
+      last = toOutcome(result);
+      if (result.kind !== "not_sent") break;
+    }
+    countLink(region, document, request, last);
+    return last;
+  }
+
+  function getLinkShare(region: string): number {
+    const fleet = agent.config().fleet!.document;
+    const link = findLink(fleet, self.region, region);
+    const { regionOf } = agent.config();
+    const vmCount = fleet.entryVms
+      .filter((vm) => regionOf.get(vm.failureDomain) === self.region).length;
+    return (link?.limitBytesPerS ?? 0) / Math.max(1, vmCount);
+  }
+
+  function mayCross(region: string): boolean {
+    if (region === self.region) return true;
+    return links.mayPass(region, getLinkShare(region), clock.monotonicMs());
+  }
+
+  function countLink(
+    region: string,
+    _document: ServiceDocument,
+    request: ForwardRequest,
+    outcome: Outcome,
+  ): void {
+    if (region === self.region) return;
+    const answered = outcome.kind === "answer" ? outcome.answer.body.length : 0;
+    links.count(region, request.body.length + answered + HEADER_BYTES);
+  }
+
+  function handOver(
+    member: Member,
+    mode: HandoverMode,
+    request: ForwardRequest,
+  ): Promise<HandoverResult> {
+    const fleet = agent.config().fleet!.document;
+    const vm = fleet.entryVms.find(({ id }) => id === member.vmId);
+    if (vm === undefined) {
+      const reason = `No VM is named ${member.vmId}`;
+      return Promise.resolve({ kind: "not_sent", reason });
+    }
+    const wayMs = getDelayMs(fleet, self.region, member.region);
+    const timeMs = request.deadlineMs - clock.monotonicMs();
+    const patienceMs = request.requestClass.idempotent
+      ? timeMs
+      : timeMs + LATE_ANSWER_MS;
+    const cutOff = new AbortController();
+    const timer = clock.after(Math.max(1, patienceMs), () => cutOff.abort());
+    const onHangUp = () => cutOff.abort();
+    const { idempotent } = request.requestClass;
+    if (idempotent) request.signal.addEventListener("abort", onHangUp);
+    return peers.handOver({
+      address: vm.entry.peer,
+      mode,
+      request,
+      remainingMs: timeMs - 2 * wayMs,
+      signal: cutOff.signal,
+    }).finally(() => {
+      timer.cancel();
+      request.signal.removeEventListener("abort", onHangUp);
+    });
+  }
+
+  function toOutcome(result: HandoverResult): Outcome {
+    if (result.kind === "outcome") return result.outcome;
+    if (result.kind === "not_sent") return notRun(result.reason, 1_000);
+    return unknown(result.reason);
+  }
+
+  /** The caller is told at its deadline; the late answer is still kept. */
+  function untilDeadline(
+    carried: Promise<Outcome>,
+    request: ForwardRequest,
+  ): Promise<Outcome> {
+    return new Promise((resolve, reject) => {
+      const timer = clock.after(
+        Math.max(0, request.deadlineMs - clock.monotonicMs()),
+        () => resolve(unknown("No answer before the deadline")),
+      );
+      carried.then(resolve, reject).finally(() => timer.cancel());
+    });
+  }
+
+  function notRun(reason: string, waitMs: number): Outcome {
+    const retryAfterS = makeRetryAfter(waitMs, random());
+    return { kind: "not_run", reason, retryAfterS };
+  }
+
+  function unknown(reason: string): Outcome {
+    const retryAfterS = makeRetryAfter(0, random());
+    return { kind: "unknown", reason, retryAfterS };
+  }
+
+  return { carry, runHere };
+}
+
+/** Bytes of a request's and an answer's headers, roughly. */
+const HEADER_BYTES = 900;
--- /dev/null
+++ b/src/forwarding/retry.ts
@@ -0,0 +1,68 @@
+/**
+ * Decides whether a request may be sent again, and keeps retries a small share
+ * of the traffic. Pure.
+ *
+ * Source of the budget: "Handling Overload" in the SRE book, and Finagle's
+ * retry budget.
+ *
+ * @module
+ */
+import type { ExchangeResult } from "./types.ts";
+
+/** Exchanges that one request may take. */
+export const MAX_ATTEMPTS = 3;
+/** Retries allowed for each request. */
+const BUDGET_SHARE = 0.1;
+/** Retries that may be saved up. */
+const MAX_SAVED = 50;
+
+/** What to do after an exchange. */
+export type RetryDecision = "retry" | "not_run" | "unknown";
+
+/** An exchange and its circumstances. */
+export interface RetryInput {
+  result: Exclude<ExchangeResult, { kind: "answer" }>;
+  idempotent: boolean;
+  /** Exchanges so far, this one included. */
+  attempts: number;
+  /** Whether an earlier exchange may have run the request. */
+  mayHaveRun: boolean;
+  hasBudget: boolean;
+  hasTime: boolean;
+}
+
+/**
+ * @param input See there.
+ * @returns What to do.
+ */
+export function decideRetry(input: RetryInput): RetryDecision {
+  const provenNotRun = input.result.kind !== "failed";
+  const mayRetry = provenNotRun || input.idempotent;
+  const canRetry = input.attempts < MAX_ATTEMPTS && input.hasBudget &&
+    input.hasTime;
+  if (mayRetry && canRetry) return "retry";
+  return provenNotRun && !input.mayHaveRun ? "not_run" : "unknown";
+}
+
+/** Retries as a share of requests. */
+export interface RetryBudget {
+  /** Counts a request. */
+  noteRequest(): void;
+  hasBudget(): boolean;
+  /** Counts a retry. */
+  spend(): void;
+}
+
+/** @returns A full budget. */
+export function createRetryBudget(): RetryBudget {
+  let saved = MAX_SAVED;
+  return {
+    noteRequest() {
+      saved = Math.min(MAX_SAVED, saved + BUDGET_SHARE);
+    },
+    hasBudget: () => saved >= 1,
+    spend() {
+      saved -= 1;
+    },
+  };
+}
--- /dev/null
+++ b/src/forwarding/routes.ts
@@ -0,0 +1,317 @@
+/**
+ * The callers' request address and the peers' hand-over address.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { ServerResponse } from "node:http";
+import type { Polka, Request } from "polka";
+import type { RequestClass, ServiceDocument } from "../config/schema.ts";
+import type { ControlAgent } from "../control/agent.ts";
+import type { BlockTable } from "../lookup/blocks.ts";
+import { parseIpv4 } from "../runtime/address.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { describeError } from "../runtime/errors.ts";
+import { getHeader, readBody, sendProblem } from "../runtime/http_server.ts";
+import { createId } from "../runtime/ids.ts";
+import { createLogger } from "../runtime/logger.ts";
+import type { EntryFigures } from "./figures.ts";
+import type { Flow } from "./flow.ts";
+import { parseKey } from "./keys.ts";
+import { HANDOVER_PATH } from "./peer_client.ts";
+import { type ForwardRequest, HEADERS, type Outcome } from "./types.ts";
+
+const log = createLogger("forwarding");
+
+/** Longest deadline that a caller may state, in ms. */
+const MAX_DEADLINE_MS = 60_000;
+const REQUEST_ID_PATTERN = /^[A-Za-z0-9_.-]{1,64}$/;
+const SERVICE_ROUTE = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+
+/** What the routes need. */
+export interface ForwardingRouteOptions {
+  agent: ControlAgent;
+  flow: Flow;
+  figures: EntryFigures;
+  blocks: () => BlockTable;
+  clock: Clock;
+}
+
+/** A request that can't be carried. */
+interface Refusal {
+  status: number;
+  detail: string;
+}
+
+/** A request that can. */
+interface Carried {
+  document: ServiceDocument;
+  request: ForwardRequest;
+}
+
+/**
+ * Adds `/v1/services/{service}/{path...}` for callers.
+ *
+ * @param router The callers' router.
+ * @param options See there.
+ */
+export function addCallerRoutes(
+  router: Polka,
+  options: ForwardingRouteOptions,
+): void {
+  const { flow, figures } = options;
+  router.all("/v1/services/:service/*", async (request, response) => {
+    const parsed = await parseCallerRequest(request, response, options);
+    if ("status" in parsed) {
+      return sendProblem(response, {
+        status: parsed.status,
+        title: "Request not accepted",
+        detail: parsed.detail,
+        outcome: "not_run",
+        retryAfterS: parsed.status === 503 ? 1 : undefined,
+      });
+    }
+    const { document, request: forward } = parsed;
+    figures.noteArrival(forward.service, forward.callerRegion);
+    const outcome = await runSafely(() => flow.carry(document, forward));
+    figures.noteOutcome(forward, outcome);
+    sendOutcome(response, forward, outcome);
+  });
+}
+
+/**
+ * Adds the hand-over address for other entries.
+ *
+ * @param router The peers' router; its key check comes before.
+ * @param options See there.
+ */
+export function addHandoverRoute(
+  router: Polka,
+  options: ForwardingRouteOptions,
+): void {
+  const { flow } = options;
+  router.post(HANDOVER_PATH, async (request, response) => {
+    const parsed = await parseHandover(request, response, options);
+    if ("status" in parsed) {
+      const id = getHeader(request, HEADERS.requestId) ?? "";
+      return sendOutcome(response, { id }, {
+        kind: "not_run",
+        reason: parsed.detail,
+        retryAfterS: 1,
+      });
+    }
+    const { document, request: forward } = parsed;
+    const isOwner = getHeader(request, HEADERS.mode) === "own";
+    const outcome = await runSafely(() =>
+      isOwner ? flow.carry(document, forward) : flow.runHere(document, forward)
+    );
+    sendOutcome(response, forward, outcome);
+  });
+}
+
+/** A fault of ours leaves open whether the request ran. */
+async function runSafely(run: () => Promise<Outcome>): Promise<Outcome> {
+  try {
+    return await run();
+  } catch (cause) {
+    log.error(describeError(cause), { step: "forward", peer: "self" });
+    return { kind: "unknown", reason: "Internal error", retryAfterS: 1 };
+  }
+}
+
+async function parseCallerRequest(
+  request: Request,
+  response: ServerResponse,
+  options: ForwardingRouteOptions,
+): Promise<Carried | Refusal> {
+  const match = SERVICE_ROUTE.exec(request.originalUrl ?? request.url ?? "");
+  if (match === null) return { status: 404, detail: "Not a service's address" };
+  const [, service, path = "/", query = ""] = match;
+  const fromHeader = getHeader(request, HEADERS.requestId);
+  const id = fromHeader ?? createId();
+  if (!REQUEST_ID_PATTERN.test(id)) {
+    return { status: 400, detail: `${HEADERS.requestId} is malformed` };
+  }
+  const client = findClient(request, options);
+  return await parseCommon(request, response, {
+    options,
+    service,
+    id,
+    method: request.method ?? "GET",
+    path: path + query,
+    hops: 0,
+    ...client,
+  });
+}
+
+async function parseHandover(
+  request: Request,
+  response: ServerResponse,
+  options: ForwardingRouteOptions,
+): Promise<Carried | Refusal> {
+  const header = (name: string) => getHeader(request, name) ?? "";
+  return await parseCommon(request, response, {
+    options,
+    service: header(HEADERS.service),
+    id: header(HEADERS.requestId),
+    method: header("x-http-method"),
+    path: header(HEADERS.path),
+    hops: Number(header(HEADERS.hops)) || 1,
+    block: header(HEADERS.clientBlock),
+    callerRegion: header(HEADERS.region),
+  });
+}
+
+interface CommonParts {
+  options: ForwardingRouteOptions;
+  service: string;
+  id: string;
+  method: string;
+  path: string;
+  hops: number;
+  block: string;
+  callerRegion: string;
+}
+
+async function parseCommon(
+  request: Request,
+  response: ServerResponse,
+  parts: CommonParts,
+): Promise<Carried | Refusal> {
+  const { options, service, method, path } = parts;
+  const document = options.agent.config().services.get(service)?.document;
+  if (document === undefined) {
+    return { status: 404, detail: `No service is named "${service}"` };
+  }
+  const requestClass = findClass(document, method, path);
+  if (requestClass === undefined) {
+    return {
+      status: 404,
+      detail: `No class of requests fits ${method} ${path}`,
+    };
+  }
+  const timeMs = parseDeadline(request, requestClass);
+  if (timeMs === undefined) {
+    return {
+      status: 400,
+      detail: `${HEADERS.deadlineMs} must be 1 to ${MAX_DEADLINE_MS}`,
+    };
+  }
+  const deadlineMs = options.clock.monotonicMs() + timeMs;
+  const keyText = getHeader(request, HEADERS.idempotencyKey);
+  const key = keyText === undefined ? undefined : parseKey(keyText);
+  if (!requestClass.idempotent && key === undefined) {
+    return {
+      status: 400,
+      detail: "This request needs an Idempotency-Key that starts with an " +
+        "entry's keyPrefix from a look-up and a dot",
+    };
+  }
+  let body: Buffer;
+  try {
+    body = await readBody(request);
+  } catch (cause) {
+    return { status: 413, detail: describeError(cause) };
+  }
+  return {
+    document,
+    request: {
+      id: parts.id,
+      service,
+      requestClass,
+      method,
+      path,
+      contentType: getHeader(request, "content-type"),
+      body,
+      deadlineMs,
+      key: requestClass.idempotent ? undefined : key,
+      block: parts.block,
+      callerRegion: parts.callerRegion,
+      hops: parts.hops,
+      signal: signalHangUp(response),
+    },
+  };
+}
+
+function signalHangUp(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once("close", () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+function parseDeadline(
+  request: Request,
+  requestClass: RequestClass,
+): number | undefined {
+  const text = getHeader(request, HEADERS.deadlineMs);
+  if (text === undefined) return requestClass.deadlineMs;
+  const timeMs = Number(text);
+  const isValid = Number.isFinite(timeMs) && timeMs > 0 &&
+    timeMs <= MAX_DEADLINE_MS;
+  return isValid ? timeMs : undefined;
+}
+
+/** @returns The first class whose method and path fit. */
+export function findClass(
+  document: ServiceDocument,
+  method: string,
+  path: string,
+): RequestClass | undefined {
+  return document.classes.find(({ methods, pathPrefix }) =>
+    (methods as string[]).includes(method) && path.startsWith(pathPrefix)
+  );
+}
+
+/**
+ * The block that the look-up named, else the block of the connection; a client
+ * of no known block belongs to this entry's region.
+ */
+function findClient(
+  request: Request,
+  { blocks, agent }: ForwardingRouteOptions,
+) {
+  const named = getHeader(request, HEADERS.clientBlock)?.split("/")[0];
+  const remote = request.socket.remoteAddress?.replace(/^::ffff:/, "");
+  const address = parseIpv4(named ?? "") ?? parseIpv4(remote ?? "");
+  const found = address === undefined ? undefined : blocks().find(address);
+  return {
+    block: found?.block ?? remote ?? "",
+    callerRegion: found?.region ?? agent.self.region,
+  };
+}
+
+/**
+ * Sends how a request ended.
+ *
+ * @param response Where to send it.
+ * @param request The request.
+ * @param outcome How it ended.
+ */
+export function sendOutcome(
+  response: ServerResponse,
+  request: { id: string },
+  outcome: Outcome,
+): void {
+  if (response.destroyed || response.headersSent) return;
+  response.setHeader(HEADERS.requestId, request.id);
+  response.setHeader(HEADERS.outcome, outcome.kind);
+  if (outcome.kind !== "answer") {
+    return sendProblem(response, {
+      status: outcome.kind === "not_run" ? 503 : 504,
+      title: outcome.kind === "not_run" ? "Not run" : "Unknown",
+      detail: outcome.reason,
+      outcome: outcome.kind,
+      retryAfterS: outcome.retryAfterS,
+    });
+  }
+  const { status, contentType, body, serverId } = outcome.answer;
+  const headers: Record<string, string | number> = {
+    "content-length": body.length,
+    [HEADERS.server]: serverId,
+  };
+  if (contentType) headers["content-type"] = contentType;
+  response.writeHead(status, headers);
+  response.end(body);
+}
--- /dev/null
+++ b/src/forwarding/servers.ts
@@ -0,0 +1,367 @@
+/**
+ * Backend servers of one service as one entry sees them: limits, what is in
+ * flight, how they behave, which take new work. Pure.
+ *
+ * @module
+ */
+import type { BackendServer, ServiceDocument } from "../config/schema.ts";
+import type { HealthReport } from "../control/messages.ts";
+import { createMovingMean, type MovingMean } from "../measurement/rate.ts";
+
+/** Failures in a row after which a server gets no work for a while. */
+const EJECT_AFTER_FAILURES = 3;
+const FIRST_EJECTION_MS = 1_000;
+const MAX_EJECTION_MS = 30_000;
+/** Ejections are ignored where fewer than this share would be left. */
+const EJECTION_FLOOR_SHARE = 0.5;
+/** Observed latency loses half its say after this time without a new one. */
+const LATENCY_HALF_LIFE_MS = 4_000;
+const LATENCY_WEIGHT = 0.2;
+/** A server slower than this many medians gets fewer slots. */
+const SLOW_FACTOR = 3;
+/** Age at which a probe no longer says anything. */
+const PROBE_EXPIRY_MS = 5_000;
+
+/** Why a server takes no new work. */
+export type LeavingReason = "document" | "vm_list" | "health" | "refusal";
+
+/** One backend server. */
+export interface ServerState {
+  server: BackendServer;
+  /** This entry's share of its slots. */
+  share: number;
+  inFlight: number;
+  latency: MovingMean;
+  latencyAtMs: number;
+  failures: number;
+  ejections: number;
+  ejectedUntilMs: number;
+  /** When it began to take work after being away; undefined: long ago. */
+  coldSinceMs: number | undefined;
+  health: HealthReport["state"];
+  healthAtMs: number;
+  reportedUse: number;
+  lastSuccessMs: number;
+  leaving: LeavingReason | undefined;
+  leavingSinceMs: number;
+  /** Time from the start of leaving until nothing was in flight. */
+  drainMs: number | undefined;
+}
+
+/** All servers of a service in one failure domain. */
+export interface ServerSet {
+  document: ServiceDocument;
+  servers: Map<string, ServerState>;
+  /** Whether servers were synchronised before: later ones are cold. */
+  started: boolean;
+}
+
+/** Which part of each server's slots belongs to an entry. */
+export interface EntryShare {
+  /** Position of the entry among its failure domain's, from 0. */
+  index: number;
+  count: number;
+}
+
+/**
+ * Splits slots among the entries of a failure domain by the documents alone:
+ * the parts add up to the whole with no messages.
+ *
+ * @param slots Slots of the server.
+ * @param serverIndex Position of the server, so that remainders spread.
+ * @param entry Which entry asks.
+ * @returns Its slots.
+ */
+export function getSlotShare(
+  slots: number,
+  serverIndex: number,
+  { index, count }: EntryShare,
+): number {
+  return Math.floor((slots + (index + serverIndex) % count) / count);
+}
+
+/** @returns A set that knows no server yet. */
+export function createServerSet(document: ServiceDocument): ServerSet {
+  return { document, servers: new Map(), started: false };
+}
+
+/** Circumstances of a synchronisation. */
+export interface SyncContext {
+  failureDomain: string;
+  entry: EntryShare;
+  /** Why a server must leave, if it must. */
+  leavingReason(server: BackendServer): LeavingReason | undefined;
+  /** Monotonic time, in ms. */
+  nowMs: number;
+}
+
+/**
+ * Brings a set in line with the document in force.
+ *
+ * @param set Changed in place.
+ * @param document The document in force.
+ * @param context See there.
+ */
+export function syncServers(
+  set: ServerSet,
+  document: ServiceDocument,
+  context: SyncContext,
+): void {
+  set.document = document;
+  const own = document.backendServers.filter((server) =>
+    server.failureDomain === context.failureDomain
+  );
+  const ids = new Set(own.map(({ id }) => id));
+  for (const [id, state] of set.servers) {
+    if (ids.has(id)) continue;
+    markLeaving(state, "document", context.nowMs);
+    if (state.inFlight === 0) set.servers.delete(id);
+  }
+  own.forEach((server, index) => {
+    const share = getSlotShare(server.slots, index, context.entry);
+    const coldSinceMs = set.started ? context.nowMs : undefined;
+    const state = set.servers.get(server.id) ??
+      createServerState(server, coldSinceMs);
+    state.server = server;
+    state.share = share;
+    set.servers.set(server.id, state);
+    updateLeaving(state, context.leavingReason(server), context.nowMs);
+  });
+  set.started = true;
+}
+
+function createServerState(
+  server: BackendServer,
+  coldSinceMs: number | undefined,
+): ServerState {
+  return {
+    server,
+    share: 0,
+    inFlight: 0,
+    latency: createMovingMean(LATENCY_WEIGHT),
+    latencyAtMs: 0,
+    failures: 0,
+    ejections: 0,
+    ejectedUntilMs: 0,
+    coldSinceMs,
+    health: "healthy",
+    healthAtMs: -Infinity,
+    reportedUse: 0,
+    lastSuccessMs: -Infinity,
+    leaving: undefined,
+    leavingSinceMs: 0,
+    drainMs: undefined,
+  };
+}
+
+function updateLeaving(
+  state: ServerState,
+  reason: LeavingReason | undefined,
+  nowMs: number,
+): void {
+  const told = reason ?? (state.health === "draining" ? "health" : undefined);
+  if (told !== undefined) return markLeaving(state, told, nowMs);
+  if (state.leaving === undefined) return;
+  const refusedLately = state.leaving === "refusal" &&
+    nowMs - state.leavingSinceMs < PROBE_EXPIRY_MS;
+  if (refusedLately) return;
+  state.leaving = undefined;
+  state.drainMs = undefined;
+  state.coldSinceMs = nowMs;
+}
+
+/**
+ * Stops new work for a server.
+ *
+ * @param state Changed in place.
+ * @param reason Who said that it leaves.
+ * @param nowMs Monotonic time, in ms.
+ */
+export function markLeaving(
+  state: ServerState,
+  reason: LeavingReason,
+  nowMs: number,
+): void {
+  if (state.leaving === undefined) {
+    state.leavingSinceMs = nowMs;
+    state.drainMs = state.inFlight === 0 ? 0 : undefined;
+  }
+  state.leaving = reason;
+}
+
+/**
+ * Takes in a probe.
+ *
+ * @param set Changed in place.
+ * @param report The probe.
+ * @param nowMs Monotonic time, in ms.
+ */
+export function noteHealth(
+  set: ServerSet,
+  report: HealthReport,
+  nowMs: number,
+): void {
+  const state = set.servers.get(report.serverId);
+  const atMs = nowMs - report.ageMs;
+  if (state === undefined || atMs < state.healthAtMs) return;
+  if (state.health === "failing" && report.state === "healthy") {
+    state.coldSinceMs = nowMs;
+  }
+  state.health = report.state;
+  state.healthAtMs = atMs;
+  state.reportedUse = report.reportedUse;
+  if (report.state === "draining") markLeaving(state, "health", nowMs);
+}
+
+/**
+ * Counts a request that goes to a server.
+ *
+ * @param state Changed in place.
+ */
+export function beginRequest(state: ServerState): void {
+  state.inFlight += 1;
+}
+
+/** How an exchange went, for judging the server. */
+export interface ExchangeReport {
+  ok: boolean;
+  durationMs: number;
+  /** Monotonic time, in ms. */
+  nowMs: number;
+}
+
+/**
+ * Counts a request that came back from a server.
+ *
+ * @param state Changed in place.
+ * @param report How it went.
+ */
+export function endRequest(
+  state: ServerState,
+  { ok, durationMs, nowMs }: ExchangeReport,
+): void {
+  state.inFlight -= 1;
+  if (state.leaving && state.inFlight === 0 && state.drainMs === undefined) {
+    state.drainMs = nowMs - state.leavingSinceMs;
+  }
+  if (ok) {
+    state.failures = 0;
+    state.ejections = 0;
+    state.lastSuccessMs = nowMs;
+    state.latency.add(durationMs);
+    state.latencyAtMs = nowMs;
+    return;
+  }
+  state.failures += 1;
+  if (state.failures < EJECT_AFTER_FAILURES) return;
+  const ejectionMs = FIRST_EJECTION_MS * 2 ** state.ejections;
+  state.ejectedUntilMs = nowMs + Math.min(MAX_EJECTION_MS, ejectionMs);
+  state.ejections += 1;
+  state.failures = 0;
+  state.coldSinceMs = state.ejectedUntilMs;
+}
+
+/**
+ * Lists servers that may get new work. Ejected ones are included again where
+ * too few would be left: then the fault is likely a common one.
+ *
+ * @param set The servers.
+ * @param nowMs Monotonic time, in ms.
+ * @returns The servers, full ones included.
+ */
+export function listEligible(set: ServerSet, nowMs: number): ServerState[] {
+  const staying = [...set.servers.values()].filter((state) =>
+    state.leaving === undefined && state.share > 0
+  );
+  const sound = staying.filter((state) => isSound(state, nowMs));
+  const enough = sound.length >= staying.length * EJECTION_FLOOR_SHARE;
+  return enough ? sound : staying;
+}
+
+/** Behaviour goes before reports: a success after the probe outweighs it. */
+function isSound(state: ServerState, nowMs: number): boolean {
+  if (nowMs < state.ejectedUntilMs) return false;
+  const reportedFailing = state.health === "failing" &&
+    nowMs - state.healthAtMs < PROBE_EXPIRY_MS;
+  return !reportedFailing || state.lastSuccessMs > state.healthAtMs;
+}
+
+/**
+ * Judges a server's latency: what was observed, drawn towards the median of the
+ * others as the observation ages.
+ *
+ * @param state The server.
+ * @param medianMs Median of the servers' observed latencies, in ms.
+ * @param nowMs Monotonic time, in ms.
+ * @returns Latency to expect, in ms.
+ */
+export function judgeLatency(
+  state: ServerState,
+  medianMs: number,
+  nowMs: number,
+): number {
+  const observedMs = state.latency.value();
+  if (observedMs === 0) return medianMs;
+  const ageMs = nowMs - state.latencyAtMs;
+  const say = 0.5 ** (ageMs / LATENCY_HALF_LIFE_MS);
+  return medianMs + (observedMs - medianMs) * say;
+}
+
+/**
+ * @param states Servers.
+ * @param fallbackMs Value where nothing was observed.
+ * @returns Median of their observed latencies, in ms.
+ */
+export function getMedianLatency(
+  states: readonly ServerState[],
+  fallbackMs: number,
+): number {
+  const seen = states.map((state) => state.latency.value())
+    .filter((latencyMs) => latencyMs > 0)
+    .sort((a, b) => a - b);
+  return seen[Math.floor(seen.length / 2)] ?? fallbackMs;
+}
+
+/** Circumstances of a limit. */
+export interface LimitContext {
+  medianMs: number;
+  nowMs: number;
+}
+
+/**
+ * @param set The set that the server belongs to.
+ * @param state The server.
+ * @param context See there.
+ * @returns Requests that it may have in flight from this entry.
+ */
+export function getLimit(
+  set: ServerSet,
+  state: ServerState,
+  { medianMs, nowMs }: LimitContext,
+): number {
+  const { rampS, initialShare } = set.document.coldStart;
+  let part = 1;
+  if (state.coldSinceMs !== undefined && rampS > 0) {
+    const warmed = (nowMs - state.coldSinceMs) / (rampS * 1_000);
+    part = Math.min(1, initialShare + (1 - initialShare) * Math.max(0, warmed));
+  }
+  const latencyMs = judgeLatency(state, medianMs, nowMs);
+  if (medianMs > 0 && latencyMs > SLOW_FACTOR * medianMs) {
+    part *= SLOW_FACTOR * medianMs / latencyMs;
+  }
+  return Math.min(state.share, Math.max(1, Math.round(state.share * part)));
+}
+
+/**
+ * @param set The servers.
+ * @param nowMs Monotonic time, in ms.
+ * @returns Requests that this entry may have in flight in all.
+ */
+export function getTotalLimit(set: ServerSet, nowMs: number): number {
+  const eligible = listEligible(set, nowMs);
+  const medianMs = getMedianLatency(eligible, set.document.expectedServiceMs);
+  return eligible.reduce(
+    (sum, state) => sum + getLimit(set, state, { medianMs, nowMs }),
+    0,
+  );
+}
--- /dev/null
+++ b/src/lookup/blocks.ts
@@ -0,0 +1,120 @@
+/**
+ * The table of client blocks, packed in typed arrays: 11 bytes a range.
+ *
+ * @module
+ */
+import type { FleetDocument } from "../config/schema.ts";
+import { formatIpv4, parseIpv4 } from "../runtime/address.ts";
+
+/** A client's block and region. */
+export interface ClientBlock {
+  /** Range in CIDR form, such as `10.1.2.0/24`. */
+  block: string;
+  region: string;
+}
+
+/** Finds the block of a client. */
+export interface BlockTable {
+  /**
+   * @param client The client's address as an unsigned 32-bit number.
+   * @returns Its block, or undefined where no range holds it.
+   */
+  find(client: number): ClientBlock | undefined;
+  /** Ranges in the table. */
+  size: number;
+}
+
+interface Range {
+  first: number;
+  last: number;
+  blockPrefixLength: number;
+  region: string;
+}
+
+/**
+ * Ranges may nest: the narrowest that holds a client is taken.
+ *
+ * @param ranges The fleet document's client blocks.
+ * @returns The table.
+ */
+export function createBlockTable(
+  ranges: FleetDocument["clientBlocks"],
+): BlockTable {
+  const flat = flatten(ranges.map(parseRange));
+  const regions = [...new Set(flat.map(({ region }) => region))];
+  const regionIndex = new Map(regions.map((name, index) => [name, index]));
+  const first = Uint32Array.from(flat, (range) => range.first);
+  const last = Uint32Array.from(flat, (range) => range.last);
+  const prefix = Uint8Array.from(flat, (range) => range.blockPrefixLength);
+  const region = Uint16Array.from(
+    flat,
+    (range) => regionIndex.get(range.region)!,
+  );
+  return {
+    size: flat.length,
+    find(client) {
+      const index = findLastAtMost(first, client);
+      if (index < 0 || client > last[index]) return undefined;
+      return {
+        block: formatBlock(client, prefix[index]),
+        region: regions[region[index]],
+      };
+    },
+  };
+}
+
+function parseRange(block: FleetDocument["clientBlocks"][number]): Range {
+  const [address, length] = block.cidr.split("/");
+  const size = 2 ** (32 - Number(length));
+  const first = Math.floor(parseIpv4(address)! / size) * size;
+  const { blockPrefixLength, region } = block;
+  return { first, last: first + size - 1, blockPrefixLength, region };
+}
+
+/** Cuts wider ranges around the narrower ones that they hold. */
+function flatten(ranges: Range[]): Range[] {
+  const sorted = [...ranges].sort((a, b) =>
+    a.first - b.first || b.last - a.last
+  );
+  const flat: Range[] = [];
+  const open: Range[] = [];
+  let cursor = 0;
+
+  function emit(range: Range, last: number) {
+    if (cursor <= last) flat.push({ ...range, first: cursor, last });
+    cursor = Math.max(cursor, last + 1);
+  }
+
+  for (const range of sorted) {
+    while (open.length > 0 && open[open.length - 1].last < range.first) {
+      const done = open.pop()!;
+      emit(done, done.last);
+    }
+    const outer = open[open.length - 1];
+    if (outer) emit(outer, range.first - 1);
+    cursor = Math.max(cursor, range.first);
+    open.push(range);
+  }
+  while (open.length > 0) {
+    const done = open.pop()!;
+    emit(done, done.last);
+  }
+  return flat;
+}
+
+/** @returns Index of the last value at most `wanted`, or -1. */
+function findLastAtMost(values: Uint32Array, wanted: number): number {
+  let low = 0;
+  let high = values.length - 1;
+  while (low <= high) {
+    const middle = (low + high) >>> 1;
+    if (values[middle] <= wanted) low = middle + 1;
+    else high = middle - 1;
+  }
+  return high;
+}
+
+function formatBlock(client: number, prefixLength: number): string {
+  const size = 2 ** (32 - prefixLength);
+  return `${formatIpv4(Math.floor(client / size) * size)}/${prefixLength}`;
+}
--- /dev/null
+++ b/src/lookup/logic.ts
@@ -0,0 +1,132 @@
+/**
+ * Makes the answer to a look-up. Pure, and the same in every steer that knows
+ * the same.
+ *
+ * @module
+ */
+import type {
+  EntryVm,
+  FleetDocument,
+  ServiceDocument,
+} from "../config/schema.ts";
+import { formatKeyPrefix } from "../forwarding/keys.ts";
+import type { Member } from "../membership/types.ts";
+import { rankByRendezvous } from "../runtime/hash.ts";
+import { getDelayMs } from "../steering/estimate.ts";
+import { pickRegion, rankDomains } from "../steering/place.ts";
+import type { RegionOf, WeightRow } from "../steering/types.ts";
+import type { ClientBlock } from "./blocks.ts";
+import type { EntryChoice, LookupAnswer } from "./types.ts";
+
+/** Entries named in an answer. */
+export const MAX_ENTRIES = 4;
+/** An entry that uses more than this share of its slots is named last. */
+const FULL_UTILIZATION = 0.98;
+
+/** What an answer is made from. */
+export interface LookupInput {
+  document: ServiceDocument;
+  configNumber: number;
+  fleet: FleetDocument;
+  client: ClientBlock;
+  /** Weights in force for the client's region. */
+  row: WeightRow;
+  planNumber: number;
+  regionOf: RegionOf;
+  /** Entries that look alive and are not leaving. */
+  serving: readonly Member[];
+  /** Share of its slots that an entry uses, by member id. */
+  utilization: ReadonlyMap<string, number>;
+  /** Wall-clock time, in ms since the epoch. */
+  wallMs: number;
+}
+
+/**
+ * @param input See there.
+ * @returns The answer, or undefined where no entry can be named.
+ */
+export function answerLookup(input: LookupInput): LookupAnswer | undefined {
+  const region = pickEntryRegion(input);
+  if (region === undefined) return undefined;
+  const members = rankEntries(input, region);
+  const vms = new Map(input.fleet.entryVms.map((vm) => [vm.id, vm]));
+  const entries = members
+    .flatMap((member) => {
+      const vm = vms.get(member.vmId);
+      return vm ? [{ member, vm }] : [];
+    })
+    .slice(0, MAX_ENTRIES)
+    .map(({ member, vm }, index) => makeChoice(input, { member, vm, index }));
+  if (entries.length === 0) return undefined;
+  return {
+    service: input.document.service,
+    clientBlock: input.client.block,
+    clientRegion: input.client.region,
+    ttlMs: input.document.answerTtlMs,
+    planNumber: input.planNumber,
+    configNumber: input.configNumber,
+    entries,
+  };
+}
+
+/** The client's own region while it has entries, else the nearest that has. */
+function pickEntryRegion(
+  { client, serving, fleet }: LookupInput,
+): string | undefined {
+  const regions = [...new Set(serving.map((member) => member.region))];
+  return regions.sort((a, b) =>
+    distance(fleet, client.region, a) - distance(fleet, client.region, b) ||
+    a.localeCompare(b)
+  )[0];
+}
+
+function distance(fleet: FleetDocument, from: string, to: string): number {
+  return from === to ? -1 : getDelayMs(fleet, from, to);
+}
+
+/** Entries where the request will run come first; full ones come last. */
+function rankEntries(input: LookupInput, region: string): Member[] {
+  const { document, client, row, regionOf, serving, utilization } = input;
+  const request = {
+    service: document.service,
+    block: client.block,
+    row,
+    regionOf,
+  };
+  const inRegion = serving.filter((member) => member.region === region);
+  const domains = [...new Set(inRegion.map((member) => member.failureDomain))];
+  const ranked = pickRegion(request) === region
+    ? rankDomains(request, domains)
+    : rankByRendezvous(
+      `entry ${client.block}`,
+      domains.map((id) => ({ id, weight: 1 })),
+    ).map(({ id }) => id);
+  const members = ranked.flatMap((domain) => {
+    const candidates = inRegion
+      .filter((member) => member.failureDomain === domain)
+      .map((member) => ({ id: member.id, weight: 1, member }));
+    return rankByRendezvous(`entry ${client.block}`, candidates)
+      .map(({ member }) => member);
+  });
+  const isFull = (member: Member) =>
+    (utilization.get(member.id) ?? 0) > FULL_UTILIZATION;
+  return [
+    ...members.filter((member) => !isFull(member)),
+    ...members.filter(isFull),
+  ];
+}
+
+function makeChoice(
+  { wallMs }: LookupInput,
+  chosen: { member: Member; vm: EntryVm; index: number },
+): EntryChoice {
+  const { member, vm, index } = chosen;
+  return {
+    id: vm.id,
+    address: vm.entry.caller,
+    failureDomain: member.failureDomain,
+    region: member.region,
+    weight: 1 / (index + 1),
+    keyPrefix: formatKeyPrefix(vm.id, member.incarnation, wallMs),
+  };
+}
--- /dev/null
+++ b/src/lookup/routes.ts
@@ -0,0 +1,103 @@
+/**
+ * The callers' look-up address.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type { Polka, Request } from "polka";
+import type { ControlAgent } from "../control/agent.ts";
+import { parseIpv4 } from "../runtime/address.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { sendJson, sendProblem } from "../runtime/http_server.ts";
+import type { Metrics } from "../runtime/metrics.ts";
+import type { Steering } from "../steering/steering.ts";
+import { type BlockTable, createBlockTable } from "./blocks.ts";
+import { answerLookup } from "./logic.ts";
+
+/** What the routes need. */
+export interface LookupOptions {
+  agent: ControlAgent;
+  steering: Steering;
+  clock: Clock;
+  metrics: Metrics;
+}
+
+/** Keeps the table of the fleet document in force. */
+export function createBlockSource(agent: ControlAgent): () => BlockTable {
+  let rowVersion = -1;
+  let table = createBlockTable([]);
+  return () => {
+    const fleet = agent.config().fleet;
+    if (fleet && fleet.rowVersion !== rowVersion) {
+      rowVersion = fleet.rowVersion;
+      table = createBlockTable(fleet.document.clientBlocks);
+    }
+    return table;
+  };
+}
+
+/**
+ * Adds `GET /v1/lookup/:service?client=IP`.
+ *
+ * @param router The callers' router.
+ * @param options See there.
+ */
+export function addLookupRoutes(router: Polka, options: LookupOptions): void {
+  const { agent, steering, clock, metrics } = options;
+  const blocks = createBlockSource(agent);
+
+  function refuse(response: ServerResponse, status: number, detail: string) {
+    sendProblem(response, {
+      status,
+      title: status === 503 ? "No entry available" : "Bad look-up",
+      detail,
+      outcome: "not_run",
+      retryAfterS: status === 503 ? 1 : undefined,
+    });
+  }
+
+  function readUtilization(): Map<string, number> {
+    return new Map(
+      [...agent.loads()].map(([id, { load }]) => [id, load.utilization]),
+    );
+  }
+
+  router.get("/v1/lookup/:service", (request: Request, response) => {
+    const { service } = request.params;
+    const config = agent.config();
+    const inForce = config.services.get(service);
+    if (config.fleet === undefined) {
+      return refuse(response, 503, "No configuration is in force yet");
+    }
+    if (inForce === undefined) {
+      return refuse(response, 404, `No service is named "${service}"`);
+    }
+    const text = request.query.client ?? request.socket.remoteAddress ?? "";
+    const address = parseIpv4(String(text).replace(/^::ffff:/, ""));
+    if (address === undefined) {
+      return refuse(response, 400, `client="${text}" is not an IPv4 number`);
+    }
+    const client = blocks().find(address);
+    if (client === undefined) {
+      return refuse(response, 404, `No client block holds ${text}`);
+    }
+    const answer = answerLookup({
+      document: inForce.document,
+      configNumber: inForce.number,
+      fleet: config.fleet.document,
+      client,
+      row: steering.rowFor(service, client.region),
+      planNumber: steering.planNumber(service),
+      regionOf: config.regionOf,
+      serving: agent.serving("entry")
+        .filter((member) => !agent.leavingVms().has(member.vmId)),
+      utilization: readUtilization(),
+      wallMs: clock.now().getTime(),
+    });
+    metrics.count("lookups", { service });
+    if (answer === undefined) {
+      return refuse(response, 503, "No entry VM is known to be alive");
+    }
+    sendJson(response, answer);
+  });
+}
--- /dev/null
+++ b/src/measurement/state.ts
@@ -0,0 +1,39 @@
+/**
+ * Latest figures of every entry, with their age.
+ *
+ * @module
+ */
+import type { EntryLoad, ReceivedLoad } from "./types.ts";
+
+/** By entry id. */
+export type LoadState = Map<string, ReceivedLoad>;
+
+/** Figures older than this are dropped altogether. */
+export const FORGET_AFTER_MS = 60_000;
+
+/**
+ * Takes in an entry's figures.
+ *
+ * @param state Changed in place.
+ * @param load The figures.
+ * @param nowMs Monotonic time, in ms.
+ */
+export function noteLoad(
+  state: LoadState,
+  load: EntryLoad,
+  nowMs: number,
+): void {
+  state.set(load.entryId, { load, receivedMs: nowMs });
+}
+
+/**
+ * Drops figures that are too old to mean anything.
+ *
+ * @param state Changed in place.
+ * @param nowMs Monotonic time, in ms.
+ */
+export function forgetOldLoad(state: LoadState, nowMs: number): void {
+  for (const [entryId, { receivedMs }] of state) {
+    if (nowMs - receivedMs > FORGET_AFTER_MS) state.delete(entryId);
+  }
+}
--- /dev/null
+++ b/src/operator/documents.ts
@@ -0,0 +1,352 @@
+/**
+ * Commands that read and write documents.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { createTwoFilesPatch } from "diff";
+import type { Result } from "neverthrow";
+import { applyEdits, type JSONPath, modify, parse } from "jsonc-parser";
+import { checkFleet, checkService } from "../config/check.ts";
+import {
+  type DocumentProblem,
+  type DocumentSource,
+  formatProblem,
+} from "../config/jsonc.ts";
+import { FLEET_KEY, getServiceKey } from "../config/rows.ts";
+import type { Drain, FleetDocument } from "../config/schema.ts";
+import type { DocumentStore, PutOutcome } from "../config/store.ts";
+import type { StepError } from "../runtime/errors.ts";
+import { EXIT_CODES } from "../runtime/process.ts";
+import { type CommandOptions, requireValue, usageError } from "./arguments.ts";
+
+/** What a command prints and how it exits. */
+export interface CommandResult {
+  /** For a person. */
+  text: string;
+  /** For `--json`. */
+  json: unknown;
+  exitCode: number;
+}
+
+const FORMATTING = { formattingOptions: { insertSpaces: true, tabSize: 2 } };
+
+/** @returns Key of the row of a document's name: `fleet` or a service. */
+export function getDocumentKey(name: string): string {
+  return name === "fleet" ? FLEET_KEY : getServiceKey(name);
+}
+
+/** The document's name is its `service` field; the fleet's has none. */
+function getNameOf(text: string): string {
+  const value = parse(text) as { service?: unknown } | undefined;
+  return typeof value?.service === "string" ? value.service : "fleet";
+}
+
+function check(source: DocumentSource, fleet: FleetDocument | undefined) {
+  return getNameOf(source.text) === "fleet"
+    ? checkFleet(source)
+    : checkService(source, fleet);
+}
+
+async function readFleet(
+  store: DocumentStore,
+): Promise<FleetDocument | undefined> {
+  const read = await store.read(FLEET_KEY);
+  if (read.isErr() || read.value.stored === undefined) return undefined;
+  const { text } = read.value.stored;
+  return checkFleet({ file: "fleet", text }).unwrapOr(undefined)?.document;
+}
+
+function readFile(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (cause) {
+    throw usageError(`Cannot read ${file}: ${(cause as Error).message}`);
+  }
+}
+
+/**
+ * `check FILE...`: checks documents without putting them.
+ *
+ * @param options Words are files.
+ * @param store Where the fleet document is read, if it can be.
+ * @returns Problems and warnings.
+ */
+export async function checkCommand(
+  { words }: CommandOptions,
+  store: DocumentStore | undefined,
+): Promise<CommandResult> {
+  if (words.length === 0) throw usageError("FILE is missing");
+  const fleet = store && await readFleet(store);
+  const problems: DocumentProblem[] = [];
+  const warnings: DocumentProblem[] = [];
+  for (const file of words) {
+    check({ file, text: readFile(file) }, fleet).match(
+      (checked) => warnings.push(...checked.warnings),
+      (found) => problems.push(...found),
+    );
+  }
+  const lines = [
+    ...problems.map((problem) => `error: ${formatProblem(problem)}`),
+    ...warnings.map((warning) => `warning: ${formatProblem(warning)}`),
+  ];
+  return {
+    text: lines.length > 0 ? lines.join("\n") : "No problems found",
+    json: { problems, warnings },
+    exitCode: problems.length > 0 ? EXIT_CODES.usage : EXIT_CODES.ok,
+  };
+}
+
+/**
+ * `get NAME`: prints a document with its row version.
+ *
+ * @param options Words are the name.
+ * @param store The documents.
+ * @returns The document.
+ */
+export async function getCommand(
+  { words }: CommandOptions,
+  store: DocumentStore,
+): Promise<CommandResult> {
+  const name = requireValue(words[0], "NAME");
+  const read = unwrap(await store.read(getDocumentKey(name)));
+  if (read.stored === undefined) throw usageError(`No document "${name}"`);
+  return {
+    text: read.stored.text,
+    json: { name, rowVersion: read.rowVersion, ...read.stored },
+    exitCode: EXIT_CODES.ok,
+  };
+}
+
+/**
+ * `put FILE... [--from VERSION]`: checks and puts documents. Without `--from`
+ * the newest version is taken as what they were edited from.
+ *
+ * @param options Words are files.
+ * @param store The documents.
+ * @returns What was put.
+ */
+export async function putCommand(
+  options: CommandOptions,
+  store: DocumentStore,
+): Promise<CommandResult> {
+  if (options.words.length === 0) throw usageError("FILE is missing");
+  const results: CommandResult[] = [];
+  for (const file of options.words) {
+    const text = readFile(file);
+    const result = await putText({ file, text }, options, store);
+    results.push(result);
+    if (result.exitCode !== EXIT_CODES.ok) break;
+  }
+  return {
+    text: results.map((result) => result.text).join("\n"),
+    json: results.map((result) => result.json),
+    exitCode: results[results.length - 1].exitCode,
+  };
+}
+
+async function putText(
+  source: DocumentSource,
+  { author, from }: CommandOptions,
+  store: DocumentStore,
+): Promise<CommandResult> {
+  const checked = check(source, await readFleet(store));
+  if (checked.isErr()) {
+    return {
+      text: checked.error.map((problem) => `error: ${formatProblem(problem)}`)
+        .join("\n"),
+      json: { problems: checked.error },
+      exitCode: EXIT_CODES.usage,
+    };
+  }
+  const name = getNameOf(source.text);
+  const key = getDocumentKey(name);
+  const editedFrom = from ?? unwrap(await store.read(key)).rowVersion;
+  const { text } = source;
+  const put = unwrap(await store.put({ key, text, author, editedFrom }));
+  return describePut(put, {
+    name,
+    text,
+    warnings: checked.value.warnings,
+  });
+}
+
+function describePut(
+  put: PutOutcome,
+  { name, text, warnings }: {
+    name: string;
+    text: string;
+    warnings: DocumentProblem[];
+  },
+): CommandResult {
+  if (put.outcome === "race") {
+    const theirs = put.theirs.stored?.text ?? "";
+    const patch = createTwoFilesPatch("theirs", "yours", theirs, text);
+    return {
+      text: `Refused: another edit of ${name} came first.\n${patch}`,
+      json: { outcome: "race", name, theirs: put.theirs, yours: text },
+      exitCode: EXIT_CODES.conflict,
+    };
+  }
+  const { number, rowVersion } = put;
+  const notes = warnings.map((warning) => `warning: ${formatProblem(warning)}`);
+  return {
+    text: [`${name}: version ${number} accepted`, ...notes].join("\n"),
+    json: { outcome: "accepted", name, number, rowVersion, warnings },
+    exitCode: EXIT_CODES.ok,
+  };
+}
+
+/** Changes a document's text and puts it, from the version read. */
+async function editText(
+  name: string,
+  options: CommandOptions,
+  { store, change }: {
+    store: DocumentStore;
+    change: (text: string) => string;
+  },
+): Promise<CommandResult> {
+  const read = unwrap(await store.read(getDocumentKey(name)));
+  if (read.stored === undefined) throw usageError(`No document "${name}"`);
+  const text = change(read.stored.text);
+  const from = options.from ?? read.rowVersion;
+  return putText({ file: name, text }, { ...options, from }, store);
+}
+
+/**
+ * `edit NAME --set PATH=VALUE...`: changes fields, keeping comments.
+ *
+ * @param options Words are the name.
+ * @param store The documents.
+ * @returns What was put.
+ */
+export function editCommand(
+  options: CommandOptions,
+  store: DocumentStore,
+): Promise<CommandResult> {
+  const name = requireValue(options.words[0], "NAME");
+  if (options.set.length === 0) throw usageError("--set PATH=VALUE is missing");
+  return editText(name, options, {
+    store,
+    change: (text) =>
+      options.set.reduce((edited, pair) => {
+        const { path, value } = parsePair(pair);
+        return applyEdits(edited, modify(edited, path, value, FORMATTING));
+      }, text),
+  });
+}
+
+function parsePair(pair: string): { path: JSONPath; value: unknown } {
+  const at = pair.indexOf("=");
+  if (at < 1) throw usageError(`"${pair}" is not PATH=VALUE`);
+  const path = pair.slice(0, at).split(/[.[\]]+/).filter((part) => part !== "")
+    .map((part) => /^\d+$/.test(part) ? Number(part) : part);
+  const text = pair.slice(at + 1);
+  try {
+    return { path, value: JSON.parse(text) };
+  } catch {
+    return { path, value: text };
+  }
+}
+
+const SCOPES: Record<string, Drain["scope"]> = {
+  "backend-server": "backendServer",
+  "failure-domain": "failureDomain",
+  region: "region",
+};
+
+/**
+ * `drain SERVICE SCOPE NAME` and `undrain ...`: an edit of the document.
+ *
+ * @param options Words are service, scope and name.
+ * @param store The documents.
+ * @param isDrained Whether to drain or to take the drain back.
+ * @returns What was put.
+ */
+export function drainCommand(
+  options: CommandOptions,
+  store: DocumentStore,
+  isDrained: boolean,
+): Promise<CommandResult> {
+  const [service, scopeWord, target] = options.words;
+  const scope = SCOPES[requireValue(scopeWord, "SCOPE")];
+  if (scope === undefined) {
+    const allowed = Object.keys(SCOPES).join(", ");
+    throw usageError(`SCOPE "${scopeWord}" is not one of ${allowed}`);
+  }
+  const name = requireValue(target, "NAME");
+  return editText(service, options, {
+    store,
+    change(text) {
+      const { drains = [] } = parse(text) as { drains?: Drain[] };
+      const others = drains.filter((drain) =>
+        drain.scope !== scope || drain.name !== name
+      );
+      const { startsAt, endsAt } = options;
+      const next = isDrained
+        ? [...others, { scope, name, startsAt, endsAt }]
+        : others;
+      return applyEdits(text, modify(text, ["drains"], next, FORMATTING));
+    },
+  });
+}
+
+/**
+ * `history NAME`: lists all versions.
+ *
+ * @param options Words are the name.
+ * @param store The documents.
+ * @returns The versions.
+ */
+export async function historyCommand(
+  { words }: CommandOptions,
+  store: DocumentStore,
+): Promise<CommandResult> {
+  const name = requireValue(words[0], "NAME");
+  const versions = unwrap(await store.history(getDocumentKey(name)));
+  const lines = versions.map(({ number, author, atMs }) =>
+    `${number}\t${new Date(atMs).toISOString()}\t${author}`
+  );
+  return {
+    text: lines.join("\n"),
+    json: versions,
+    exitCode: EXIT_CODES.ok,
+  };
+}
+
+/**
+ * `diff NAME [FROM [TO]]`: compares two versions, by default the last two.
+ *
+ * @param options Words are the name and two numbers.
+ * @param store The documents.
+ * @returns The difference.
+ */
+export async function diffCommand(
+  { words }: CommandOptions,
+  store: DocumentStore,
+): Promise<CommandResult> {
+  const name = requireValue(words[0], "NAME");
+  const versions = unwrap(await store.history(getDocumentKey(name)));
+  const newest = versions.length;
+  const to = Number(words[2] ?? newest);
+  const from = Number(words[1] ?? to - 1);
+  const textOf = (number: number) => {
+    if (number === 0) return "";
+    const found = versions.find((version) => version.number === number);
+    if (found) return found.text;
+    throw usageError(`${name} has no version ${number}; newest is ${newest}`);
+  };
+  const patch = createTwoFilesPatch(
+    `${name} ${from}`,
+    `${name} ${to}`,
+    textOf(from),
+    textOf(to),
+  );
+  return { text: patch, json: { name, from, to, patch }, exitCode: 0 };
+}
+
+/** Throws the error of a failed call to the platform. */
+function unwrap<T>(result: Result<T, StepError>): T {
+  if (result.isErr()) throw result.error;
+  return result.value;
+}
--- /dev/null
+++ b/src/operator/live.ts
@@ -0,0 +1,174 @@
+/**
+ * Commands that ask running daemons.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { KEY_HEADER } from "../runtime/access.ts";
+import { classifyTransportError, StepError } from "../runtime/errors.ts";
+import { EXIT_CODES } from "../runtime/process.ts";
+import { type CommandOptions, requireValue, usageError } from "./arguments.ts";
+import type { CommandResult } from "./documents.ts";
+import type { StatusAnswer } from "./routes.ts";
+
+const TIMEOUT_MS = 3_000;
+const WATCH_PERIOD_MS = 200;
+
+async function ask(
+  url: string,
+  headers: Record<string, string> = {},
+): Promise<{ status: number; body: unknown }> {
+  try {
+    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    const response = await request(url, { headers, signal });
+    return { status: response.statusCode, body: await response.body.json() };
+  } catch (cause) {
+    throw new StepError(`No answer from ${url}`, {
+      step: "operator.ask",
+      peer: url,
+      kind: classifyTransportError(cause),
+      cause,
+    });
+  }
+}
+
+async function askOperator(
+  options: CommandOptions,
+  address: string,
+  path: string,
+): Promise<unknown> {
+  const key = requireValue(options.key, "--key or HAWTHORNGW_KEY");
+  const url = `http://${address}${path}`;
+  const { status, body } = await ask(url, { [KEY_HEADER]: key });
+  if (status === 200) return body;
+  throw new StepError((body as { detail?: string }).detail ?? String(status), {
+    step: "operator.ask",
+    peer: address,
+    kind: "refused",
+  });
+}
+
+async function readStatus(options: CommandOptions): Promise<StatusAnswer> {
+  const address = requireValue(
+    options.operator,
+    "--operator or HAWTHORNGW_OPERATOR",
+  );
+  return await askOperator(options, address, "/v1/status") as StatusAnswer;
+}
+
+/**
+ * `status`: documents in force, failure domains and members, as one steer sees
+ * them.
+ *
+ * @param options Where to ask.
+ * @returns The status.
+ */
+export async function statusCommand(
+  options: CommandOptions,
+): Promise<CommandResult> {
+  const status = await readStatus(options);
+  const lines = [
+    `${status.id}: rows through version ${status.throughVersion}, table ` +
+    (status.tableAgeMs === null
+      ? "never read from here"
+      : `read ${status.tableAgeMs} ms ago`),
+    ...status.documents.map(({ name, number }) =>
+      `document ${name}: version ${number}`
+    ),
+    ...status.domains.map((domain) =>
+      `failure domain ${domain.failureDomain}: ${domain.members} members, ` +
+      `${domain.behindCount} behind`
+    ),
+    ...status.members.map(({ id, state, liveness }) =>
+      `member ${id}: ${state}, ${liveness}`
+    ),
+  ];
+  return { text: lines.join("\n"), json: status, exitCode: EXIT_CODES.ok };
+}
+
+/**
+ * `watch NAME NUMBER`: waits until a version is in force everywhere that can be
+ * heard from one steer.
+ *
+ * @param options Words are name and number.
+ * @returns How many daemons have it.
+ */
+export async function watchCommand(
+  options: CommandOptions,
+): Promise<CommandResult> {
+  const name = requireValue(options.words[0], "NAME");
+  const wanted = Number(requireValue(options.words[1], "NUMBER"));
+  if (!Number.isInteger(wanted)) throw usageError("NUMBER is not a number");
+  const endMs = Date.now() + options.timeoutS * 1_000;
+  for (;;) {
+    const progress = countInForce(await readStatus(options), name, wanted);
+    const { have, all } = progress;
+    const isDone = have === all && all > 0;
+    if (isDone || Date.now() > endMs) {
+      return {
+        text: `${name} version ${wanted}: in force at ${have} of ${all}`,
+        json: { name, number: wanted, ...progress },
+        exitCode: isDone ? EXIT_CODES.ok : EXIT_CODES.failure,
+      };
+    }
+    await sleep(WATCH_PERIOD_MS);
+  }
+}
+
+/** A domain's daemons count as a whole once its lowest version is enough. */
+function countInForce(
+  status: StatusAnswer,
+  name: string,
+  wanted: number,
+): { have: number; all: number } {
+  const document = status.documents.find((found) => found.name === name);
+  let have = 0;
+  let all = 0;
+  for (const domain of status.domains) {
+    all += domain.members;
+    if (document === undefined || document.number < wanted) continue;
+    const isWhole = domain.lowestVersion >= document.rowVersion;
+    have += isWhole ? domain.members : domain.members - domain.behindCount;
+  }
+  return { have, all };
+}
+
+/**
+ * `dump ADDRESS`: the whole state of one process.
+ *
+ * @param options Words are its operator address.
+ * @returns The state.
+ */
+export async function dumpCommand(
+  options: CommandOptions,
+): Promise<CommandResult> {
+  const address = requireValue(options.words[0], "ADDRESS");
+  const dump = await askOperator(options, address, "/v1/dump");
+  return {
+    text: JSON.stringify(dump, null, 2),
+    json: dump,
+    exitCode: EXIT_CODES.ok,
+  };
+}
+
+/**
+ * `lookup SERVICE CLIENT_IP`: asks a steer as a caller would.
+ *
+ * @param options Words are service and client.
+ * @returns The answer.
+ */
+export async function lookupCommand(
+  options: CommandOptions,
+): Promise<CommandResult> {
+  const service = requireValue(options.words[0], "SERVICE");
+  const client = requireValue(options.words[1], "CLIENT_IP");
+  const steer = requireValue(options.steer, "--steer or HAWTHORNGW_STEER");
+  const path = `/v1/lookup/${encodeURIComponent(service)}?client=${client}`;
+  const { status, body } = await ask(`http://${steer}${path}`);
+  return {
+    text: JSON.stringify(body, null, 2),
+    json: body,
+    exitCode: status === 200 ? EXIT_CODES.ok : EXIT_CODES.failure,
+  };
+}
--- /dev/null
+++ b/src/runtime/hash.ts
@@ -0,0 +1,57 @@
+/**
+ * Stable hashing and weighted rendezvous choice.
+ *
+ * @module
+ */
+import xxhash from "xxhash-wasm";
+
+const hasher = await xxhash();
+const UINT32_RANGE = 0x1_0000_0000;
+
+/**
+ * @param text What to hash.
+ * @param seed Separates uses from each other.
+ * @returns A number in (0, 1), the same in every process.
+ */
+export function hashToUnit(text: string, seed = 0): number {
+  return (hasher.h32(text, seed) + 0.5) / UINT32_RANGE;
+}
+
+/**
+ * @param text What to hash.
+ * @returns 16 hexadecimal digits.
+ */
+export function hashToHex(text: string): string {
+  return hasher.h64ToString(text);
+}
+
+/** A candidate of a rendezvous choice. */
+export interface WeightedCandidate {
+  id: string;
+  /** Relative share; 0 or less is never chosen. */
+  weight: number;
+}
+
+/**
+ * Weighted rendezvous hashing: a change of weights moves only keys whose share
+ * it must. Source: Schindelhauer and Schomaker, "Weighted distributed hash
+ * tables" (2005), logarithmic method.
+ *
+ * @param key What is to be placed.
+ * @param candidates Where it may go.
+ * @returns The candidates with weight above 0, best first.
+ */
+export function rankByRendezvous<T extends WeightedCandidate>(
+  key: string,
+  candidates: readonly T[],
+): T[] {
+  const scored = candidates
+    .filter((candidate) => candidate.weight > 0)
+    .map((candidate) => ({
+      candidate,
+      score: -candidate.weight /
+        Math.log(hashToUnit(`${key}\u0000${candidate.id}`)),
+    }));
+  scored.sort((a, b) => b.score - a.score);
+  return scored.map((entry) => entry.candidate);
+}
--- /dev/null
+++ b/src/runtime/settings.ts
@@ -0,0 +1,65 @@
+/**
+ * Settings of the daemons: JSON with comments, checked at start.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { formatProblem, parseDocument } from "../config/jsonc.ts";
+import { addressSchema } from "./address.ts";
+import { StepError } from "./errors.ts";
+
+/** Schema of a daemon's settings. */
+export const daemonSettingsSchema = z.strictObject({
+  vmId: z.string().min(1).describe("Id of the VM in the fleet document"),
+  failureDomain: z.string().min(1).describe("Failure domain of the VM"),
+  region: z.string().min(1).describe("Region of the VM"),
+  callerAddress: addressSchema.describe("Where callers connect"),
+  peerAddress: addressSchema.describe("Where other processes connect"),
+  operatorAddress: addressSchema.describe("Where operators connect"),
+  platformUrl: z.url().describe("Where the platform's services listen"),
+  peerKey: z.string().min(16).describe("Key of links between processes"),
+  operatorKey: z.string().min(16).describe("Key of operator endpoints"),
+  seeds: z.array(addressSchema).min(1).describe(
+    "Peer addresses of some steers, used until the fleet document is known",
+  ),
+  peerRoutes: z.record(addressSchema, addressSchema).default({}).describe(
+    "Addresses to dial instead, where a peer is reached through another one",
+  ),
+  statsd: addressSchema.optional().describe("Where metrics are sent, over UDP"),
+});
+
+/** A daemon's settings. */
+export type DaemonSettings = z.infer<typeof daemonSettingsSchema>;
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param file Its path.
+ * @param schema The schema that it must satisfy.
+ * @returns The settings.
+ * @throws StepError of kind `invalid` that lists every problem.
+ */
+export function loadSettings<S extends z.ZodType>(
+  file: string,
+  schema: S,
+): z.infer<S> {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (cause) {
+    throw new StepError(`Cannot read ${file}: ${(cause as Error).message}`, {
+      step: "settings.read",
+      peer: "self",
+      kind: "invalid",
+      cause,
+    });
+  }
+  const parsed = parseDocument({ file, text }, schema);
+  if (parsed.isOk()) return parsed.value;
+  throw new StepError(parsed.error.map(formatProblem).join("\n"), {
+    step: "settings.check",
+    peer: "self",
+    kind: "invalid",
+  });
+}
--- /dev/null
+++ b/src/standin/platform.ts
@@ -0,0 +1,218 @@
+/**
+ * Stand-in of the platform: table, object store and VM list over HTTP, with
+ * faults that can be switched on. For development only.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type { Polka, Request } from "polka";
+import type { Result } from "neverthrow";
+import type { Transaction, VmState } from "../platform/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { StepError } from "../runtime/errors.ts";
+import {
+  createRouter,
+  type HttpServer,
+  listen,
+  readBody,
+  readJson,
+  sendJson,
+  sendProblem,
+} from "../runtime/http_server.ts";
+import { MemoryTable } from "./memory_table.ts";
+
+/** Faults of the platform. */
+export interface PlatformFaults {
+  /** Every call is refused. */
+  down: boolean;
+  /** Delay of every answer, in ms. */
+  delayMs: number;
+  /** Answers to writes that are lost after the write took effect. */
+  loseWriteAnswers: number;
+  /** Age of the VM list, in ms. */
+  vmListLagMs: number;
+}
+
+/** Calls served so far. */
+export interface PlatformCounts {
+  reads: number;
+  writes: number;
+}
+
+/** A running stand-in. */
+export interface StandinPlatform {
+  address: string;
+  table: MemoryTable;
+  faults: PlatformFaults;
+  counts: PlatformCounts;
+  setVmState(id: string, state: VmState): void;
+  stop(): Promise<void>;
+}
+
+interface VmChange {
+  id: string;
+  state: VmState;
+  atMs: number;
+}
+
+/**
+ * Starts the stand-in.
+ *
+ * @param address `host:port` to listen on.
+ * @param clock The clock.
+ * @returns The running stand-in.
+ */
+export async function startStandinPlatform(
+  address: string,
+  clock: Clock,
+): Promise<StandinPlatform> {
+  const table = new MemoryTable();
+  const objects = new Map<string, string>();
+  const vmChanges: VmChange[] = [];
+  const counts: PlatformCounts = { reads: 0, writes: 0 };
+  const faults: PlatformFaults = {
+    down: false,
+    delayMs: 0,
+    loseWriteAnswers: 0,
+    vmListLagMs: 500,
+  };
+
+  async function applyFaults(
+    request: Request,
+    response: ServerResponse,
+    next: () => void,
+  ): Promise<void> {
+    if (request.path.startsWith("/admin/")) return next();
+    if (faults.delayMs > 0) {
+      await new Promise<void>((resolve) =>
+        clock.after(faults.delayMs, resolve)
+      );
+    }
+    if (!faults.down) return next();
+    sendProblem(response, {
+      status: 503,
+      title: "Out of service",
+      detail: "The stand-in was told to be down",
+    });
+  }
+
+  /** Cuts the connection in place of an answer. */
+  function loseAnswer(response: ServerResponse): boolean {
+    if (faults.loseWriteAnswers <= 0) return false;
+    faults.loseWriteAnswers -= 1;
+    response.destroy();
+    return true;
+  }
+
+  const router = createRouter();
+  router.use(applyFaults);
+  addTableRoutes(router, { table, counts, loseAnswer });
+  addObjectRoutes(router, { objects, counts, loseAnswer });
+  router.get("/v1/vms", (_request, response) => {
+    counts.reads += 1;
+    const visibleMs = clock.monotonicMs() - faults.vmListLagMs;
+    const states = new Map(
+      vmChanges.filter(({ atMs }) => atMs <= visibleMs)
+        .map(({ id, state }) => [id, state]),
+    );
+    sendJson(response, [...states].map(([id, state]) => ({ id, state })));
+  });
+  router.put("/admin/faults", async (request, response) => {
+    Object.assign(faults, await readJson(request));
+    sendJson(response, faults);
+  });
+  router.get("/admin/counts", (_request, response) => {
+    sendJson(response, counts);
+  });
+  router.put("/admin/vms/:id", async (request, response) => {
+    const { state } = await readJson(request) as { state: VmState };
+    setVmState(request.params.id, state);
+    sendJson(response, { state });
+  });
+
+  function setVmState(id: string, state: VmState): void {
+    vmChanges.push({ id, state, atMs: clock.monotonicMs() });
+  }
+
+  const server: HttpServer = await listen(router, address);
+  return {
+    address: server.address,
+    table,
+    faults,
+    counts,
+    setVmState,
+    stop: () => server.close(),
+  };
+}
+
+interface TableRouteOptions {
+  table: MemoryTable;
+  counts: PlatformCounts;
+  loseAnswer(response: ServerResponse): boolean;
+}
+
+function addTableRoutes(
+  router: Polka,
+  { table, counts, loseAnswer }: TableRouteOptions,
+): void {
+  router.get("/v1/table/row", async (request, response) => {
+    counts.reads += 1;
+    sendResult(response, await table.read(String(request.query.key)));
+  });
+  router.get("/v1/table/rows", async (request, response) => {
+    counts.reads += 1;
+    sendResult(response, await table.list(String(request.query.prefix)));
+  });
+  router.get("/v1/table/changes", async (request, response) => {
+    counts.reads += 1;
+    const prefixes = String(request.query.prefixes).split(",");
+    const after = Number(request.query.after);
+    sendResult(response, await table.changes(after, prefixes));
+  });
+  router.post("/v1/table/transactions", async (request, response) => {
+    counts.writes += 1;
+    const transaction = await readJson(request) as Transaction;
+    const commit = await table.transact(transaction);
+    if (!loseAnswer(response)) sendResult(response, commit);
+  });
+}
+
+function addObjectRoutes(
+  router: Polka,
+  { objects, counts, loseAnswer }: {
+    objects: Map<string, string>;
+    counts: PlatformCounts;
+    loseAnswer(response: ServerResponse): boolean;
+  },
+): void {
+  router.get("/v1/objects/:name", (request, response) => {
+    counts.reads += 1;
+    const text = objects.get(request.params.name);
+    if (text === undefined) {
+      return sendProblem(response, {
+        status: 404,
+        title: "Not found",
+        detail: `No object is named "${request.params.name}"`,
+      });
+    }
+    response.end(text);
+  });
+  router.put("/v1/objects/:name", async (request, response) => {
+    counts.writes += 1;
+    const body = await readBody(request, 16_777_216);
+    objects.set(request.params.name, body.toString("utf8"));
+    if (!loseAnswer(response)) sendJson(response, {});
+  });
+}
+
+function sendResult<T>(
+  response: ServerResponse,
+  result: Result<T, StepError>,
+): void {
+  if (result.isOk()) return sendJson(response, result.value);
+  sendProblem(response, {
+    status: 500,
+    title: "Internal error",
+    detail: result.error.message,
+  });
+}
--- /dev/null
+++ b/src/steering/decide.ts
@@ -0,0 +1,132 @@
+/**
+ * Decides a service's next plan. A plan that is good enough is kept. Pure.
+ *
+ * @module
+ */
+import type { ServiceDocument } from "../config/schema.ts";
+import { assign, judgeWeights } from "./assign.ts";
+import type { Estimate } from "./estimate.ts";
+import {
+  getSharedBudget,
+  keepRecent,
+  measureShift,
+  SHARED_PART,
+  type ShiftCap,
+  stepTowards,
+} from "./shift.ts";
+import type { AssignInput, Plan, RegionOf, Weights } from "./types.ts";
+
+/** Added delay that is not worth a move, in ms and as a share. */
+const TOLERATED_DELAY_MS = 0.5;
+const TOLERATED_DELAY_SHARE = 0.05;
+/** Excess use that is not worth a move. */
+const TOLERATED_USE = 0.02;
+/** A step smaller than this part of the shared budget waits for more. */
+const SMALLEST_STEP = 0.25;
+/** Differences below this are none. */
+const EPSILON = 1e-6;
+
+/** What a decision is made from. */
+export interface DecideInput {
+  document: ServiceDocument;
+  /** The plan in force, if any. */
+  current: Plan | undefined;
+  estimate: Estimate;
+  regionOf: RegionOf;
+  /** Epoch of the lease held. */
+  epoch: number;
+  /** Wall-clock time, in ms since the epoch. */
+  wallMs: number;
+}
+
+/**
+ * @param document A service's document.
+ * @returns Its cap.
+ */
+export function getShiftCap(document: ServiceDocument): ShiftCap {
+  const { maxShare, windowS } = document.shiftCap;
+  return { maxShare, windowMs: windowS * 1_000 };
+}
+
+/**
+ * @param input See there.
+ * @returns The plan to write, or undefined where the one in force is kept.
+ */
+export function decidePlan(input: DecideInput): Plan | undefined {
+  const { current, estimate, document } = input;
+  if (current === undefined) {
+    return makePlan(input, assign(estimate.input), 0);
+  }
+  const target = assign(estimate.input);
+  if (isGoodEnough(estimate.input, current.weights, target)) return undefined;
+  const change = {
+    from: current.weights,
+    to: target,
+    regionOf: input.regionOf,
+  };
+  const cap = getShiftCap(document);
+  const budget = getSharedBudget(cap, current.trail, input.wallMs);
+  const wanted = measureShift(change, estimate.demandShare);
+  const smallest = cap.maxShare * SHARED_PART * SMALLEST_STEP;
+  if (wanted > budget && budget < smallest) return undefined;
+  const next = stepTowards(change, {
+    budget,
+    demandShare: estimate.demandShare,
+    isUrgent: (region) => leavesDeadPlace(estimate.input, current, region),
+  });
+  const share = measureShift({ ...change, to: next }, estimate.demandShare);
+  if (share < EPSILON && isSame(current.weights, next)) return undefined;
+  return makePlan(input, next, share);
+}
+
+function makePlan(input: DecideInput, weights: Weights, share: number): Plan {
+  const { document, current, estimate, epoch, wallMs } = input;
+  const number = (current?.number ?? 0) + 1;
+  const cap = getShiftCap(document);
+  const trail = keepRecent(current?.trail ?? [], cap, wallMs);
+  return {
+    service: document.service,
+    number,
+    epoch,
+    weights,
+    demandShare: estimate.demandShare,
+    trail: [...trail, { number, atMs: wallMs, share }],
+  };
+}
+
+function isGoodEnough(
+  input: AssignInput,
+  current: Weights,
+  target: Weights,
+): boolean {
+  if (input.demand.some(({ region }) => current[region] === undefined)) {
+    return false;
+  }
+  const now = judgeWeights(input, current);
+  const best = judgeWeights(input, target);
+  const allowedUse = Math.max(1, best.highestUse) + TOLERATED_USE;
+  const allowedDelayMs = best.meanDelayMs * (1 + TOLERATED_DELAY_SHARE) +
+    TOLERATED_DELAY_MS;
+  return now.highestUse <= allowedUse && now.meanDelayMs <= allowedDelayMs;
+}
+
+function leavesDeadPlace(
+  input: AssignInput,
+  current: Plan,
+  region: string,
+): boolean {
+  const row = current.weights[region] ?? {};
+  return input.places.some((place) =>
+    place.slots === 0 && (row[place.failureDomain] ?? 0) > 0
+  );
+}
+
+function isSame(a: Weights, b: Weights): boolean {
+  return Object.entries(b).every(([region, row]) => {
+    const other = a[region] ?? {};
+    const domains = new Set([...Object.keys(row), ...Object.keys(other)]);
+    return [...domains].every((domain) =>
+      Math.abs((row[domain] ?? 0) - (other[domain] ?? 0)) < EPSILON
+    );
+  });
+}
--- /dev/null
+++ b/src/steering/follower.ts
@@ -0,0 +1,129 @@
+/**
+ * The weights that a process acts on. It follows plans step by step; where it
+ * missed steps, or no plan can reach it, it moves by its own part of the cap.
+ * Pure.
+ *
+ * @module
+ */
+import {
+  interpolateRow,
+  keepRecent,
+  LOCAL_PART,
+  measureLargestRowShift,
+  measureRowShift,
+  type ShiftCap,
+  SPREAD_MS,
+} from "./shift.ts";
+import type { Plan, RegionOf, Weights } from "./types.ts";
+
+/** A move made by a process's own part of the cap. */
+interface LocalMove {
+  /** Monotonic time, in ms. */
+  atMs: number;
+  /** Largest share of a region's traffic moved. */
+  share: number;
+}
+
+/** What a process acts on for one service. */
+export interface FollowerState {
+  weights: Weights;
+  /** Number of the plan last followed in full; 0 before any. */
+  number: number;
+  /** Whether `weights` are those of plan `number`. */
+  inStep: boolean;
+  moves: LocalMove[];
+}
+
+/** Time and cap at a step. */
+export interface FollowContext {
+  cap: ShiftCap;
+  regionOf: RegionOf;
+  /** Monotonic time, in ms. */
+  nowMs: number;
+  /** Wall-clock time, in ms since the epoch. */
+  wallMs: number;
+}
+
+/**
+ * @param weights Weights to act on before any plan is known.
+ * @returns The state at start.
+ */
+export function createFollower(weights: Weights): FollowerState {
+  return { weights, number: 0, inStep: true, moves: [] };
+}
+
+/**
+ * Follows a plan.
+ *
+ * @param state Changed in place.
+ * @param plan The newest plan known.
+ * @param context Time and cap.
+ */
+export function followPlan(
+  state: FollowerState,
+  plan: Plan,
+  context: FollowContext,
+): void {
+  if (plan.number < state.number) return;
+  if (state.inStep && plan.number === state.number) return;
+  if (state.number === 0 || isNextStep(state, plan, context)) {
+    state.weights = plan.weights;
+    state.number = plan.number;
+    state.inStep = true;
+    return;
+  }
+  walkTowards(state, plan.weights, context);
+  const reached = measureLargestRowShift({
+    from: state.weights,
+    to: plan.weights,
+    regionOf: context.regionOf,
+  });
+  if (reached > 1e-9) return;
+  state.weights = plan.weights;
+  state.number = plan.number;
+  state.inStep = true;
+}
+
+/** All steps since the one in force are in the trail, and none is late. */
+function isNextStep(
+  state: FollowerState,
+  plan: Plan,
+  { wallMs }: FollowContext,
+): boolean {
+  if (!state.inStep) return false;
+  const missing = plan.trail.filter((step) => step.number > state.number);
+  const complete = missing.length === plan.number - state.number;
+  return complete &&
+    missing.every((step) =>
+      step.share === 0 || wallMs - step.atMs <= SPREAD_MS
+    );
+}
+
+/**
+ * Moves by the process's own part of the cap.
+ *
+ * @param state Changed in place; no longer in step with a plan.
+ * @param target Weights wanted.
+ * @param context Time and cap.
+ */
+export function walkTowards(
+  state: FollowerState,
+  target: Weights,
+  { cap, regionOf, nowMs }: FollowContext,
+): void {
+  state.moves = keepRecent(state.moves, cap, nowMs);
+  const spent = state.moves.reduce((sum, move) => sum + move.share, 0);
+  const budget = Math.max(0, cap.maxShare * LOCAL_PART - spent);
+  const next: Weights = {};
+  let largest = 0;
+  for (const [region, wanted] of Object.entries(target)) {
+    const start = state.weights[region] ?? wanted;
+    const distance = measureRowShift(start, wanted, regionOf);
+    const part = distance <= budget ? 1 : budget / distance;
+    next[region] = interpolateRow(start, wanted, { part, regionOf });
+    largest = Math.max(largest, distance * part);
+  }
+  state.inStep = false;
+  state.weights = next;
+  if (largest > 0) state.moves.push({ atMs: nowMs, share: largest });
+}
--- /dev/null
+++ b/src/steering/shift.ts
@@ -0,0 +1,204 @@
+/**
+ * Shifts of traffic between regions, and the budget that keeps them under a
+ * service's cap. A place, for the cap, is a region: what moves between failure
+ * domains of one region does not count. Pure.
+ *
+ * @module
+ */
+import type { PlanStep, RegionOf, WeightRow, Weights } from "./types.ts";
+
+/** Part of the cap that plans spend; written by the lease's holder only. */
+export const SHARED_PART = 0.75;
+/**
+ * Part of the cap that each process may spend by itself. It counts the share
+ * of the process's own traffic, so that all processes' parts together are this
+ * part of the whole traffic, with no messages.
+ */
+export const LOCAL_PART = 0.15;
+/**
+ * Longest time between the writing of a plan and its last use, clock skew
+ * included, in ms. A process that is later than this walks by its local part.
+ */
+export const SPREAD_MS = 5_000;
+
+/** A service's cap. */
+export interface ShiftCap {
+  /** Share of the service's traffic. */
+  maxShare: number;
+  windowMs: number;
+}
+
+/**
+ * @param row Weights by failure domain.
+ * @param regionOf Region of each failure domain.
+ * @returns Weights by region.
+ */
+export function sumByRegion(row: WeightRow, regionOf: RegionOf): WeightRow {
+  const sums: WeightRow = {};
+  for (const [domain, weight] of Object.entries(row)) {
+    const region = regionOf.get(domain) ?? domain;
+    sums[region] = (sums[region] ?? 0) + weight;
+  }
+  return sums;
+}
+
+/**
+ * @param from One row.
+ * @param to Another row.
+ * @param regionOf Region of each failure domain.
+ * @returns Share of the row's traffic that changes region, 0 to 1.
+ */
+export function measureRowShift(
+  from: WeightRow,
+  to: WeightRow,
+  regionOf: RegionOf,
+): number {
+  const before = sumByRegion(from, regionOf);
+  const after = sumByRegion(to, regionOf);
+  const regions = new Set([...Object.keys(before), ...Object.keys(after)]);
+  let difference = 0;
+  for (const region of regions) {
+    difference += Math.abs((before[region] ?? 0) - (after[region] ?? 0));
+  }
+  return difference / 2;
+}
+
+/** Two sets of weights and what is needed to compare them. */
+export interface WeightChange {
+  from: Weights;
+  to: Weights;
+  regionOf: RegionOf;
+}
+
+/**
+ * @param change The weights.
+ * @param demandShare Share of the traffic that comes from each region.
+ * @returns Share of the service's traffic that changes region.
+ */
+export function measureShift(
+  { from, to, regionOf }: WeightChange,
+  demandShare: Record<string, number>,
+): number {
+  return Object.keys(to).reduce((sum, region) => {
+    const row = measureRowShift(
+      from[region] ?? to[region],
+      to[region],
+      regionOf,
+    );
+    return sum + row * (demandShare[region] ?? 0);
+  }, 0);
+}
+
+/**
+ * @param change The weights.
+ * @returns The largest share of any one region's traffic that changes region.
+ */
+export function measureLargestRowShift(
+  { from, to, regionOf }: WeightChange,
+): number {
+  return Math.max(
+    0,
+    ...Object.keys(to).map((region) =>
+      measureRowShift(from[region] ?? to[region], to[region], regionOf)
+    ),
+  );
+}
+
+/**
+ * @param cap The service's cap.
+ * @param trail Steps taken so far.
+ * @param nowMs Time on the clock of the steps, in ms.
+ * @returns Share that a plan may still move now.
+ */
+export function getSharedBudget(
+  cap: ShiftCap,
+  trail: readonly PlanStep[],
+  nowMs: number,
+): number {
+  const spent = keepRecent(trail, cap, nowMs)
+    .reduce((sum, step) => sum + step.share, 0);
+  return Math.max(0, cap.maxShare * SHARED_PART - spent);
+}
+
+/**
+ * @param trail Steps taken so far.
+ * @param cap The service's cap.
+ * @param nowMs Time on the clock of the steps, in ms.
+ * @returns The steps that still count against the cap.
+ */
+export function keepRecent<T extends { atMs: number }>(
+  trail: readonly T[],
+  cap: ShiftCap,
+  nowMs: number,
+): T[] {
+  return trail.filter((step) => nowMs - step.atMs < cap.windowMs + SPREAD_MS);
+}
+
+/**
+ * Goes part of the way from one row to another. Weights inside a region follow
+ * the target at once; only the regions' sums go part of the way.
+ *
+ * @param from The row in force.
+ * @param to The row wanted.
+ * @param options Part of the way, 0 to 1, and the failure domains' regions.
+ * @returns The row between.
+ */
+export function interpolateRow(
+  from: WeightRow,
+  to: WeightRow,
+  { part, regionOf }: { part: number; regionOf: RegionOf },
+): WeightRow {
+  const before = sumByRegion(from, regionOf);
+  const after = sumByRegion(to, regionOf);
+  const row: WeightRow = {};
+  for (const domain of new Set([...Object.keys(from), ...Object.keys(to)])) {
+    const region = regionOf.get(domain) ?? domain;
+    const source = (after[region] ?? 0) > 0 ? to : from;
+    const sourceSum = (source === to ? after : before)[region] ?? 0;
+    const inRegion = sourceSum > 0 ? (source[domain] ?? 0) / sourceSum : 0;
+    const goal = (before[region] ?? 0) +
+      part * ((after[region] ?? 0) - (before[region] ?? 0));
+    if (goal * inRegion > 0) row[domain] = goal * inRegion;
+  }
+  return row;
+}
+
+/** What a step may spend and on which rows first. */
+export interface StepOptions {
+  budget: number;
+  demandShare: Record<string, number>;
+  /** Rows that leave a place that can't serve them go first. */
+  isUrgent(region: string): boolean;
+}
+
+/**
+ * Goes towards wanted weights as far as a budget allows.
+ *
+ * @param change Weights in force and weights wanted.
+ * @param options Budget, and which rows go first.
+ * @returns The weights after the step.
+ */
+export function stepTowards(
+  { from, to, regionOf }: WeightChange,
+  { budget, demandShare, isUrgent }: StepOptions,
+): Weights {
+  const regions = Object.keys(to);
+  const urgent = regions.filter(isUrgent);
+  const calm = regions.filter((region) => !isUrgent(region));
+  const next: Weights = {};
+  let left = budget;
+  for (const group of [urgent, calm]) {
+    const costs = group.map((region) =>
+      measureRowShift(from[region] ?? to[region], to[region], regionOf) *
+      (demandShare[region] ?? 0)
+    );
+    const total = costs.reduce((sum, cost) => sum + cost, 0);
+    const part = total <= left ? 1 : left / total;
+    left -= total * part;
+    for (const region of group) {
+      const start = from[region] ?? to[region];
+      next[region] = interpolateRow(start, to[region], { part, regionOf });
+    }
+  }
+  return next;
+}
--- /dev/null
+++ b/src/steering/steering.ts
@@ -0,0 +1,126 @@
+/**
+ * The weights in force in a process, one follower for each service.
+ *
+ * @module
+ */
+import type { ServiceDocument } from "../config/schema.ts";
+import type { ControlAgent } from "../control/agent.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { assign } from "./assign.ts";
+import { getShiftCap } from "./decide.ts";
+import { estimate, getDelayMs } from "./estimate.ts";
+import {
+  createFollower,
+  type FollowerState,
+  followPlan,
+  walkTowards,
+} from "./follower.ts";
+import { LEASE_KEY } from "./lease.ts";
+import { makeLocalTarget } from "./local_target.ts";
+import { readPlan } from "./plan_rows.ts";
+import { getPlanKey, type WeightRow } from "./types.ts";
+
+const TICK_MS = 250;
+/** Age of the lease's last renewal at which nobody is taken to plan. */
+const CONTROL_LOST_MS = 6_000;
+
+/** The weights in force. */
+export interface Steering {
+  /** @returns Weights for callers of a region; empty for an unknown service. */
+  rowFor(service: string, callerRegion: string): WeightRow;
+  /** @returns Number of the plan in force; 0 before any. */
+  planNumber(service: string): number;
+  dump(): unknown;
+  close(): void;
+}
+
+/** What it needs. */
+export interface SteeringOptions {
+  agent: ControlAgent;
+  clock: Clock;
+}
+
+/**
+ * Starts following plans.
+ *
+ * @param options See there.
+ * @returns The weights in force.
+ */
+export function startSteering({ agent, clock }: SteeringOptions): Steering {
+  const followers = new Map<string, FollowerState>();
+  let leaseSeenMs = clock.monotonicMs();
+
+  function tick(): void {
+    for (const { document } of agent.config().services.values()) {
+      follow(document);
+    }
+  }
+
+  function follow(document: ServiceDocument): void {
+    const { service } = document;
+    const follower = followers.get(service) ?? startFollower(document);
+    if (follower === undefined) return;
+    followers.set(service, follower);
+    const context = {
+      cap: getShiftCap(document),
+      regionOf: agent.config().regionOf,
+      nowMs: clock.monotonicMs(),
+      wallMs: clock.now().getTime(),
+    };
+    const plan = readPlan(agent.row(getPlanKey(service)));
+    if (context.nowMs - leaseSeenMs < CONTROL_LOST_MS) {
+      if (plan) followPlan(follower, plan, context);
+      return;
+    }
+    const wanted = plan?.weights ?? follower.weights;
+    const target = makeLocalTarget({
+      weights: wanted,
+      aliveRegions: listAliveRegions(document),
+      regionOf: context.regionOf,
+      delayMs: (from, to) =>
+        getDelayMs(agent.config().fleet!.document, from, to),
+    });
+    walkTowards(follower, target, context);
+  }
+
+  /** Every process with the same documents starts from the same weights. */
+  function startFollower(document: ServiceDocument): FollowerState | undefined {
+    const { fleet, regionOf, services } = agent.config();
+    if (fleet === undefined) return undefined;
+    const declared = estimate({
+      document,
+      fleet: fleet.document,
+      regionOf,
+      loads: new Map(),
+      aliveDomains: new Set(regionOf.keys()),
+      leavingServers: new Set(),
+      serviceCount: services.size,
+      nowMs: 0,
+      wallMs: clock.now().getTime(),
+    });
+    return createFollower(assign(declared.input));
+  }
+
+  function listAliveRegions(document: ServiceDocument): Set<string> {
+    const alive = agent.serving("entry").map((member) => member.region);
+    return new Set(
+      alive.filter((region) => document.regions.includes(region)),
+    );
+  }
+
+  agent.onRows((rows) => {
+    if (rows.some((row) => row.key === LEASE_KEY)) {
+      leaseSeenMs = clock.monotonicMs();
+    }
+    tick();
+  });
+  tick();
+  const timer = clock.every(TICK_MS, tick);
+  return {
+    rowFor: (service, callerRegion) =>
+      followers.get(service)?.weights[callerRegion] ?? {},
+    planNumber: (service) => followers.get(service)?.number ?? 0,
+    dump: () => Object.fromEntries(followers),
+    close: () => timer.cancel(),
+  };
+}
