Exchange assignments where that lowers the total delay

Ruled out: ordering the pairs by the cost of the second-best way (it was in place already). Change: after filling, moves to free places and swaps of two flows' regions, while they gain.

--- a/src/steering/assign.ts
+++ b/src/steering/assign.ts
@@ -1,24 +1,37 @@
 /**
  * Assigns demand to places: nearest first, then spill by added delay, within
- * the capacity of places and links. Pure.
+ * the capacity of places and links; then exchanges that lower the total delay.
+ * Pure.
  *
  * @module
  */
-import type { AssignInput, CallerDemand, Place, Weights } from "./types.ts";
+import type { AssignInput, Place, WeightRow, Weights } from "./types.ts";
 
 /** Slots below this count as none. */
 const EPSILON_SLOTS = 1e-9;
+/** Exchanges that gain less than this, in ms, are not made. */
+const EPSILON_MS = 1e-6;
+/** Rounds of exchanges; each lowers the total delay. */
+const MAX_ROUNDS = 200;
 
-interface Pair {
-  caller: CallerDemand;
-  region: string;
-  delayMs: number;
+/** Slots of one region's demand that run in another or the same region. */
+interface Flow {
+  from: number;
+  to: number;
+  slots: number;
 }
 
-interface Remaining {
-  demand: Map<string, number>;
-  places: Map<string, number>;
-  links: Map<string, number>;
+/** The problem by region: small arrays instead of names. */
+interface RegionProblem {
+  callers: string[];
+  regions: string[];
+  /** By caller's region. */
+  demand: number[];
+  /** By region. */
+  capacity: number[];
+  /** By caller's region, then region. */
+  delayMs: number[][];
+  linkSlots: number[][];
 }
 
 /**
@@ -27,115 +40,169 @@
  * the nearest place, where admission refuses the excess.
  */
 export function assign(input: AssignInput): Weights {
-  const assigned = new Map<string, Map<string, number>>();
-  const remaining: Remaining = {
-    demand: new Map(input.demand.map(({ region, slots }) => [region, slots])),
-    places: new Map(
-      input.places.map(({ failureDomain, slots }) => [failureDomain, slots]),
-    ),
-    links: new Map(),
-  };
-  for (const pair of listPairs(input)) {
-    fillPair(input, pair, remaining, assigned);
-  }
+  const problem = makeProblem(input);
+  const flows = fillNearest(problem);
+  exchange(problem, flows);
   return Object.fromEntries(
-    input.demand.map((caller) => [
-      caller.region,
-      makeRow(input, caller, assigned.get(caller.region)),
+    problem.callers.map((region, index) => [
+      region,
+      makeRow(input, problem, flows[index], region),
     ]),
   );
 }
 
-/** Pairs by delay; among equals, those with the fewest ways out go first. */
-function listPairs(input: AssignInput): Pair[] {
+function makeProblem(input: AssignInput): RegionProblem {
+  const callers = input.demand.map(({ region }) => region);
   const regions = [...new Set(input.places.map(({ region }) => region))];
-  const pairs = input.demand.flatMap((caller) =>
-    regions.map((region) => ({
-      caller,
-      region,
-      delayMs: input.delayMs(caller.region, region),
-    }))
-  );
-  const secondBest = new Map(
-    input.demand.map((caller) => [
-      caller.region,
-      findSecondDelay(input, caller.region, regions),
-    ]),
+  const forPairs = (value: (from: string, to: string) => number) =>
+    callers.map((from) => regions.map((to) => value(from, to)));
+  return {
+    callers,
+    regions,
+    demand: input.demand.map(({ slots }) => slots),
+    capacity: regions.map((region) =>
+      sumOf(
+        input.places.filter((place) => place.region === region)
+          .map(({ slots }) => slots),
+      )
+    ),
+    delayMs: forPairs(input.delayMs),
+    linkSlots: forPairs(input.linkSlots),
+  };
+}
+
+/** @returns Slots by caller's region, then region. */
+function fillNearest(problem: RegionProblem): number[][] {
+  const { callers, regions, delayMs, linkSlots } = problem;
+  const flows = callers.map(() => regions.map(() => 0));
+  const demand = [...problem.demand];
+  const capacity = [...problem.capacity];
+  for (const { from, to } of listPairs(problem)) {
+    const taken = Math.min(demand[from], capacity[to], linkSlots[from][to]);
+    if (taken <= EPSILON_SLOTS || !Number.isFinite(delayMs[from][to])) continue;
+    flows[from][to] = taken;
+    demand[from] -= taken;
+    capacity[to] -= taken;
+  }
+  return flows;
+}
+
+/** Pairs by delay; among equals, those with the worst second way go first. */
+function listPairs({ callers, regions, delayMs }: RegionProblem) {
+  const secondMs = delayMs.map((row) => [...row].sort((a, b) => a - b)[1] ?? 0);
+  const pairs = callers.flatMap((_, from) =>
+    regions.map((_region, to) => ({ from, to }))
   );
   return pairs.sort((a, b) =>
-    a.delayMs - b.delayMs ||
-    secondBest.get(b.caller.region)! - secondBest.get(a.caller.region)! ||
-    a.caller.region.localeCompare(b.caller.region) ||
-    a.region.localeCompare(b.region)
+    delayMs[a.from][a.to] - delayMs[b.from][b.to] ||
+    secondMs[b.from] - secondMs[a.from] || a.from - b.from || a.to - b.to
   );
 }
 
-function findSecondDelay(
-  input: AssignInput,
-  from: string,
-  regions: readonly string[],
-): number {
-  const delays = regions.map((region) => input.delayMs(from, region))
-    .sort((a, b) => a - b);
-  return delays[1] ?? delays[0] ?? 0;
+/** Swaps the regions of two flows, or moves a flow, while that gains. */
+function exchange(problem: RegionProblem, flows: number[][]): void {
+  for (let round = 0; round < MAX_ROUNDS; round++) {
+    const moved = moveToFree(problem, flows);
+    const swapped = swapBest(problem, flows);
+    if (!moved && !swapped) return;
+  }
 }
 
-function fillPair(
-  input: AssignInput,
-  { caller, region }: Pair,
-  remaining: Remaining,
-  assigned: Map<string, Map<string, number>>,
-): void {
-  const places = input.places.filter((place) => place.region === region);
-  const free = sumOf(places.map((place) => getFree(place, remaining)));
-  const linkKey = `${caller.region} ${region}`;
-  const link = remaining.links.get(linkKey) ??
-    input.linkSlots(caller.region, region);
-  const wanted = remaining.demand.get(caller.region) ?? 0;
-  const taken = Math.min(wanted, free, link);
-  if (taken <= EPSILON_SLOTS) return;
-  remaining.links.set(linkKey, link - taken);
-  remaining.demand.set(caller.region, wanted - taken);
-  const row = assigned.get(caller.region) ?? new Map<string, number>();
-  assigned.set(caller.region, row);
-  for (const place of places) {
-    const part = taken * getFree(place, remaining) / free;
-    row.set(place.failureDomain, (row.get(place.failureDomain) ?? 0) + part);
+function listFlows(flows: number[][]): Flow[] {
+  return flows.flatMap((row, from) =>
+    row.map((slots, to) => ({ from, to, slots }))
+      .filter(({ slots }) => slots > EPSILON_SLOTS)
+  );
+}
+
+function moveToFree(problem: RegionProblem, flows: number[][]): boolean {
+  const { capacity, delayMs, regions } = problem;
+  let moved = false;
+  for (const { from, to } of listFlows(flows)) {
+    regions.forEach((_, other) => {
+      const gainMs = delayMs[from][to] - delayMs[from][other];
+      const used = flows.reduce((sum, row) => sum + row[other], 0);
+      const room = Math.min(
+        capacity[other] - used,
+        freeLink(problem, flows, from, other),
+      );
+      const slots = Math.min(flows[from][to], room);
+      if (gainMs <= EPSILON_MS || slots <= EPSILON_SLOTS) return;
+      flows[from][to] -= slots;
+      flows[from][other] += slots;
+      moved = true;
+    });
   }
-  for (const place of places) {
-    const left = getFree(place, remaining) * (1 - taken / free);
-    remaining.places.set(place.failureDomain, left);
+  return moved;
+}
+
+function swapBest(problem: RegionProblem, flows: number[][]): boolean {
+  const { delayMs } = problem;
+  const used = listFlows(flows);
+  let best: { a: Flow; b: Flow; slots: number } | undefined;
+  let bestGain = EPSILON_MS;
+  for (const a of used) {
+    for (const b of used) {
+      if (a.from === b.from || a.to === b.to) continue;
+      const gainMs = delayMs[a.from][a.to] + delayMs[b.from][b.to] -
+        delayMs[a.from][b.to] - delayMs[b.from][a.to];
+      const slots = Math.min(
+        a.slots,
+        b.slots,
+        freeLink(problem, flows, a.from, b.to),
+        freeLink(problem, flows, b.from, a.to),
+      );
+      if (slots <= EPSILON_SLOTS || gainMs * slots <= bestGain) continue;
+      best = { a, b, slots };
+      bestGain = gainMs * slots;
+    }
   }
+  if (best === undefined) return false;
+  const { a, b, slots } = best;
+  flows[a.from][a.to] -= slots;
+  flows[b.from][b.to] -= slots;
+  flows[a.from][b.to] += slots;
+  flows[b.from][a.to] += slots;
+  return true;
 }
 
-function getFree(place: Place, remaining: Remaining): number {
-  return remaining.places.get(place.failureDomain) ?? 0;
+function freeLink(
+  { linkSlots }: RegionProblem,
+  flows: number[][],
+  from: number,
+  to: number,
+): number {
+  return linkSlots[from][to] - flows[from][to];
 }
 
+/** Inside a region, failure domains share by their slots. */
 function makeRow(
   input: AssignInput,
-  caller: CallerDemand,
-  assigned: Map<string, number> | undefined,
-): Record<string, number> {
-  const total = sumOf([...(assigned?.values() ?? [])]);
-  const row = total > EPSILON_SLOTS
-    ? new Map([...assigned!].map(([domain, slots]) => [domain, slots / total]))
-    : makeNearestRow(input, caller.region);
-  return Object.fromEntries(row);
+  { regions, capacity }: RegionProblem,
+  flow: number[],
+  caller: string,
+): WeightRow {
+  const total = sumOf(flow);
+  if (total <= EPSILON_SLOTS) return makeNearestRow(input, caller);
+  const row: WeightRow = {};
+  for (const place of input.places) {
+    const index = regions.indexOf(place.region);
+    if (flow[index] <= EPSILON_SLOTS || place.slots <= 0) continue;
+    const share = place.slots / capacity[index];
+    row[place.failureDomain] = flow[index] / total * share;
+  }
+  return row;
 }
 
 /** Without demand or capacity, callers belong to the nearest usable region. */
-function makeNearestRow(input: AssignInput, from: string): Map<string, number> {
+function makeNearestRow(input: AssignInput, from: string): WeightRow {
   const usable = input.places.filter((place) => place.slots > EPSILON_SLOTS);
   const places = usable.length > 0 ? usable : input.places;
-  const nearestMs = Math.min(
-    ...places.map((place) => input.delayMs(from, place.region)),
-  );
-  const nearest = places.filter((place) =>
-    input.delayMs(from, place.region) === nearestMs
-  );
+  const delayOf = (place: Place) => input.delayMs(from, place.region);
+  const nearestMs = Math.min(...places.map(delayOf));
+  const nearest = places.filter((place) => delayOf(place) === nearestMs);
   const slots = sumOf(nearest.map((place) => place.slots));
-  return new Map(
+  return Object.fromEntries(
     nearest.map((place) => [
       place.failureDomain,
       slots > 0 ? place.slots / slots : 1 / nearest.length,
--- /dev/null
+++ b/src/steering/assign_test.ts
@@ -0,0 +1,199 @@
+import fc from "fast-check";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { assign, judgeWeights } from "./assign.ts";
+import type { AssignInput, Place } from "./types.ts";
+
+const SEED = 20261202;
+
+const DELAY: Record<string, number> = {
+  "a a": 1,
+  "b b": 1,
+  "c c": 1,
+  "a b": 12,
+  "b a": 12,
+  "a c": 30,
+  "c a": 30,
+  "b c": 20,
+  "c b": 20,
+};
+
+function makeInput(
+  demand: Record<string, number>,
+  slots: Record<string, number>,
+  { linkSlots = Infinity, delays = DELAY }: {
+    linkSlots?: number;
+    delays?: Record<string, number>;
+  } = {},
+): AssignInput {
+  return {
+    demand: Object.entries(demand)
+      .map(([region, needed]) => ({ region, slots: needed })),
+    places: Object.entries(slots).map(([failureDomain, free]): Place => ({
+      failureDomain,
+      region: failureDomain[0],
+      slots: free,
+    })),
+    delayMs: (from, to) => delays[`${from} ${to}`],
+    linkSlots: (from, to) => from === to ? Infinity : linkSlots,
+  };
+}
+
+test("demand that fits stays in its own region", () => {
+  const weights = assign(makeInput({ a: 5, b: 5 }, { a1: 8, a2: 8, b1: 8 }));
+  assert.equal(weights.a, { a1: 0.5, a2: 0.5 });
+  assert.equal(weights.b, { b1: 1 });
+});
+
+test("what does not fit spills to the place of least added delay", () => {
+  const weights = assign(
+    makeInput({ a: 12, b: 2, c: 2 }, { a1: 10, b1: 10, c1: 10 }),
+  );
+  assert.ok(Math.abs(weights.a.b1 - 2 / 12) < 1e-9);
+  assert.is(weights.a.c1, undefined);
+});
+
+test("a full link sends the rest elsewhere", () => {
+  const weights = assign(
+    makeInput({ a: 12, b: 0, c: 0 }, { a1: 8, b1: 10, c1: 10 }, {
+      linkSlots: 2,
+    }),
+  );
+  assert.ok(Math.abs(weights.a.b1 - 2 / 12) < 1e-9);
+  assert.ok(Math.abs(weights.a.c1 - 2 / 12) < 1e-9);
+});
+
+test("a dead region's callers go to the nearest that has room", () => {
+  const weights = assign(makeInput({ a: 4 }, { a1: 0, b1: 9, c1: 9 }));
+  assert.equal(weights.a, { b1: 1 });
+});
+
+test("without any capacity, callers stay where they are", () => {
+  const weights = assign(makeInput({ a: 4 }, { a1: 0, b1: 0 }));
+  assert.equal(weights.a, { a1: 1 });
+});
+
+const inputs = fc.record({
+  demand: fc.record({
+    a: fc.integer({ min: 0, max: 20 }),
+    b: fc.integer({ min: 0, max: 20 }),
+    c: fc.integer({ min: 0, max: 20 }),
+  }),
+  slots: fc.record({
+    a1: fc.integer({ min: 0, max: 20 }),
+    a2: fc.integer({ min: 0, max: 20 }),
+    b1: fc.integer({ min: 0, max: 20 }),
+    c1: fc.integer({ min: 0, max: 20 }),
+  }),
+});
+
+test("rows sum to 1, and no place is overfilled while there is room", () => {
+  fc.assert(
+    fc.property(inputs, ({ demand, slots }) => {
+      const input = makeInput(demand, slots);
+      const weights = assign(input);
+      for (const row of Object.values(weights)) {
+        const sum = Object.values(row).reduce((all, part) => all + part, 0);
+        assert.ok(Math.abs(sum - 1) < 1e-9);
+      }
+      const needed = sumOf(demand);
+      if (needed > 0 && needed <= sumOf(slots)) {
+        assert.ok(judgeWeights(input, weights).highestUse <= 1 + 1e-9);
+      }
+    }),
+    { seed: SEED, numRuns: 2_000 },
+  );
+});
+
+function sumOf(values: Record<string, number>): number {
+  return Object.values(values).reduce((sum, value) => sum + value, 0);
+}
+
+/** Least cost by trying every whole-slot assignment of three regions. */
+function findOptimum(
+  demand: Record<string, number>,
+  slots: Record<string, number>,
+  delays: Record<string, number>,
+): number {
+  const regions = ["a", "b", "c"];
+  const free = new Map(
+    regions.map((region) => [
+      region,
+      sumOf(Object.fromEntries(
+        Object.entries(slots).filter(([domain]) => domain[0] === region),
+      )),
+    ]),
+  );
+  let best = Infinity;
+
+  function place(index: number, left: Map<string, number>, cost: number): void {
+    if (cost >= best) return;
+    if (index === regions.length) {
+      best = cost;
+      return;
+    }
+    const from = regions[index];
+    const needed = demand[from];
+    for (let first = 0; first <= Math.min(needed, left.get("a")!); first++) {
+      const rest = needed - first;
+      for (let second = 0; second <= Math.min(rest, left.get("b")!); second++) {
+        const third = rest - second;
+        if (third > left.get("c")!) continue;
+        const next = new Map([
+          ["a", left.get("a")! - first],
+          ["b", left.get("b")! - second],
+          ["c", left.get("c")! - third],
+        ]);
+        const added = first * delays[`${from} a`] +
+          second * delays[`${from} b`] + third * delays[`${from} c`];
+        place(index + 1, next, cost + added);
+      }
+    }
+  }
+
+  place(0, free, 0);
+  return best;
+}
+
+test("mean delay against the exhaustive optimum", () => {
+  const regrets: number[] = [];
+  const small = fc.integer({ min: 0, max: 7 });
+  fc.assert(
+    fc.property(
+      fc.record({ a: small, b: small, c: small }),
+      fc.record({ a1: small, b1: small, c1: small }),
+      fc.array(fc.integer({ min: 5, max: 60 }), { minLength: 6, maxLength: 6 }),
+      (demand, slots, far) => {
+        const delays = {
+          "a a": 1,
+          "b b": 1,
+          "c c": 1,
+          "a b": far[0],
+          "b a": far[1],
+          "a c": far[2],
+          "c a": far[3],
+          "b c": far[4],
+          "c b": far[5],
+        };
+        const needed = sumOf(demand);
+        fc.pre(needed > 0 && needed <= sumOf(slots));
+        const input = makeInput(demand, slots, { delays });
+        const cost = judgeWeights(input, assign(input)).meanDelayMs * needed;
+        const optimum = findOptimum(demand, slots, delays);
+        assert.ok(cost >= optimum - 1e-6, "better than the optimum");
+        regrets.push((cost - optimum) / needed);
+      },
+    ),
+    { seed: SEED, numRuns: 1_000 },
+  );
+  const worst = Math.max(...regrets);
+  const mean = regrets.reduce((sum, regret) => sum + regret, 0) /
+    regrets.length;
+  console.log(
+    `regret over ${regrets.length} cases: worst ${worst.toFixed(2)} ms, ` +
+      `mean ${mean.toFixed(3)} ms`,
+  );
+  assert.ok(worst <= 1, `worst regret ${worst} ms`);
+});
+
+test.run();
