--- /dev/null
+++ b/src/steering/shift_cap_test.ts
@@ -0,0 +1,268 @@
+import fc from "fast-check";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import type { ServiceDocument } from "../config/schema.ts";
+import { decidePlan } from "./decide.ts";
+import {
+  createFollower,
+  type FollowerState,
+  followPlan,
+  walkTowards,
+} from "./follower.ts";
+import { makeLocalTarget } from "./local_target.ts";
+import { type ShiftCap, sumByRegion } from "./shift.ts";
+import type { AssignInput, Plan } from "./types.ts";
+
+const SEED = 20261202;
+const STEP_MS = 500;
+const CONTROL_LOST_MS = 6_000;
+const REGIONS = ["a", "b", "c"];
+const DOMAINS = ["a1", "a2", "b1", "b2", "c1", "c2"];
+const regionOf = new Map(DOMAINS.map((domain) => [domain, domain[0]]));
+const DEMAND_SHARE = { a: 0.5, b: 0.3, c: 0.2 };
+const cap: ShiftCap = { maxShare: 0.1, windowMs: 10_000 };
+const START_WALL_MS = 1_700_000_000_000;
+
+const document = {
+  service: "s",
+  shiftCap: { maxShare: cap.maxShare, windowS: cap.windowMs / 1_000 },
+} as ServiceDocument;
+
+/** A process that decides places for a fixed part of its region's callers. */
+interface Process {
+  domain: string;
+  follower: FollowerState;
+  /** Newest plan that it has heard of. */
+  known: Plan | undefined;
+  heardMs: number;
+  pausedUntilMs: number;
+}
+
+/** All that happens, for one service. */
+interface World {
+  nowMs: number;
+  /** Newest plan in the table. */
+  written: Plan | undefined;
+  processes: Process[];
+  lostRegions: Set<string>;
+  drainedRegions: Set<string>;
+  cutDomains: Set<string>;
+  tableDown: boolean;
+  /** Clock error of the lease's holder, in ms. */
+  holderSkewMs: number;
+  history: number[][];
+}
+
+type Event =
+  | { kind: "lose" | "drain" | "heal"; region: string }
+  | { kind: "cut" | "join"; domains: string[] }
+  | { kind: "pause"; domains: string[]; durationMs: number }
+  | { kind: "table"; down: boolean }
+  /** Another holder, whose clock is off by this much. */
+  | { kind: "holder"; skewMs: number };
+
+const region = fc.constantFrom(...REGIONS);
+const domains = fc.subarray(DOMAINS, { minLength: 1 });
+const events = fc.array(
+  fc.record({
+    waitSteps: fc.integer({ min: 0, max: 80 }),
+    event: fc.oneof<fc.Arbitrary<Event>[]>(
+      fc.record({
+        kind: fc.constantFrom("lose", "drain", "heal"),
+        region,
+      }),
+      fc.record({ kind: fc.constantFrom("cut", "join"), domains }),
+      fc.record({
+        kind: fc.constant("pause"),
+        domains,
+        durationMs: fc.integer({ min: 500, max: 120_000 }),
+      }),
+      fc.record({ kind: fc.constant("table"), down: fc.boolean() }),
+      fc.record({
+        kind: fc.constant("holder"),
+        skewMs: fc.integer({ min: -500, max: 500 }),
+      }),
+    ),
+  }),
+  { minLength: 3, maxLength: 25 },
+);
+
+function makeWorld(): World {
+  const weights = Object.fromEntries(
+    REGIONS.map((name) => [name, { [`${name}1`]: 0.5, [`${name}2`]: 0.5 }]),
+  );
+  return {
+    nowMs: 0,
+    written: undefined,
+    processes: DOMAINS.map((name) => ({
+      domain: name,
+      follower: createFollower(weights),
+      known: undefined,
+      heardMs: 0,
+      pausedUntilMs: 0,
+    })),
+    lostRegions: new Set(),
+    drainedRegions: new Set(),
+    cutDomains: new Set(),
+    tableDown: false,
+    holderSkewMs: 0,
+    history: [],
+  };
+}
+
+function apply(world: World, event: Event): void {
+  switch (event.kind) {
+    case "lose":
+      return void world.lostRegions.add(event.region);
+    case "drain":
+      return void world.drainedRegions.add(event.region);
+    case "heal":
+      world.lostRegions.delete(event.region);
+      world.drainedRegions.delete(event.region);
+      return;
+    case "cut":
+      for (const name of event.domains) world.cutDomains.add(name);
+      return;
+    case "join":
+      for (const name of event.domains) world.cutDomains.delete(name);
+      return;
+    case "pause":
+      for (const process of world.processes) {
+        if (!event.domains.includes(process.domain)) continue;
+        process.pausedUntilMs = world.nowMs + event.durationMs;
+      }
+      return;
+    case "table":
+      world.tableDown = event.down;
+      return;
+    case "holder":
+      world.holderSkewMs = event.skewMs;
+  }
+}
+
+function makeInput(world: World): AssignInput {
+  const out = (name: string) =>
+    world.lostRegions.has(name) || world.drainedRegions.has(name);
+  return {
+    demand: REGIONS.map((name) => ({
+      region: name,
+      slots: 100 * DEMAND_SHARE[name as keyof typeof DEMAND_SHARE],
+    })),
+    places: DOMAINS.map((failureDomain) => ({
+      failureDomain,
+      region: failureDomain[0],
+      slots: out(failureDomain[0]) ? 0 : 60,
+    })),
+    delayMs: (from, to) => from === to ? 1 : 30,
+    linkSlots: () => Infinity,
+  };
+}
+
+function step(world: World): void {
+  world.nowMs += STEP_MS;
+  const wallMs = START_WALL_MS + world.nowMs;
+  if (!world.tableDown) {
+    const plan = decidePlan({
+      document,
+      current: world.written,
+      estimate: { input: makeInput(world), demandShare: DEMAND_SHARE },
+      regionOf,
+      epoch: 1,
+      wallMs: wallMs + world.holderSkewMs,
+    });
+    if (plan) world.written = plan;
+  }
+  for (const process of world.processes) follow(world, process);
+  world.history.push(flatten(world));
+}
+
+function follow(world: World, process: Process): void {
+  if (world.nowMs < process.pausedUntilMs) return;
+  const hears = !world.tableDown && !world.cutDomains.has(process.domain);
+  if (hears) {
+    process.known = world.written;
+    process.heardMs = world.nowMs;
+  }
+  const context = {
+    cap,
+    regionOf,
+    nowMs: world.nowMs,
+    wallMs: START_WALL_MS + world.nowMs,
+  };
+  if (world.nowMs - process.heardMs < CONTROL_LOST_MS) {
+    if (process.known) followPlan(process.follower, process.known, context);
+    return;
+  }
+  const target = makeLocalTarget({
+    weights: process.known?.weights ?? process.follower.weights,
+    aliveRegions: new Set(
+      REGIONS.filter((name) => !world.lostRegions.has(name)),
+    ),
+    regionOf,
+    delayMs: (from, to) => from === to ? 1 : 30,
+  });
+  walkTowards(process.follower, target, context);
+}
+
+/** Share of each process's and region's traffic by region, flat. */
+function flatten({ processes }: World): number[] {
+  return processes.flatMap(({ follower }) =>
+    REGIONS.flatMap((caller) => {
+      const sums = sumByRegion(follower.weights[caller], regionOf);
+      const part = DEMAND_SHARE[caller as keyof typeof DEMAND_SHARE] /
+        processes.length;
+      return REGIONS.map((name) => part * (sums[name] ?? 0));
+    })
+  );
+}
+
+/** Largest share of the traffic whose region changed within a window. */
+function findLargestShift({ history }: World): number {
+  const steps = cap.windowMs / STEP_MS;
+  let largest = 0;
+  for (let to = 1; to < history.length; to++) {
+    for (let from = Math.max(0, to - steps); from < to; from++) {
+      let difference = 0;
+      for (let index = 0; index < history[to].length; index++) {
+        difference += Math.abs(history[from][index] - history[to][index]);
+      }
+      largest = Math.max(largest, difference / 2);
+    }
+  }
+  return largest;
+}
+
+test("the cap holds in every window, whatever happens in between", () => {
+  let steps = 0;
+  let largest = 0;
+  fc.assert(
+    fc.property(events, (planned) => {
+      const world = makeWorld();
+      for (const { waitSteps, event } of planned) {
+        for (let count = 0; count < waitSteps; count++) step(world);
+        apply(world, event);
+      }
+      for (let count = 0; count < 20; count++) step(world);
+      steps += world.history.length;
+      const shift = findLargestShift(world);
+      largest = Math.max(largest, shift);
+      assert.ok(shift <= cap.maxShare + 1e-9, `shift ${shift}`);
+    }),
+    { seed: SEED, numRuns: 150 },
+  );
+  console.log(`${steps} steps; largest shift ${largest.toFixed(4)} of 0.1`);
+  assert.ok(largest > 0.05, "the runs moved too little to prove anything");
+});
+
+test("traffic does move away from a lost region, plan by plan", () => {
+  const world = makeWorld();
+  for (let count = 0; count < 4; count++) step(world);
+  apply(world, { kind: "lose", region: "a" });
+  for (let count = 0; count < 400; count++) step(world);
+  for (const { follower } of world.processes) {
+    const row = follower.weights.a;
+    assert.ok((row.a1 ?? 0) + (row.a2 ?? 0) < 1e-6);
+  }
+});
+
+test.run();
