--- /dev/null
+++ b/src/admission/fair_queue_test.ts
@@ -0,0 +1,93 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { decideAdmission, makeRetryAfter } from "./logic.ts";
+import { createFairQueue, FairQueue } from "./fair_queue.ts";
+
+function fill(queue: FairQueue, weight: number, count: number): void {
+  for (let index = 0; index < count; index++) {
+    const run = () => Promise.resolve(weight);
+    queue.enqueue(run, { priority: weight, id: `${weight} ${index}` });
+  }
+}
+
+test("heavier classes go first, and none starves", async () => {
+  const queue = new FairQueue();
+  fill(queue, 1, 90);
+  fill(queue, 2, 90);
+  const served = { 1: 0, 2: 0 };
+  for (let count = 0; count < 90; count++) {
+    const weight = await queue.dequeue()!() as 1 | 2;
+    if (count === 0) assert.is(weight, 2);
+    served[weight] += 1;
+  }
+  assert.equal(served, { 1: 10, 2: 80 });
+});
+
+test("a class that comes late does not catch up for its absence", async () => {
+  const queue = new FairQueue();
+  fill(queue, 1, 100);
+  for (let count = 0; count < 50; count++) queue.dequeue();
+  fill(queue, 2, 20);
+  const order: unknown[] = [];
+  for (let count = 0; count < 18; count++) order.push(await queue.dequeue()!());
+  const light = order.filter((weight) => weight === 1).length;
+  assert.ok(light >= 1 && light <= 2, `${light} light ones of 18`);
+});
+
+test("a request that is given up leaves the line", async () => {
+  const { queue, waiting } = createFairQueue();
+  let release = () => {};
+  const first = queue.add(() => new Promise<void>((done) => release = done));
+  const controller = new AbortController();
+  let ran = false;
+  const second = queue.add(async () => {
+    await Promise.resolve();
+    ran = true;
+  }, { signal: controller.signal, id: "second", priority: 1 });
+  assert.is(waiting.size, 1);
+  controller.abort(new Error("given up"));
+  assert.is(waiting.size, 0);
+  await second.then(() => assert.unreachable(), () => {});
+  release();
+  await first;
+  assert.is(ran, false);
+});
+
+const idle = {
+  remainingMs: 1_000,
+  serviceMs: 100,
+  limit: 10,
+  inFlight: 0,
+  waitingInClass: 0,
+  turnShare: 1,
+};
+const cases: [string, Partial<typeof idle>, string][] = [
+  ["a free slot", {}, "admit"],
+  ["a short line", { inFlight: 10, waitingInClass: 20 }, "admit"],
+  ["a line too long", { inFlight: 10, waitingInClass: 90 }, "refuse"],
+  [
+    "a line too long for a light class",
+    { inFlight: 10, waitingInClass: 20, turnShare: 0.1 },
+    "refuse",
+  ],
+  ["no server", { limit: 0 }, "refuse"],
+  ["no time left", { remainingMs: 50 }, "refuse"],
+  ["just enough time and a free slot", { remainingMs: 120 }, "admit"],
+];
+
+for (const [name, changes, expected] of cases) {
+  test(`${name}: ${expected}`, () => {
+    const { decision } = decideAdmission({ ...idle, ...changes });
+    assert.is(decision, expected);
+  });
+}
+
+test("callers that are refused together are told different times", () => {
+  const times = [0, 0.3, 0.6, 0.9].map((random) =>
+    makeRetryAfter(8_000, random)
+  );
+  assert.equal(times, [4, 7, 9, 12]);
+  assert.is(makeRetryAfter(0, 0), 1);
+});
+
+test.run();
--- /dev/null
+++ b/src/config/store_test.ts
@@ -0,0 +1,111 @@
+import { ok } from "neverthrow";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import {
+  type Commit,
+  type PlatformResult,
+  type Transaction,
+} from "../platform/types.ts";
+import { err } from "neverthrow";
+import { createSystemClock } from "../runtime/clock.ts";
+import { StepError } from "../runtime/errors.ts";
+import { MemoryTable } from "../standin/memory_table.ts";
+import { createDocumentStore } from "./store.ts";
+
+const KEY = "config/service/enrol";
+const instantClock = {
+  ...createSystemClock(),
+  after(_delayMs: number, run: () => void) {
+    queueMicrotask(run);
+    return { cancel() {} };
+  },
+};
+
+type LostAnswer = "after" | "before";
+
+/** A table that loses the answer to the next write. */
+class LossyTable extends MemoryTable {
+  lose: LostAnswer | undefined;
+  writes = 0;
+
+  override async transact(transaction: Transaction): PlatformResult<Commit> {
+    this.writes += 1;
+    const { lose } = this;
+    this.lose = undefined;
+    const commit = lose === "before"
+      ? ok<Commit, StepError>({ outcome: "committed", version: 0 })
+      : await super.transact(transaction);
+    if (lose === undefined) return commit;
+    return err(
+      new StepError("Lost", { step: "t", peer: "table", kind: "unknown" }),
+    );
+  }
+}
+
+function setUp() {
+  const table = new LossyTable();
+  return { table, store: createDocumentStore(table, instantClock) };
+}
+
+const put = (text: string, editedFrom: number) => ({
+  key: KEY,
+  text,
+  author: "ann",
+  editedFrom,
+});
+
+test("two editors race: the second is refused and shown the first", async () => {
+  const { store } = setUp();
+  const first = (await store.put(put("one", 0)))._unsafeUnwrap();
+  assert.is(first.outcome, "accepted");
+  const second = (await store.put(put("two", 0)))._unsafeUnwrap();
+  assert.is(second.outcome, "race");
+  if (second.outcome === "race") {
+    assert.is(second.theirs.stored?.text, "one");
+  }
+});
+
+test("truly simultaneous puts: one is accepted", async () => {
+  const { store } = setUp();
+  const results = await Promise.all(
+    ["one", "two", "three"].map((text) => store.put(put(text, 0))),
+  );
+  const outcomes = results.map((result) => result._unsafeUnwrap().outcome);
+  assert.equal(outcomes.sort(), ["accepted", "race", "race"]);
+  const history = (await store.history(KEY))._unsafeUnwrap();
+  assert.is(history.length, 1);
+});
+
+test("a lost answer after the write is resolved without writing twice", async () => {
+  const { table, store } = setUp();
+  table.lose = "after";
+  const result = (await store.put(put("one", 0)))._unsafeUnwrap();
+  assert.is(result.outcome, "accepted");
+  assert.is(table.writes, 1);
+  assert.is((await store.history(KEY))._unsafeUnwrap().length, 1);
+});
+
+test("a lost answer without a write is told to be unknown", async () => {
+  const { table, store } = setUp();
+  table.lose = "before";
+  const result = await store.put(put("one", 0));
+  assert.is(result._unsafeUnwrapErr().kind, "unknown");
+  assert.is(table.writes, 1);
+});
+
+test("a lost answer, overtaken by another edit, is still resolved", async () => {
+  const { table, store } = setUp();
+  await store.put(put("zero", 0));
+  const from = (await store.read(KEY))._unsafeUnwrap().rowVersion;
+  table.lose = "after";
+  const pending = store.put(put("one", from));
+  const result = (await pending)._unsafeUnwrap();
+  assert.is(result.outcome, "accepted");
+  const next = (await store.read(KEY))._unsafeUnwrap();
+  await store.put(put("two", next.rowVersion));
+  const texts = (await store.history(KEY))._unsafeUnwrap()
+    .map(({ number, text }) => `${number} ${text}`);
+  assert.equal(texts, ["1 zero", "2 one", "3 two"]);
+});
+
+test.run();
--- /dev/null
+++ b/src/forwarding/flow_test.ts
@@ -0,0 +1,291 @@
+import { Buffer } from "node:buffer";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { serviceSchema } from "../config/schema.ts";
+import { createConfigView } from "../config/view.ts";
+import type { ControlAgent } from "../control/agent.ts";
+import type { Member, ObservedMember } from "../membership/types.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createRandom } from "../runtime/random.ts";
+import type { Steering } from "../steering/steering.ts";
+import { createFlow } from "./flow.ts";
+import { createKeyRegistry } from "./key_registry.ts";
+import { formatKeyPrefix, parseKey } from "./keys.ts";
+import { createLinkLimiter } from "./link_limit.ts";
+import type { LocalRunner } from "./local_runner.ts";
+import {
+  type Handover,
+  type HandoverResult,
+  PeerClient,
+} from "./peer_client.ts";
+import type { Answer, ForwardRequest, Outcome } from "./types.ts";
+
+const answer: Answer = {
+  status: 200,
+  contentType: undefined,
+  body: Buffer.from("done"),
+  serverId: "s-1",
+};
+const answered: Outcome = { kind: "answer", answer };
+const full: Outcome = { kind: "not_run", reason: "full", retryAfterS: 1 };
+
+const document = serviceSchema.parse({
+  service: "s",
+  regions: ["a", "b"],
+  backendServers: ["a1", "a2", "b1"].map((failureDomain) => ({
+    id: `s-${failureDomain}`,
+    failureDomain,
+    address: "127.0.0.1:9000",
+    slots: 4,
+  })),
+  shiftCap: { maxShare: 0.1, windowS: 10 },
+  classes: [
+    { name: "read", methods: ["GET"], idempotent: true },
+    { name: "book", methods: ["POST"], idempotent: false },
+  ],
+});
+
+function makeMember(vmId: string): Member {
+  const failureDomain = vmId.split("-")[0];
+  return {
+    id: `${vmId}/entry`,
+    vmId,
+    role: "entry",
+    failureDomain,
+    region: failureDomain[0],
+    incarnation: 1,
+    state: "serving",
+  };
+}
+
+type Behaviour = (handover: Handover) => HandoverResult;
+
+class FakePeers extends PeerClient {
+  readonly handovers: Handover[] = [];
+  behaviour: Behaviour = () => ({ kind: "outcome", outcome: answered });
+
+  override handOver(handover: Handover): Promise<HandoverResult> {
+    this.handovers.push(handover);
+    return Promise.resolve(this.behaviour(handover));
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+interface SetUp {
+  local?: Outcome | (() => Promise<Outcome>);
+  row?: Record<string, number>;
+  alive?: string[];
+  dead?: string[];
+}
+
+function setUp(options: SetUp = {}) {
+  const { local = answered, row = { a1: 1 } } = options;
+  const { alive = ["a1-x", "a2-x", "b1-x"], dead = [] } = options;
+  const clock = createFakeClock();
+  const config = createConfigView();
+  config.regionOf = new Map([["a1", "a"], ["a2", "a"], ["b1", "b"]]);
+  const addresses = { caller: "", operator: "" };
+  config.fleet = {
+    number: 1,
+    rowVersion: 1,
+    document: {
+      regions: [],
+      clientBlocks: [],
+      withinRegionOneWayMs: 1,
+      links: [{ from: "a", to: "b", oneWayMs: 30, limitBytesPerS: 10_000 }],
+      entryVms: [...alive, ...dead].map((id) => ({
+        id,
+        failureDomain: id.split("-")[0],
+        steer: { ...addresses, peer: `${id}/steer` },
+        entry: { ...addresses, peer: id },
+      })),
+    },
+  };
+  const members = alive.map(makeMember);
+  const agent = {
+    self: makeMember("a1-x"),
+    config: () => config,
+    serving: () => members,
+    loads: () => new Map(),
+    members: (): ObservedMember[] => [
+      ...members.map((member) => ({ member, liveness: "alive" as const })),
+      ...dead.map((id) => ({
+        member: makeMember(id),
+        liveness: "dead" as const,
+      })),
+    ],
+  } as unknown as ControlAgent;
+  let localRuns = 0;
+  const runner = {
+    hasRoom: () => true,
+    run() {
+      localRuns += 1;
+      return typeof local === "function" ? local() : Promise.resolve(local);
+    },
+  } as unknown as LocalRunner;
+  const peers = new FakePeers();
+  const flow = createFlow({
+    agent,
+    steering: { rowFor: () => row } as unknown as Steering,
+    runner,
+    peers,
+    links: createLinkLimiter(),
+    registry: createKeyRegistry(),
+    clock,
+    random: createRandom(1),
+  });
+  return { flow, peers, clock, localRuns: () => localRuns };
+}
+
+function makeRequest(changes: Partial<ForwardRequest> = {}): ForwardRequest {
+  return {
+    id: "r1",
+    service: "s",
+    requestClass: document.classes[0],
+    method: "GET",
+    path: "/",
+    contentType: undefined,
+    body: Buffer.from(""),
+    deadlineMs: 1_000,
+    key: undefined,
+    block: "10.0.0.0/24",
+    callerRegion: "a",
+    hops: 0,
+    signal: new AbortController().signal,
+    ...changes,
+  };
+}
+
+function makeBooking(owner: string, incarnation = 1): ForwardRequest {
+  const prefix = formatKeyPrefix(owner, incarnation, 1_700_000_000_000);
+  return makeRequest({
+    requestClass: document.classes[1],
+    method: "POST",
+    key: parseKey(`${prefix}.abcdefgh`),
+  });
+}
+
+test("a request of the own failure domain runs here", async () => {
+  const { flow, peers } = setUp();
+  assert.equal(await flow.carry(document, makeRequest()), answered);
+  assert.is(peers.handovers.length, 0);
+});
+
+test("what the own failure domain refuses goes to another of the region", async () => {
+  const { flow, peers } = setUp({ local: full });
+  assert.equal(await flow.carry(document, makeRequest()), answered);
+  assert.equal(peers.handovers.map(({ address }) => address), ["a2-x"]);
+});
+
+test("a refusal never sends a request to another region", async () => {
+  const { flow, peers } = setUp({ local: full });
+  peers.behaviour = () => ({ kind: "outcome", outcome: full });
+  const outcome = await flow.carry(document, makeRequest());
+  assert.is(outcome.kind, "not_run");
+  assert.not.ok(peers.handovers.some(({ address }) => address === "b1-x"));
+});
+
+test("a lost region's callers are refused at once until the plan moves", async () => {
+  const { flow, localRuns } = setUp({ row: { b1: 1 }, alive: ["a1-x"] });
+  const outcome = await flow.carry(document, makeRequest());
+  assert.is(outcome.kind, "not_run");
+  assert.is(localRuns(), 0);
+});
+
+test("a region planned elsewhere is reached over its link", async () => {
+  const { flow, peers } = setUp({ row: { b1: 1 } });
+  assert.equal(await flow.carry(document, makeRequest()), answered);
+  assert.is(peers.handovers[0].address, "b1-x");
+  assert.is(peers.handovers[0].remainingMs, 1_000 - 60);
+});
+
+test("a full link refuses, and lets pass again as time goes on", async () => {
+  const { flow, clock } = setUp({ row: { b1: 1 } });
+  const send = () =>
+    flow.carry(document, makeRequest({ body: Buffer.alloc(3_000) }));
+  const kinds: string[] = [];
+  for (let count = 0; count < 4; count++) kinds.push((await send()).kind);
+  assert.equal(kinds, ["answer", "not_run", "not_run", "not_run"]);
+  clock.advance(900);
+  const late = makeRequest({ deadlineMs: 3_000 });
+  assert.is((await flow.carry(document, late)).kind, "answer");
+});
+
+const brokenPeers: [string, HandoverResult, boolean, Outcome["kind"]][] = [
+  ["nothing was sent", { kind: "not_sent", reason: "" }, true, "not_run"],
+  ["nothing was sent", { kind: "not_sent", reason: "" }, false, "not_run"],
+  ["the connection broke", { kind: "failed", reason: "" }, true, "unknown"],
+  ["the connection broke", { kind: "failed", reason: "" }, false, "unknown"],
+];
+
+for (const [name, result, idempotent, expected] of brokenPeers) {
+  const kind = idempotent ? "idempotent" : "at most once";
+  test(`hand-over, ${kind}: ${name}: ${expected}`, async () => {
+    const { flow, peers } = setUp({ row: { b1: 1 } });
+    peers.behaviour = () => result;
+    const request = idempotent ? makeRequest() : makeBooking("a1-x");
+    assert.is((await flow.carry(document, request)).kind, expected);
+    assert.is(peers.handovers.length, 1);
+  });
+}
+
+test("a repeated key is not run again, its answer is given again", async () => {
+  const { flow, localRuns } = setUp();
+  assert.equal(await flow.carry(document, makeBooking("a1-x")), answered);
+  assert.equal(await flow.carry(document, makeBooking("a1-x")), answered);
+  assert.is(localRuns(), 1);
+});
+
+test("a key with another body is refused as not run", async () => {
+  const { flow, localRuns } = setUp();
+  await flow.carry(document, makeBooking("a1-x"));
+  const other = { ...makeBooking("a1-x"), body: Buffer.from("other") };
+  assert.is((await flow.carry(document, other)).kind, "not_run");
+  assert.is(localRuns(), 1);
+});
+
+test("another entry's key is handed to it, and only it decides", async () => {
+  const { flow, peers, localRuns } = setUp();
+  assert.equal(await flow.carry(document, makeBooking("a2-x")), answered);
+  assert.is(peers.handovers[0].mode, "own");
+  assert.is(localRuns(), 0);
+});
+
+const goneOwners: [string, SetUp, Behaviour, number][] = [
+  [
+    "is dead",
+    { alive: ["a1-x"], dead: ["a2-x"] },
+    () => ({ kind: "not_sent", reason: "" }),
+    1,
+  ],
+  ["was replaced", {}, () => ({ kind: "outcome", outcome: answered }), 2],
+  ["is cut off", {}, () => ({ kind: "failed", reason: "" }), 1],
+];
+
+for (const [name, options, behaviour, incarnation] of goneOwners) {
+  test(`a key whose owner ${name} is unknown, never run`, async () => {
+    const { flow, peers, localRuns } = setUp(options);
+    peers.behaviour = behaviour;
+    const request = makeBooking("a2-x", incarnation);
+    assert.is((await flow.carry(document, request)).kind, "unknown");
+    assert.is(localRuns(), 0);
+  });
+}
+
+test("a caller is told at its deadline; the late answer is kept", async () => {
+  let finish: (outcome: Outcome) => void = () => {};
+  const { flow, clock } = setUp({
+    local: () => new Promise((resolve) => finish = resolve),
+  });
+  const first = flow.carry(document, makeBooking("a1-x"));
+  clock.advance(1_000);
+  assert.is((await first).kind, "unknown");
+  finish(answered);
+  const again = { ...makeBooking("a1-x"), deadlineMs: 5_000 };
+  assert.equal(await flow.carry(document, again), answered);
+});
+
+test.run();
