--- /dev/null
+++ b/src/deployment/fixture.ts
@@ -0,0 +1,83 @@
+/**
+ * What tests over real sockets share: a small deployment, and waiting.
+ *
+ * @module
+ */
+import process from "node:process";
+import { createSystemClock } from "../runtime/clock.ts";
+import { type Deployment, deploymentSchema } from "./types.ts";
+
+const clock = createSystemClock();
+
+/** The one service of the small deployment. */
+export const SERVICE = "enrol";
+
+/** @returns Second number of addresses that other test runs don't use. */
+export function pickBase(): number {
+  return 201 + process.pid % 50;
+}
+
+/** Two regions of one failure domain each, with two entry VMs and servers. */
+export function makeSmallDeployment(): Deployment {
+  const region = (name: string, clientPrefix: string) => ({
+    name,
+    failureDomains: [{ name: `${name}-1`, entryVms: 2 }],
+    demandShare: 0.5,
+    clientPrefix,
+  });
+  return deploymentSchema.parse({
+    name: "small",
+    regions: [region("thies", "10.1"), region("kaolack", "10.2")],
+    withinRegionOneWayMs: 1,
+    betweenRegionsOneWayMs: 5,
+    linkLimitBytesPerS: 1_000_000,
+    clientBlocksPerRegion: 64,
+    requestsPerS: 20,
+    services: [{
+      backendServers: 4,
+      slots: 4,
+      connections: 40,
+      serviceMs: 20,
+      share: 1,
+      mix: [{
+        class: "booking",
+        method: "POST",
+        path: "/entries",
+        share: 1,
+        deadlineMs: 3_000,
+      }],
+      document: {
+        service: SERVICE,
+        shiftCap: { maxShare: 0.1, windowS: 10 },
+        answerTtlMs: 300,
+        coldStart: { rampS: 0 },
+        classes: [
+          {
+            name: "booking",
+            methods: ["POST"],
+            weight: 2,
+            deadlineMs: 3_000,
+            idempotent: false,
+          },
+          {
+            name: "lookup",
+            methods: ["GET"],
+            deadlineMs: 3_000,
+            idempotent: true,
+          },
+        ],
+      },
+    }],
+  });
+}
+
+/** Waits for a state, however long the machine takes. */
+export async function until(
+  isDone: () => Promise<boolean> | boolean,
+): Promise<void> {
+  for (let tries = 0; tries < 400; tries++) {
+    if (await isDone()) return;
+    await new Promise<void>((resolve) => clock.after(50, resolve));
+  }
+  throw new Error("The state was not reached");
+}
--- a/src/deployment/whole_path_test.ts
+++ b/src/deployment/whole_path_test.ts
@@ -1,4 +1,3 @@
-import process from "node:process";
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
 import { type Caller, createCaller } from "../caller/mod.ts";
@@ -6,64 +5,9 @@
 import { getServiceKey } from "../config/rows.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { type RunningDeployment, startDeployment } from "./in_process.ts";
-import { type Deployment, deploymentSchema } from "./types.ts";
+import { makeSmallDeployment, pickBase, SERVICE, until } from "./fixture.ts";
 
 const clock = createSystemClock();
-const SERVICE = "enrol";
-
-/** Two regions of one failure domain each, with two entry VMs and servers. */
-function makeDeployment(): Deployment {
-  const region = (name: string, clientPrefix: string) => ({
-    name,
-    failureDomains: [{ name: `${name}-1`, entryVms: 2 }],
-    demandShare: 0.5,
-    clientPrefix,
-  });
-  return deploymentSchema.parse({
-    name: "small",
-    regions: [region("thies", "10.1"), region("kaolack", "10.2")],
-    withinRegionOneWayMs: 1,
-    betweenRegionsOneWayMs: 5,
-    linkLimitBytesPerS: 1_000_000,
-    clientBlocksPerRegion: 64,
-    requestsPerS: 20,
-    services: [{
-      backendServers: 4,
-      slots: 4,
-      connections: 40,
-      serviceMs: 20,
-      share: 1,
-      mix: [{
-        class: "booking",
-        method: "POST",
-        path: "/entries",
-        share: 1,
-        deadlineMs: 3_000,
-      }],
-      document: {
-        service: SERVICE,
-        shiftCap: { maxShare: 0.1, windowS: 10 },
-        answerTtlMs: 300,
-        coldStart: { rampS: 0 },
-        classes: [
-          {
-            name: "booking",
-            methods: ["POST"],
-            weight: 2,
-            deadlineMs: 3_000,
-            idempotent: false,
-          },
-          {
-            name: "lookup",
-            methods: ["GET"],
-            deadlineMs: 3_000,
-            idempotent: true,
-          },
-        ],
-      },
-    }],
-  });
-}
 
 const booking: Call = {
   service: SERVICE,
@@ -90,9 +34,8 @@
 const test = suite<Context>("whole path");
 
 test.before.each(async (context) => {
-  const base = 201 + process.pid % 50;
-  const deployment = makeDeployment();
-  context.deployment = await startDeployment(deployment, clock, base);
+  const deployment = makeSmallDeployment();
+  context.deployment = await startDeployment(deployment, clock, pickBase());
   const steers = context.deployment.files.load.steers
     .map(({ caller }) => caller);
   context.caller = createCaller({ steers, clock });
@@ -107,15 +50,6 @@
   await deployment.stop();
 });
 
-/** Waits for a state, however long the machine takes. */
-async function until(isDone: () => Promise<boolean> | boolean): Promise<void> {
-  for (let tries = 0; tries < 400; tries++) {
-    if (await isDone()) return;
-    await new Promise<void>((resolve) => clock.after(50, resolve));
-  }
-  throw new Error("The state was not reached");
-}
-
 function listRuns(deployment: RunningDeployment) {
   return [...deployment.backends.values()].flatMap(({ servers }) =>
     [...servers.values()].flatMap(({ records }) => records)
--- /dev/null
+++ b/src/forwarding/backend_client_test.ts
@@ -0,0 +1,180 @@
+import { Buffer } from "node:buffer";
+import * as assert from "uvu/assert";
+import { suite } from "uvu";
+import { type ServiceDocument, serviceSchema } from "../config/schema.ts";
+import { createSystemClock } from "../runtime/clock.ts";
+import { createRandom } from "../runtime/random.ts";
+import {
+  type AnswerMode,
+  type BackendFaults,
+  type StandinBackend,
+  startStandinBackend,
+} from "../standin/backend_server.ts";
+import { HttpBackendClient } from "./backend_client.ts";
+import type { ExchangeResult, ForwardRequest } from "./types.ts";
+
+const clock = createSystemClock();
+
+interface Context {
+  backend: StandinBackend;
+  client: HttpBackendClient;
+  document: ServiceDocument;
+}
+
+const test = suite<Context>("backend client");
+
+test.before.each(async (context) => {
+  context.backend = await startStandinBackend(
+    {
+      id: "s-1",
+      service: "s",
+      failureDomain: "a1",
+      region: "a",
+      address: "127.0.0.1:0",
+      slots: 2,
+      serviceMs: 5,
+    },
+    clock,
+    createRandom(1),
+  );
+  context.client = new HttpBackendClient();
+  context.document = serviceSchema.parse({
+    service: "s",
+    regions: ["a"],
+    backendServers: [{
+      id: "s-1",
+      failureDomain: "a1",
+      address: context.backend.settings.address,
+      slots: 2,
+    }],
+    shiftCap: { maxShare: 0.1, windowS: 10 },
+    classes: [{ name: "read", methods: ["GET"], idempotent: true }],
+  });
+});
+
+test.after.each(async ({ backend, client }) => {
+  await client.close();
+  await backend.stop();
+});
+
+function send(
+  { client, document }: Context,
+  id = "r1",
+  signal = new AbortController().signal,
+): Promise<ExchangeResult> {
+  const request: ForwardRequest = {
+    id,
+    service: "s",
+    requestClass: document.classes[0],
+    method: "GET",
+    path: "/x?y=1",
+    contentType: undefined,
+    body: Buffer.alloc(0),
+    deadlineMs: Infinity,
+    key: undefined,
+    block: "10.0.0.0/24",
+    callerRegion: "a",
+    hops: 0,
+    signal,
+  };
+  const server = document.backendServers[0];
+  return client.exchange({
+    document,
+    server,
+    request,
+    remainingMs: 1_000,
+    signal,
+  });
+}
+
+const modes: [AnswerMode, ExchangeResult["kind"], number][] = [
+  ["whole", "answer", 1],
+  ["die_before", "failed", 0],
+  ["die_after", "failed", 1],
+  ["truncate", "failed", 1],
+  ["crossed", "failed", 1],
+  ["error", "answer", 1],
+  ["shed", "shed", 0],
+];
+
+for (const [mode, expected, runs] of modes) {
+  test(`answer mode ${mode}: ${expected}, ${runs} runs`, async (context) => {
+    const { faults, records } = context.backend;
+    Object.assign(faults, { answerMode: mode, answerModeCount: 1 });
+    const result = await send(context);
+    assert.is(result.kind, expected, JSON.stringify(result));
+    assert.is(records.length, runs);
+    assert.is((await send(context, "r2")).kind, "answer");
+  });
+}
+
+test("an answer is whole and its own", async (context) => {
+  const results = await Promise.all(
+    ["a", "b", "c", "d"].map((id) => send(context, id)),
+  );
+  results.forEach((result, index) => {
+    assert.is(result.kind, "answer");
+    if (result.kind !== "answer") return;
+    const body = JSON.parse(result.answer.body.toString());
+    assert.is(body.requestId, "abcd"[index]);
+    assert.is(body.path, "/x?y=1");
+  });
+});
+
+test("a leaving server's refusal says so", async (context) => {
+  context.backend.faults.leaving = true;
+  assert.equal(await send(context), { kind: "shed", leaving: true });
+});
+
+test("a status of the document counts as a refusal", async (context) => {
+  context.document.shedStatuses = [500];
+  const { faults } = context.backend;
+  Object.assign(faults, { answerMode: "error", answerModeCount: 1 });
+  assert.equal(await send(context), { kind: "shed", leaving: false });
+});
+
+test("nothing is sent to a server that is gone", async (context) => {
+  await context.backend.stop();
+  assert.is((await send(context)).kind, "not_sent");
+});
+
+test("a cancelled request ends at the server too", async (context) => {
+  context.backend.faults.slowFactor = 1_000;
+  const cancel = new AbortController();
+  const sent = send(context, "r1", cancel.signal);
+  while (context.backend.inFlight() === 0) {
+    await new Promise<void>((resolve) => clock.after(5, resolve));
+  }
+  cancel.abort();
+  assert.is((await sent).kind, "failed");
+  while (context.backend.inFlight() > 0) {
+    await new Promise<void>((resolve) => clock.after(5, resolve));
+  }
+});
+
+const probes: [string, Partial<BackendFaults>, string, number][] = [
+  ["serving", {}, "healthy", 0],
+  ["draining", { healthDraining: true }, "draining", 0],
+  ["lying about its load", { reportedUse: 0.9 }, "healthy", 0.9],
+];
+
+for (const [name, faults, state, reportedUse] of probes) {
+  test(`a probe of a server ${name}`, async (context) => {
+    Object.assign(context.backend.faults, faults);
+    const server = context.document.backendServers[0];
+    assert.equal(await context.client.probe(server), {
+      serverId: "s-1",
+      state,
+      reportedUse,
+      ageMs: 0,
+    });
+  });
+}
+
+test("a probe of a server that is gone", async (context) => {
+  await context.backend.stop();
+  const server = context.document.backendServers[0];
+  assert.is((await context.client.probe(server)).state, "failing");
+});
+
+test.run();
--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -6,7 +6,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import polka, { type Polka, type Request } from "polka";
+import polka, { type Handler, type Polka, type Request } from "polka";
 import { splitAddress } from "./address.ts";
 import { StepError } from "./errors.ts";
 
@@ -41,8 +41,37 @@
   extra?: Record<string, unknown>;
 }
 
+/** Ways to add a route or middleware, all wrapped alike. */
+const ROUTE_METHODS = ["use", "get", "put", "post", "all"] as const;
+
 /** @returns A router with problem documents for errors and unknown paths. */
 export function createRouter(): Polka {
+  const router = createBareRouter();
+  for (const method of ROUTE_METHODS) {
+    const add = router[method].bind(router) as (...args: unknown[]) => Polka;
+    const addGuarded = (...args: unknown[]) =>
+      add(
+        ...args.map((arg) =>
+          typeof arg === "function" ? guard(arg as Handler) : arg
+        ),
+      );
+    Object.assign(router, { [method]: addGuarded });
+  }
+  return router;
+}
+
+/** polka does not look at what handlers return: their failures would be lost. */
+function guard(handler: Handler): Handler {
+  return async (request, response, next) => {
+    try {
+      await handler(request, response, next);
+    } catch (cause) {
+      next(cause);
+    }
+  };
+}
+
+function createBareRouter(): Polka {
   return polka({
     onError(error, _request, response) {
       const status = error instanceof StepError && error.kind === "invalid"
--- a/src/runtime/polka.d.ts
+++ b/src/runtime/polka.d.ts
@@ -10,7 +10,8 @@
     originalUrl: string;
   }
   type Next = (error?: unknown) => void;
-  type Handler = (
+  /** A route or middleware. */
+  export type Handler = (
     request: Request,
     response: ServerResponse,
     next: Next,
