Send members, figures and rows only where they changed

Views of other failure domains, passed on by every steer to every link with all members and all field names, were the largest part; every row pushed to every link and unrounded figures came next. Ruled out: heartbeats (4/s of 190 bytes) alone, the table's reads (by profile).

--- a/scripts/start.sh
+++ b/scripts/start.sh
@@ -58,11 +58,14 @@
 start_group entry
 leaver=${pids%% *}
 
-node $bin/hawthorngw_load.js run --settings "$dir/load.jsonc" &
+# HAWTHORNGW_LOAD=control measures the daemons without load instead.
+mode=${HAWTHORNGW_LOAD:-run}
+node $bin/hawthorngw_load.js "$mode" --settings "$dir/load.jsonc" &
 load=$!
 # A planned stop of the entry started last, while the load is on.
 stop_after=$(sed -n 's/.*"durationS": *\([0-9]*\).*/\1/p' "$dir/load.jsonc")
 (
+  [ "$mode" = run ] || exit 0
   sleep $((stop_after / 2))
   kill -TERM "$leaver" 2>/dev/null
 ) &
--- a/src/bin/hawthorngw_load.ts
+++ b/src/bin/hawthorngw_load.ts
@@ -6,24 +6,27 @@
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { readFileSync, writeFileSync } from "node:fs";
+import { writeFileSync } from "node:fs";
 import cliProgress from "cli-progress";
-import { parseDocument } from "../config/jsonc.ts";
 import { prepareDeployment } from "../deployment/prepare.ts";
-import { loadSettingsSchema } from "../deployment/types.ts";
+import { type LoadSettings, loadSettingsSchema } from "../deployment/types.ts";
+import { measureControl } from "../load/control_cost.ts";
 import { type Progress, runExperiment } from "../load/experiment.ts";
 import type { Report } from "../load/types.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { describeError, StepError } from "../runtime/errors.ts";
 import { EXIT_CODES } from "../runtime/process.ts";
+import { loadSettings } from "../runtime/settings.ts";
 
 const USAGE = `Usage:
   hawthorngw-load prepare --dir DIR [--deployment nordvern|asca|FILE]
       [--duration-s N] [--rate N] [--report FILE.json] [--html FILE.html]
-      [--seed N]
+      [--seed N] [--vms-per-domain N]
     Writes the settings and documents of a deployment on loopback to DIR.
   hawthorngw-load run --settings FILE
     Loads a deployment that is up, and prints a report as JSON.
+  hawthorngw-load control --settings FILE
+    Measures what control costs the daemons of a deployment without load.
 
 Exit codes: 0 done, 1 a promise was broken or the run failed, 2 bad arguments.
 `;
@@ -32,6 +35,7 @@
   const [command, ...args] = process.argv.slice(2);
   if (command === "prepare") return await prepare(args);
   if (command === "run") return await run(args);
+  if (command === "control") return await control(args);
   const wantsHelp = command === "--help" || command === "-h";
   (wantsHelp ? process.stdout : process.stderr).write(USAGE);
   return wantsHelp ? EXIT_CODES.ok : EXIT_CODES.usage;
@@ -48,6 +52,7 @@
       report: { type: "string" },
       html: { type: "string" },
       seed: { type: "string", default: "1" },
+      "vms-per-domain": { type: "string" },
     },
   });
   await prepareDeployment({
@@ -57,6 +62,9 @@
     requestsPerS: values.rate === undefined
       ? undefined
       : requireNumber("--rate", values.rate, 1),
+    vmsPerDomain: values["vms-per-domain"] === undefined
+      ? undefined
+      : requireNumber("--vms-per-domain", values["vms-per-domain"], 1),
     reportFile: values.report,
     htmlFile: values.html,
     seed: requireNumber("--seed", values.seed, 0),
@@ -83,15 +91,28 @@
   });
 }
 
-async function run(args: string[]): Promise<number> {
+function readLoadSettings(args: string[]): LoadSettings {
   const { values } = parseArgs({
     args,
     options: { settings: { type: "string" } },
   });
-  const file = requireText("--settings", values.settings);
-  const text = readFileSync(file, "utf8");
-  const settings = parseDocument({ file, text }, loadSettingsSchema)
-    ._unsafeUnwrap();
+  return loadSettings(
+    requireText("--settings", values.settings),
+    loadSettingsSchema,
+  );
+}
+
+async function control(args: string[]): Promise<number> {
+  const settings = readLoadSettings(args);
+  const cost = await measureControl(settings, createSystemClock());
+  const json = JSON.stringify(cost, null, 2);
+  process.stdout.write(`${json}\n`);
+  if (settings.reportFile) writeFileSync(settings.reportFile, `${json}\n`);
+  return EXIT_CODES.ok;
+}
+
+async function run(args: string[]): Promise<number> {
+  const settings = readLoadSettings(args);
   const show = createProgress(settings.durationS);
   const { report, html } = await runExperiment(
     settings,
--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -7,18 +7,12 @@
 import type { Server } from "node:http";
 import { applyConfigRow, createConfigView } from "../config/view.ts";
 import type { ConfigView } from "../config/view.ts";
-import {
-  forgetOldLoad,
-  type LoadState,
-  noteLoad,
-} from "../measurement/state.ts";
+import { forgetOldLoad, type LoadState } from "../measurement/state.ts";
 import type { EntryLoad } from "../measurement/types.ts";
 import {
   listServing,
-  makeOwnView,
   noteHeartbeat,
   noteLinkClosed,
-  noteView,
   observeMembers,
 } from "../membership/logic.ts";
 import { createMembershipState } from "../membership/state.ts";
@@ -36,7 +30,9 @@
 } from "../replica/logic.ts";
 import type { Clock, Timer } from "../runtime/clock.ts";
 import { createLogger } from "../runtime/logger.ts";
-import { type Feed, isReader, readSnapshot, startFeed } from "./feed.ts";
+import { type Feed, rankSteers, readSnapshot, startFeed } from "./feed.ts";
+import { createLinkTable } from "./link_table.ts";
+import { createLoadExchange } from "./loads.ts";
 import type { HealthReport, PeerMessage } from "./messages.ts";
 import {
   acceptLinks,
@@ -46,11 +42,12 @@
   type PeerLink,
 } from "./peer_link.ts";
 import { chooseLinks } from "./topology.ts";
+import { createViewExchange } from "./views.ts";
 
 const log = createLogger("control");
 
-/** Views go out each second heartbeat. */
-const VIEW_EVERY_TICKS = 2;
+/** Views go out, and other failure domains hear a heartbeat, each second tick. */
+const SLOW_EVERY_TICKS = 2;
 /** Time given to the table and to peers before the snapshot is taken. */
 const SNAPSHOT_AFTER_MS = 2_000;
 /** Time between two reads of the list of VMs. */
@@ -111,11 +108,6 @@
   close(): void;
 }
 
-interface LinkState {
-  member: Member | undefined;
-  throughVersion: number;
-}
-
 /**
  * Starts the control side of a process.
  *
@@ -128,7 +120,7 @@
   const replica = createReplicaState();
   const config = createConfigView();
   const loads: LoadState = new Map();
-  const links = new Map<PeerLink, LinkState>();
+  const links = createLinkTable(self.failureDomain);
   const dialed = new Map<string, DialedLink>();
   const listeners: ((rows: Row[]) => void)[] = [];
   const healthListeners: ((reports: HealthReport[]) => void)[] = [];
@@ -142,31 +134,43 @@
 
   const linkEvents = {
     onOpen(link: PeerLink) {
-      links.set(link, { member: undefined, throughVersion: 0 });
-      link.send(makeHeartbeat());
+      links.open(link);
+      link.send(makeHello());
     },
     onMessage: handleMessage,
     onClose(link: PeerLink) {
       const member = links.get(link)?.member;
-      links.delete(link);
+      links.close(link);
       if (member) noteLinkClosed(membership, member.id);
     },
   };
 
-  function makeHeartbeat(): PeerMessage {
+  const isRelay = () => getRank("relay") === 0;
+  const views = createViewExchange({ links, membership, clock, isRelay });
+  const loadExchange = createLoadExchange({
+    self,
+    links,
+    loads,
+    clock,
+    isRelay,
+  });
+
+  function makeHello(): PeerMessage {
     const { throughVersion } = replica;
-    return { kind: "heartbeat", member: membership.self, throughVersion };
+    return { kind: "hello", member: membership.self, throughVersion };
   }
 
   function handleMessage(link: PeerLink, message: PeerMessage): void {
     if (closed) return;
     switch (message.kind) {
+      case "hello":
+        return handleHello(link, message.member, message.throughVersion);
       case "heartbeat":
-        return handleHeartbeat(link, message.member, message.throughVersion);
+        return handleHeartbeat(link, message.throughVersion);
       case "views":
-        return handleViews(link, message.views);
+        return views.receive(link, message.views);
       case "load":
-        return handleLoads(link, message.loads);
+        return loadExchange.receive(link, message.loads);
       case "changes":
         return receiveChanges(message.changes);
       case "vms":
@@ -177,33 +181,22 @@
     }
   }
 
-  /** Steers pass probes on to the other entries of their failure domain. */
-  function handleHealth(link: PeerLink, reports: HealthReport[]): void {
-    for (const listener of healthListeners) listener(reports);
-    if (self.role !== "steer") return;
-    for (const [other, { member }] of links) {
-      const isEntry = member?.role === "entry" &&
-        member.failureDomain === self.failureDomain;
-      if (isEntry && other !== link) other.send({ kind: "health", reports });
-    }
-  }
-
-  async function readVms(): Promise<void> {
-    if (closed || platform === undefined || !isOwnReader()) return;
-    const list = await platform.vms.list();
-    if (list.isErr() || closed) return;
-    const leaving = list.value.filter(({ state }) => state === "leaving")
-      .map(({ id }) => id);
-    leavingVms = new Set(leaving);
-    sendInDomain({ kind: "vms", leaving });
-  }
-
-  function handleHeartbeat(
+  function handleHello(
     link: PeerLink,
     member: Member,
     throughVersion: number,
   ): void {
-    links.set(link, { member, throughVersion });
+    const state = links.get(link);
+    if (state === undefined) return;
+    state.member = member;
+    handleHeartbeat(link, throughVersion);
+  }
+
+  function handleHeartbeat(link: PeerLink, throughVersion: number): void {
+    const state = links.get(link);
+    if (state?.member === undefined) return;
+    const { member } = state;
+    state.throughVersion = throughVersion;
     highestHeard = Math.max(highestHeard, throughVersion);
     if (member.failureDomain === self.failureDomain) {
       const nowMs = clock.monotonicMs();
@@ -223,45 +216,24 @@
     state.throughVersion = replica.throughVersion;
   }
 
-  function handleViews(link: PeerLink, views: DomainView[]): void {
-    const nowMs = clock.monotonicMs();
-    const from = links.get(link)?.member?.failureDomain;
-    for (const view of views) {
-      const isNews = noteView(membership, view, nowMs);
-      const isFirstHand = from === view.failureDomain &&
-        from !== self.failureDomain;
-      if (isNews && isFirstHand && self.role === "steer") {
-        sendInDomain({ kind: "views", views: [view] });
-      }
-    }
-  }
-
-  function handleLoads(link: PeerLink, received: EntryLoad[]): void {
-    const nowMs = clock.monotonicMs();
-    for (const load of received) noteLoad(loads, load, nowMs);
-    const from = links.get(link)?.member;
-    if (!from || self.role !== "steer") return;
-    if (from.role === "entry") {
-      sendElsewhere({ kind: "load", loads: received });
-      sendInDomain({ kind: "load", loads: received }, "entry");
-    } else if (from.failureDomain !== self.failureDomain) {
-      sendInDomain({ kind: "load", loads: received }, "steer");
-    }
-  }
-
-  function sendInDomain(message: PeerMessage, role?: Role): void {
-    for (const [link, { member }] of links) {
-      if (member?.failureDomain !== self.failureDomain) continue;
-      if (role === undefined || member.role === role) link.send(message);
-    }
+  /** Steers pass probes on to the other entries of their failure domain. */
+  function handleHealth(link: PeerLink, reports: HealthReport[]): void {
+    for (const listener of healthListeners) listener(reports);
+    if (self.role !== "steer") return;
+    const message = { kind: "health" as const, reports };
+    links.sendInDomain(message, { role: "entry", except: link });
   }
 
-  function sendElsewhere(message: PeerMessage): void {
-    for (const [link, { member }] of links) {
-      if (member && member.failureDomain !== self.failureDomain) {
-        link.send(message);
-      }
-    }
+  async function readVms(): Promise<void> {
+    if (closed || platform === undefined || !isOwnReader()) return;
+    const list = await platform.vms.list();
+    if (list.isErr() || closed) return;
+    const leaving = list.value.filter(({ state }) => state === "leaving")
+      .map(({ id }) => id);
+    const isSame = leaving.length === leavingVms.size &&
+      leaving.every((id) => leavingVms.has(id));
+    leavingVms = new Set(leaving);
+    if (!isSame) links.sendInDomain({ kind: "vms", leaving });
   }
 
   function receiveChanges(changes: ChangeSet): void {
@@ -271,7 +243,9 @@
       return;
     }
     bringIntoForce(applied.changed);
-    for (const link of links.keys()) sendMissing(link);
+    // Other failure domains read the table too: they are sent only what their
+    // next heartbeat shows to be missing.
+    for (const [link] of links.inDomain()) sendMissing(link);
     checkReady();
   }
 
@@ -299,19 +273,16 @@
 
   function tick(): void {
     ticks += 1;
-    for (const link of links.keys()) link.send(makeHeartbeat());
-    if (self.role === "steer" && ticks % VIEW_EVERY_TICKS === 0) sendOwnView();
-    forgetOldLoad(loads, clock.monotonicMs());
-    checkReady();
-  }
-
-  function sendOwnView(): void {
+    const isSlowTick = ticks % SLOW_EVERY_TICKS === 0;
     const { throughVersion } = replica;
-    const view = makeOwnView(membership, throughVersion, clock.monotonicMs());
-    noteView(membership, view, clock.monotonicMs());
-    for (const link of links.keys()) {
-      link.send({ kind: "views", views: [view] });
+    const heartbeat = { kind: "heartbeat" as const, throughVersion };
+    links.sendInDomain(heartbeat);
+    if (isSlowTick) {
+      links.sendElsewhere(heartbeat);
+      if (self.role === "steer") views.sendOwn(throughVersion);
+      forgetOldLoad(loads, clock.monotonicMs());
     }
+    checkReady();
   }
 
   function checkReady(): void {
@@ -322,11 +293,16 @@
     if (readTable || (!learning && caughtUp)) markReady();
   }
 
-  function isOwnReader(): boolean {
+  /** Place of this steer among its failure domain's; -1 for an entry. */
+  function getRank(duty: "feed" | "relay"): number {
     const steers = serving("steer")
       .filter((member) => member.failureDomain === self.failureDomain)
       .map((member) => member.id);
-    return isReader(self.id, steers);
+    return rankSteers(duty, steers).indexOf(self.id);
+  }
+
+  function isOwnReader(): boolean {
+    return getRank("feed") === 0;
   }
 
   function serving(role: Role): Member[] {
@@ -344,7 +320,7 @@
   const feed: Feed | undefined = platform && startFeed({
     platform,
     clock,
-    shouldRead: () => config.fleet === undefined || isOwnReader(),
+    rank: () => config.fleet === undefined ? 0 : getRank("feed"),
     throughVersion: () => replica.throughVersion,
     onChanges: receiveChanges,
   });
@@ -365,23 +341,18 @@
     serving,
     views: () => [...membership.views.values()].map(({ view }) => view),
     loads: () => loads,
-    reportLoad(load) {
-      noteLoad(loads, load, clock.monotonicMs());
-      sendInDomain({ kind: "load", loads: [load] }, "steer");
-    },
+    reportLoad: loadExchange.report,
     reportHealth(reports) {
       // One steer is enough: each of them passes it on to every entry.
-      for (const [link, { member }] of links) {
-        if (member?.role !== "steer") continue;
-        link.send({ kind: "health", reports });
-        return;
-      }
+      const [first] = links.inDomain({ role: "steer" });
+      first?.[0].send({ kind: "health", reports });
     },
     onHealth: (listener) => void healthListeners.push(listener),
     leavingVms: () => leavingVms,
     leave() {
       membership.self = { ...self, state: "leaving" };
-      tick();
+      for (const [link] of links.all()) link.send(makeHello());
+      if (self.role === "steer") views.sendOwn(replica.throughVersion);
     },
     replaced: () => membership.replaced,
     tableAgeMs() {
@@ -403,7 +374,7 @@
       ),
       members: observeMembers(membership, clock.monotonicMs())
         .map(({ member, liveness }) => ({ ...member, liveness })),
-      links: [...links].map(([link, state]) => ({
+      links: [...links.all()].map(([link, state]) => ({
         peer: link.peer,
         member: state.member?.id,
         throughVersion: state.throughVersion,
@@ -415,7 +386,7 @@
       feed?.close();
       for (const timer of timers) timer.cancel();
       for (const link of dialed.values()) link.close();
-      for (const link of links.keys()) link.close();
+      for (const [link] of links.all()) link.close();
     },
   };
 }
--- a/src/control/feed.ts
+++ b/src/control/feed.ts
@@ -14,33 +14,37 @@
 
 const log = createLogger("control");
 
-/** Readers of a failure domain. */
+/** Readers of a failure domain: the first, and a slower one behind it. */
 export const READERS_PER_DOMAIN = 2;
-/** Time between two reads of one reader. */
+/** Time between two reads of the first reader. */
 export const READ_PERIOD_MS = 250;
+/** Time between two reads of the one behind it. */
+export const SECOND_PERIOD_MS = 1_000;
 /** Name of the object that holds the last known rows. */
 export const SNAPSHOT_NAME = "replica/snapshot";
 
+/** A duty that some steers of a failure domain take on. */
+export type SteerDuty = "feed" | "relay";
+
 /**
- * Decides whether a steer reads the table.
- *
- * @param selfId This steer's member id.
- * @param steerIds Ids of the steers of its failure domain that look alive.
- * @returns Whether it is one of the readers.
+ * @param duty The duty.
+ * @param steerIds Ids of the steers of a failure domain that look alive.
+ * @returns Them, the first to take the duty on first.
  */
-export function isReader(selfId: string, steerIds: readonly string[]): boolean {
+export function rankSteers(
+  duty: SteerDuty,
+  steerIds: readonly string[],
+): string[] {
   const candidates = steerIds.map((id) => ({ id, weight: 1 }));
-  return rankByRendezvous("feed", candidates)
-    .slice(0, READERS_PER_DOMAIN)
-    .some(({ id }) => id === selfId);
+  return rankByRendezvous(duty, candidates).map(({ id }) => id);
 }
 
 /** What the feed needs to know. */
 export interface FeedOptions {
   platform: Platform;
   clock: Clock;
-  /** Whether this process reads now. */
-  shouldRead(): boolean;
+  /** Place of this process among the readers, from 0; -1 for none. */
+  rank(): number;
   /** Version that this process has. */
   throughVersion(): number;
   onChanges(changes: ChangeSet): void;
@@ -60,8 +64,9 @@
  * @returns The running feed.
  */
 export function startFeed(options: FeedOptions): Feed {
-  const { platform, clock, shouldRead, throughVersion, onChanges } = options;
+  const { platform, clock, rank, throughVersion, onChanges } = options;
   const reads = new PQueue({ concurrency: 1 });
+  const startedMs = clock.monotonicMs();
   let lastReadMs: number | undefined;
 
   async function read(): Promise<void> {
@@ -78,8 +83,12 @@
   }
 
   function tick(): void {
-    if (reads.size + reads.pending > 0 || !shouldRead()) return;
-    void reads.add(read);
+    if (reads.size + reads.pending > 0) return;
+    const place = rank();
+    if (place < 0 || place >= READERS_PER_DOMAIN) return;
+    const sinceMs = clock.monotonicMs() - startedMs;
+    const isSecondDue = sinceMs % SECOND_PERIOD_MS < READ_PERIOD_MS;
+    if (place === 0 || isSecondDue) void reads.add(read);
   }
 
   tick();
--- /dev/null
+++ b/src/control/link_table.ts
@@ -0,0 +1,86 @@
+/**
+ * The open links of a process and what each side of them knows.
+ *
+ * @module
+ */
+import type { Member, Role } from "../membership/types.ts";
+import type { PeerMessage } from "./messages.ts";
+import type { PeerLink } from "./peer_link.ts";
+
+/** What is known of a link. */
+export interface LinkState {
+  /** Who is at the other side; unknown until its first message. */
+  member: Member | undefined;
+  /** Version that it has in force. */
+  throughVersion: number;
+  /** Text of the members last sent for each failure domain. */
+  sentMembers: Map<string, string>;
+  /** Members last received for each failure domain. */
+  receivedMembers: Map<string, Member[]>;
+}
+
+/** Which links are meant. */
+export interface LinkFilter {
+  role?: Role;
+  /** Left out. */
+  except?: PeerLink;
+}
+
+/** The open links of a process. */
+export interface LinkTable {
+  open(link: PeerLink): LinkState;
+  close(link: PeerLink): void;
+  get(link: PeerLink): LinkState | undefined;
+  all(): Iterable<[PeerLink, LinkState]>;
+  /** @returns Links to members of the own failure domain. */
+  inDomain(filter?: LinkFilter): [PeerLink, LinkState][];
+  /** @returns Links to members of other failure domains. */
+  elsewhere(): [PeerLink, LinkState][];
+  sendInDomain(message: PeerMessage, filter?: LinkFilter): void;
+  sendElsewhere(message: PeerMessage): void;
+}
+
+/**
+ * @param failureDomain The own failure domain.
+ * @returns A table without links.
+ */
+export function createLinkTable(failureDomain: string): LinkTable {
+  const links = new Map<PeerLink, LinkState>();
+
+  function inDomain({ role, except }: LinkFilter = {}) {
+    return [...links].filter(([link, { member }]) =>
+      link !== except && member?.failureDomain === failureDomain &&
+      (role === undefined || member.role === role)
+    );
+  }
+
+  function elsewhere() {
+    return [...links].filter(([, { member }]) =>
+      member !== undefined && member.failureDomain !== failureDomain
+    );
+  }
+
+  return {
+    open(link) {
+      const state: LinkState = {
+        member: undefined,
+        throughVersion: 0,
+        sentMembers: new Map(),
+        receivedMembers: new Map(),
+      };
+      links.set(link, state);
+      return state;
+    },
+    close: (link) => void links.delete(link),
+    get: (link) => links.get(link),
+    all: () => links,
+    inDomain,
+    elsewhere,
+    sendInDomain(message, filter) {
+      for (const [link] of inDomain(filter)) link.send(message);
+    },
+    sendElsewhere(message) {
+      for (const [link] of elsewhere()) link.send(message);
+    },
+  };
+}
--- /dev/null
+++ b/src/control/loads.ts
@@ -0,0 +1,85 @@
+/**
+ * Entries' figures on links: rounded, sent when they changed or grew old, and
+ * passed on by one steer of a failure domain.
+ *
+ * @module
+ */
+import { quantiseLoad } from "../measurement/quantise.ts";
+import { type LoadState, noteLoad } from "../measurement/state.ts";
+import type { EntryLoad } from "../measurement/types.ts";
+import type { Member } from "../membership/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { LinkTable } from "./link_table.ts";
+import type { PeerLink } from "./peer_link.ts";
+
+/** Figures that did not change are sent again after this time. */
+const REFRESH_MS = 2_000;
+/** Figures leave the failure domain at most this often. */
+const ELSEWHERE_PERIOD_MS = 1_000;
+
+/** What the exchange needs. */
+export interface LoadExchangeOptions {
+  self: Member;
+  links: LinkTable;
+  loads: LoadState;
+  clock: Clock;
+  /** Whether this steer passes others' figures on. */
+  isRelay(): boolean;
+}
+
+/** Sends and receives figures. */
+export interface LoadExchange {
+  /** Sends this entry's own figures to the steers. */
+  report(load: EntryLoad): void;
+  receive(link: PeerLink, received: readonly EntryLoad[]): void;
+}
+
+/**
+ * @param options See there.
+ * @returns The exchange.
+ */
+export function createLoadExchange(
+  options: LoadExchangeOptions,
+): LoadExchange {
+  const { self, links, loads, clock, isRelay } = options;
+  const sentElsewhereMs = new Map<string, number>();
+  let sentText = "";
+  let sentMs = -Infinity;
+
+  function receive(link: PeerLink, received: readonly EntryLoad[]): void {
+    const nowMs = clock.monotonicMs();
+    for (const load of received) noteLoad(loads, load, nowMs);
+    const from = links.get(link)?.member;
+    if (!from || self.role !== "steer" || !isRelay()) return;
+    const message = { kind: "load" as const, loads: [...received] };
+    if (from.failureDomain !== self.failureDomain) {
+      return links.sendInDomain(message, { role: "steer" });
+    }
+    if (from.role !== "entry") return;
+    links.sendInDomain(message, { role: "entry", except: link });
+    const due = received.filter((load) => isDueElsewhere(load, nowMs));
+    if (due.length > 0) links.sendElsewhere({ kind: "load", loads: due });
+  }
+
+  function isDueElsewhere({ entryId }: EntryLoad, nowMs: number): boolean {
+    const lastMs = sentElsewhereMs.get(entryId) ?? -Infinity;
+    if (nowMs - lastMs < ELSEWHERE_PERIOD_MS) return false;
+    sentElsewhereMs.set(entryId, nowMs);
+    return true;
+  }
+
+  return {
+    report(exact) {
+      const nowMs = clock.monotonicMs();
+      const load = quantiseLoad(exact);
+      noteLoad(loads, load, nowMs);
+      const text = JSON.stringify(load);
+      if (text === sentText && nowMs - sentMs < REFRESH_MS) return;
+      sentText = text;
+      sentMs = nowMs;
+      const message = { kind: "load" as const, loads: [load] };
+      links.sendInDomain(message, { role: "steer" });
+    },
+    receive,
+  };
+}
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -20,7 +20,8 @@
   authorId: z.string().max(160),
   authorIncarnation: z.number(),
   sequence: z.number(),
-  members: z.array(memberSchema).max(4_096),
+  /** Absent where they are those last sent for the domain on this link. */
+  members: z.array(memberSchema).max(4_096).optional(),
   lowestVersion: z.number(),
   behindCount: z.number(),
 });
@@ -34,7 +35,10 @@
     usableSlots: z.number().min(0),
     inFlight: z.number().min(0),
     serviceMs: z.number().min(0),
-    requestsPerS: z.record(z.string(), z.number()),
+    arrivals: z.array(z.object({
+      region: z.string().max(64),
+      requestsPerS: z.number(),
+    })).max(256),
     bytesPerRequest: z.number().min(0),
   })).max(4_096),
 });
@@ -57,12 +61,14 @@
 
 /** Schema of every message on a peer link. */
 export const peerMessageSchema = z.discriminatedUnion("kind", [
-  /** Sent on every link each heartbeat period. */
+  /** First message on a link, and again when the sender's state changes. */
   z.object({
-    kind: z.literal("heartbeat"),
+    kind: z.literal("hello"),
     member: memberSchema,
     throughVersion: z.number(),
   }),
+  /** Sent on every link each heartbeat period. */
+  z.object({ kind: z.literal("heartbeat"), throughVersion: z.number() }),
   /** Views of failure domains, own and relayed. */
   z.object({ kind: z.literal("views"), views: z.array(viewSchema).max(512) }),
   /** Figures of entries, own and relayed. */
@@ -88,6 +94,8 @@
   }),
 ]);
 
+/** A view as it travels: members only where they changed. */
+export type WireView = z.infer<typeof viewSchema>;
 /** What a probe of a backend server found. */
 export type HealthReport = z.infer<typeof healthSchema>;
 /** A message on a peer link. */
--- a/src/control/peer_link.ts
+++ b/src/control/peer_link.ts
@@ -6,7 +6,7 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, Server } from "node:http";
 import type { Duplex } from "node:stream";
-import { pack, unpack } from "msgpackr";
+import { Packr, Unpackr } from "msgpackr";
 import { type RawData, WebSocket, WebSocketServer } from "ws";
 import { hasKey, KEY_HEADER } from "../runtime/access.ts";
 import type { Clock, Timer } from "../runtime/clock.ts";
@@ -48,19 +48,33 @@
 /** Totals since the process started. */
 export const linkTraffic: LinkTraffic = { sentBytes: 0, receivedBytes: 0 };
 
+/** Turns messages of one link into frames and back. */
+export interface LinkCodec {
+  encode(message: PeerMessage): Uint8Array;
+  /** @returns The message, or undefined where the frame is malformed. */
+  decode(frame: Uint8Array): PeerMessage | undefined;
+}
+
 /**
- * Parses a frame.
+ * Names of fields travel once on a link and are referred to after that, so a
+ * codec belongs to one link and frames must arrive in order.
  *
- * @param data The frame's bytes.
- * @returns The message, or undefined where it is malformed.
+ * @returns A codec for a new link.
  */
-export function decodeMessage(data: Uint8Array): PeerMessage | undefined {
-  try {
-    const checked = peerMessageSchema.safeParse(unpack(data));
-    return checked.success ? checked.data : undefined;
-  } catch {
-    return undefined;
-  }
+export function createLinkCodec(): LinkCodec {
+  const packr = new Packr({ sequential: true });
+  const unpackr = new Unpackr({ sequential: true });
+  return {
+    encode: (message) => packr.pack(message),
+    decode(frame) {
+      try {
+        const checked = peerMessageSchema.safeParse(unpackr.unpack(frame));
+        return checked.success ? checked.data : undefined;
+      } catch {
+        return undefined;
+      }
+    },
+  };
 }
 
 function wrapSocket(
@@ -68,12 +82,13 @@
   peer: string,
   events: LinkEvents,
 ): PeerLink {
+  const codec = createLinkCodec();
   const link: PeerLink = {
     peer,
     send(message) {
       if (socket.readyState !== WebSocket.OPEN) return;
       if (socket.bufferedAmount > MAX_UNSENT_BYTES) return;
-      const frame = pack(message);
+      const frame = codec.encode(message);
       linkTraffic.sentBytes += frame.length;
       socket.send(frame);
     },
@@ -82,7 +97,7 @@
   socket.on("message", (data: RawData) => {
     const frame = data instanceof Buffer ? data : Buffer.from(data as Buffer);
     linkTraffic.receivedBytes += frame.length;
-    const message = decodeMessage(frame);
+    const message = codec.decode(frame);
     if (message !== undefined) return events.onMessage(link, message);
     log.warn("Malformed message; link closed", { step: "peer.receive", peer });
     socket.terminate();
--- a/src/deployment/generate.ts
+++ b/src/deployment/generate.ts
@@ -19,6 +19,8 @@
   /** Second number of all addresses: 127.`base`.x.y. */
   base: number;
   requestsPerS?: number;
+  /** Entry VMs of each failure domain, unless the deployment says. */
+  vmsPerDomain?: number;
   durationS: number;
   reportFile?: string;
   htmlFile?: string;
@@ -30,6 +32,9 @@
 /** Share of the measured demand by which documents state expectations. */
 const EXPECTED_FACTOR = 1.2;
 
+/** VMs of a failure domain are lettered from `a`. */
+const FIRST_LETTER = 97;
+
 interface PlacedVm {
   id: string;
   region: string;
@@ -80,15 +85,16 @@
 
 function placeVms(
   deployment: Deployment,
-  { base }: GenerateOptions,
+  { base, vmsPerDomain }: GenerateOptions,
 ): PlacedVm[] {
   const vms: PlacedVm[] = [];
   deployment.regions.forEach((region, regionIndex) => {
     for (const domain of region.failureDomains) {
-      for (let count = 0; count < domain.entryVms; count++) {
+      const vmCount = vmsPerDomain ?? domain.entryVms;
+      for (let count = 0; count < vmCount; count++) {
         const index = vms.length;
         vms.push({
-          id: `${domain.name}-${"abcd"[count]}`,
+          id: `${domain.name}-${String.fromCharCode(FIRST_LETTER + count)}`,
           region: region.name,
           regionIndex,
           failureDomain: domain.name,
--- a/src/entry/server_watch.ts
+++ b/src/entry/server_watch.ts
@@ -26,7 +26,7 @@
 
 const log = createLogger("draining");
 
-const SYNC_PERIOD_MS = 100;
+const SYNC_PERIOD_MS = 250;
 const PROBE_PERIOD_MS = 1_000;
 
 /** What the watch needs. */
--- a/src/forwarding/figures.ts
+++ b/src/forwarding/figures.ts
@@ -75,14 +75,17 @@
 
   function readService(service: string): Pick<
     ServiceLoad,
-    "requestsPerS" | "bytesPerRequest"
+    "arrivals" | "bytesPerRequest"
   > {
     const { arrivals, bytes } = figuresOf(service);
     const nowMs = clock.monotonicMs();
-    const requestsPerS = Object.fromEntries(
-      [...arrivals].map(([region, counter]) => [region, counter.read(nowMs)]),
-    );
-    return { requestsPerS, bytesPerRequest: bytes.value() };
+    return {
+      arrivals: [...arrivals].map(([region, counter]) => ({
+        region,
+        requestsPerS: counter.read(nowMs),
+      })),
+      bytesPerRequest: bytes.value(),
+    };
   }
 
   return {
--- a/src/measurement/types.ts
+++ b/src/measurement/types.ts
@@ -4,6 +4,12 @@
  * @module
  */
 
+/** Requests of one region's callers. */
+export interface Arrivals {
+  region: string;
+  requestsPerS: number;
+}
+
 /** One entry's figures of one service, over its last report period. */
 export interface ServiceLoad {
   service: string;
@@ -13,8 +19,8 @@
   inFlight: number;
   /** Time that a backend server takes, in ms; 0 where none was seen yet. */
   serviceMs: number;
-  /** Requests a second by the caller's region, refused ones included. */
-  requestsPerS: Record<string, number>;
+  /** Requests by the callers' regions, refused ones included. */
+  arrivals: Arrivals[];
   /** Mean bytes of a request and its answer. */
   bytesPerRequest: number;
 }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -67,8 +67,8 @@
 
 /** Defaults that hold a loopback fleet and 35 ms links alike. */
 export const DEFAULT_DETECTION_TIMES: DetectionTimes = {
-  heartbeatPeriodMs: 250,
-  suspectAfterMs: 1_000,
-  deadAfterMs: 2_500,
+  heartbeatPeriodMs: 500,
+  suspectAfterMs: 1_500,
+  deadAfterMs: 3_000,
   viewExpiryMs: 3_000,
 };
--- a/src/operator/routes.ts
+++ b/src/operator/routes.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import process from "node:process";
 import type { ControlAgent } from "../control/agent.ts";
 import { requireKey } from "../runtime/access.ts";
 import {
@@ -61,7 +62,11 @@
   const router = createRouter();
   router.use(requireKey(key));
   router.get("/v1/dump", (_request, response) => {
-    sendJson(response, { control: agent.dump(), ...dump() });
+    sendJson(response, {
+      process: dumpProcess(),
+      control: agent.dump(),
+      ...dump(),
+    });
   });
   router.get("/v1/status", (_request, response) => {
     sendJson(response, makeStatus(agent));
@@ -69,6 +74,22 @@
   return listen(router, address);
 }
 
+/** What the process has used since it started. */
+export interface ProcessUse {
+  cpuMs: number;
+  rssBytes: number;
+  uptimeS: number;
+}
+
+function dumpProcess(): ProcessUse {
+  const { user, system } = process.cpuUsage();
+  return {
+    cpuMs: (user + system) / 1_000,
+    rssBytes: process.memoryUsage.rss(),
+    uptimeS: process.uptime(),
+  };
+}
+
 function makeStatus(agent: ControlAgent): StatusAnswer {
   const { fleet, services } = agent.config();
   const documents = [...services].map(([name, { number, rowVersion }]) => ({
--- a/src/steering/estimate.ts
+++ b/src/steering/estimate.ts
@@ -16,7 +16,7 @@
 import type { AssignInput, CallerDemand, Place, RegionOf } from "./types.ts";
 
 /** Figures younger than this count in full. */
-const FRESH_MS = 2_000;
+const FRESH_MS = 4_000;
 /** Reserve added for each second of age beyond that. */
 const RESERVE_PER_S = 0.02;
 const MAX_AGE_RESERVE = 0.3;
@@ -157,10 +157,9 @@
   const declared = document.expectedRequestsPerS[region] ??
     UNKNOWN_REQUESTS_PER_S;
   const fresh = reports.some(({ ageMs }) => ageMs <= FRESH_MS);
-  const seen = reports.reduce(
-    (sum, { load }) => sum + (load.requestsPerS[region] ?? 0),
-    0,
-  );
+  const seen = reports.flatMap(({ load }) => load.arrivals)
+    .filter((arrivals) => arrivals.region === region)
+    .reduce((sum, { requestsPerS }) => sum + requestsPerS, 0);
   if (!fresh) return Math.max(seen, declared);
   return Math.max(seen, UNKNOWN_REQUESTS_PER_S);
 }
