List members in one order; send rows elsewhere only to links that are stuck

Cause of the 12.8 KB/s at relays: the two steers of a domain listed the same members in different orders, so each view looked changed (10.5 KB/s by the new count of bytes by kind); and a renewed lease went to every other domain whose heartbeat was simply on its way (up to 5 KB/s). Change: members sorted by id; rows elsewhere once two heartbeats show the same version. Tried and taken back: reading the table each 500 ms in place of 250 ms, which left a steer's processor time at 2.7% and took an edit 449 ms.

--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -196,13 +196,14 @@
     const state = links.get(link);
     if (state?.member === undefined) return;
     const { member } = state;
+    const isStuck = state.throughVersion === throughVersion;
     state.throughVersion = throughVersion;
     highestHeard = Math.max(highestHeard, throughVersion);
     if (member.failureDomain === self.failureDomain) {
       const nowMs = clock.monotonicMs();
       noteHeartbeat(membership, { member, throughVersion }, nowMs);
-    }
-    sendMissing(link);
+      sendMissing(link);
+    } else if (isStuck) sendMissing(link);
     checkReady();
   }
 
@@ -213,7 +214,9 @@
     }
     const changes = collectChanges(replica, state.throughVersion);
     link.send({ kind: "changes", changes });
-    state.throughVersion = replica.throughVersion;
+    if (state.member.failureDomain === self.failureDomain) {
+      state.throughVersion = replica.throughVersion;
+    }
   }
 
   /** Steers pass probes on to the other entries of their failure domain. */
@@ -243,8 +246,8 @@
       return;
     }
     bringIntoForce(applied.changed);
-    // Other failure domains read the table too: they are sent only what their
-    // next heartbeat shows to be missing.
+    // Other failure domains read the table too: they are sent rows only once
+    // two of their heartbeats show the same version.
     for (const [link] of links.inDomain()) sendMissing(link);
     checkReady();
   }
--- a/src/control/peer_link.ts
+++ b/src/control/peer_link.ts
@@ -43,10 +43,22 @@
 export interface LinkTraffic {
   sentBytes: number;
   receivedBytes: number;
+  /** Bytes sent, by kind of message. */
+  sentByKind: Partial<Record<PeerMessage["kind"], number>>;
 }
 
 /** Totals since the process started. */
-export const linkTraffic: LinkTraffic = { sentBytes: 0, receivedBytes: 0 };
+export const linkTraffic: LinkTraffic = {
+  sentBytes: 0,
+  receivedBytes: 0,
+  sentByKind: {},
+};
+
+function countSent(kind: PeerMessage["kind"], bytes: number): void {
+  linkTraffic.sentBytes += bytes;
+  const { sentByKind } = linkTraffic;
+  sentByKind[kind] = (sentByKind[kind] ?? 0) + bytes;
+}
 
 /** Turns messages of one link into frames and back. */
 export interface LinkCodec {
@@ -89,7 +101,7 @@
       if (socket.readyState !== WebSocket.OPEN) return;
       if (socket.bufferedAmount > MAX_UNSENT_BYTES) return;
       const frame = codec.encode(message);
-      linkTraffic.sentBytes += frame.length;
+      countSent(message.kind, frame.length);
       socket.send(frame);
     },
     close: () => socket.terminate(),
--- a/src/membership/logic.ts
+++ b/src/membership/logic.ts
@@ -113,7 +113,9 @@
     authorId: state.self.id,
     authorIncarnation: state.self.incarnation,
     sequence: state.ownSequence,
-    members: [state.self, ...alive.map((peer) => peer.member)],
+    // In one order for all authors, so that equal members read alike.
+    members: [state.self, ...alive.map((peer) => peer.member)]
+      .sort((a, b) => a.id < b.id ? -1 : 1),
     lowestVersion: Math.min(throughVersion, ...versions),
     behindCount: versions.filter((version) => version < throughVersion).length,
   };
