--- /dev/null
+++ b/bench/mod.ts
@@ -0,0 +1,23 @@
+/**
+ * `npm run bench [NAME...]`: measures; nothing here is asserted.
+ *
+ * @module
+ */
+import process from "node:process";
+import { benchSteering } from "./steering.ts";
+
+const BENCHES: Record<string, () => void | Promise<void>> = {
+  steering: benchSteering,
+};
+
+const names = process.argv.slice(2);
+for (const name of names.length > 0 ? names : Object.keys(BENCHES)) {
+  const bench = BENCHES[name];
+  if (bench === undefined) {
+    const known = Object.keys(BENCHES).join(", ");
+    process.stderr.write(`No bench is named "${name}"; known: ${known}\n`);
+    process.exit(2);
+  }
+  process.stderr.write(`bench ${name}\n`);
+  await bench();
+}
--- a/src/steering/decide.ts
+++ b/src/steering/decide.ts
@@ -9,6 +9,7 @@
 import {
   getSharedBudget,
   keepRecent,
+  LEAD_MS,
   measureShift,
   SHARED_PART,
   type ShiftCap,
@@ -31,6 +32,8 @@
   document: ServiceDocument;
   /** The plan in force, if any. */
   current: Plan | undefined;
+  /** Weights that processes act on before any plan. */
+  defaults: Weights;
   estimate: Estimate;
   regionOf: RegionOf;
   /** Epoch of the lease held. */
@@ -54,9 +57,8 @@
  */
 export function decidePlan(input: DecideInput): Plan | undefined {
   const { current, estimate, document } = input;
-  if (current === undefined) {
-    return makePlan(input, assign(estimate.input), 0);
-  }
+  if (current === undefined) return makePlan(input, input.defaults, 0);
+  if (input.wallMs < current.effectiveAtMs) return undefined;
   const target = assign(estimate.input);
   if (isGoodEnough(estimate.input, current.weights, target)) return undefined;
   const change = {
@@ -65,7 +67,7 @@
     regionOf: input.regionOf,
   };
   const cap = getShiftCap(document);
-  const budget = getSharedBudget(cap, current.trail, input.wallMs);
+  const budget = getSharedBudget(cap, current.trail, input.wallMs + LEAD_MS);
   const wanted = measureShift(change, estimate.demandShare);
   const smallest = cap.maxShare * SHARED_PART * SMALLEST_STEP;
   if (wanted > budget && budget < smallest) return undefined;
@@ -82,15 +84,17 @@
 function makePlan(input: DecideInput, weights: Weights, share: number): Plan {
   const { document, current, estimate, epoch, wallMs } = input;
   const number = (current?.number ?? 0) + 1;
+  const effectiveAtMs = wallMs + LEAD_MS;
   const cap = getShiftCap(document);
   const trail = keepRecent(current?.trail ?? [], cap, wallMs);
   return {
     service: document.service,
     number,
     epoch,
+    effectiveAtMs,
     weights,
     demandShare: estimate.demandShare,
-    trail: [...trail, { number, atMs: wallMs, share }],
+    trail: [...trail, { number, atMs: effectiveAtMs, share }],
   };
 }
 
--- a/src/steering/follower.ts
+++ b/src/steering/follower.ts
@@ -8,11 +8,11 @@
 import {
   interpolateRow,
   keepRecent,
+  LATENESS_MS,
   LOCAL_PART,
   measureLargestRowShift,
   measureRowShift,
   type ShiftCap,
-  SPREAD_MS,
 } from "./shift.ts";
 import type { Plan, RegionOf, Weights } from "./types.ts";
 
@@ -67,6 +67,7 @@
   if (plan.number < state.number) return;
   if (state.inStep && plan.number === state.number) return;
   if (state.number === 0 || isNextStep(state, plan, context)) {
+    if (state.number > 0 && context.wallMs < plan.effectiveAtMs) return;
     state.weights = plan.weights;
     state.number = plan.number;
     state.inStep = true;
@@ -95,7 +96,7 @@
   const complete = missing.length === plan.number - state.number;
   return complete &&
     missing.every((step) =>
-      step.share === 0 || wallMs - step.atMs <= SPREAD_MS
+      step.share === 0 || wallMs - step.atMs <= LATENESS_MS
     );
 }
 
--- a/src/steering/planner.ts
+++ b/src/steering/planner.ts
@@ -15,6 +15,7 @@
 import { createLogger } from "../runtime/logger.ts";
 import type { Metrics } from "../runtime/metrics.ts";
 import { decidePlan } from "./decide.ts";
+import { makeDefaultWeights } from "./defaults.ts";
 import { estimate } from "./estimate.ts";
 import {
   createLeaseState,
@@ -115,6 +116,11 @@
       });
       const plan = decidePlan({
         document,
+        defaults: makeDefaultWeights(document, {
+          fleet,
+          regionOf: config.regionOf,
+          wallMs: clock.now().getTime(),
+        }),
         current: readPlan(agent.row(getPlanKey(document.service))),
         estimate: known,
         regionOf: config.regionOf,
--- a/src/steering/shift.ts
+++ b/src/steering/shift.ts
@@ -8,18 +8,22 @@
 import type { PlanStep, RegionOf, WeightRow, Weights } from "./types.ts";
 
 /** Part of the cap that plans spend; written by the lease's holder only. */
-export const SHARED_PART = 0.75;
+export const SHARED_PART = 0.85;
 /**
  * Part of the cap that each process may spend by itself. It counts the share
  * of the process's own traffic, so that all processes' parts together are this
- * part of the whole traffic, with no messages.
+ * part of the whole traffic, with no messages. What is left of the cap covers
+ * the granularity of client blocks.
  */
-export const LOCAL_PART = 0.15;
-/**
- * Longest time between the writing of a plan and its last use, clock skew
- * included, in ms. A process that is later than this walks by its local part.
- */
-export const SPREAD_MS = 5_000;
+export const LOCAL_PART = 0.1;
+/** Time from the writing of a plan until it takes effect everywhere, in ms. */
+export const LEAD_MS = 1_500;
+/** A process that is later than this walks by its local part, in ms. */
+export const LATENESS_MS = 1_000;
+/** How far two clocks may be apart, in ms. */
+export const MAX_SKEW_MS = 250;
+/** Longest time between the first and the last process to take a step. */
+export const SPREAD_MS = LATENESS_MS + 2 * MAX_SKEW_MS;
 
 /** A service's cap. */
 export interface ShiftCap {
@@ -194,7 +198,7 @@
     );
     const total = costs.reduce((sum, cost) => sum + cost, 0);
     const part = total <= left ? 1 : left / total;
-    left -= total * part;
+    left = Math.max(0, left - total * part);
     for (const region of group) {
       const start = from[region] ?? to[region];
       next[region] = interpolateRow(start, to[region], { part, regionOf });
--- a/src/steering/steering.ts
+++ b/src/steering/steering.ts
@@ -6,9 +6,9 @@
 import type { ServiceDocument } from "../config/schema.ts";
 import type { ControlAgent } from "../control/agent.ts";
 import type { Clock } from "../runtime/clock.ts";
-import { assign } from "./assign.ts";
 import { getShiftCap } from "./decide.ts";
-import { estimate, getDelayMs } from "./estimate.ts";
+import { makeDefaultWeights } from "./defaults.ts";
+import { getDelayMs } from "./estimate.ts";
 import {
   createFollower,
   type FollowerState,
@@ -83,22 +83,15 @@
     walkTowards(follower, target, context);
   }
 
-  /** Every process with the same documents starts from the same weights. */
   function startFollower(document: ServiceDocument): FollowerState | undefined {
-    const { fleet, regionOf, services } = agent.config();
+    const { fleet, regionOf } = agent.config();
     if (fleet === undefined) return undefined;
-    const declared = estimate({
-      document,
+    const context = {
       fleet: fleet.document,
       regionOf,
-      loads: new Map(),
-      aliveDomains: new Set(regionOf.keys()),
-      leavingServers: new Set(),
-      serviceCount: services.size,
-      nowMs: 0,
       wallMs: clock.now().getTime(),
-    });
-    return createFollower(assign(declared.input));
+    };
+    return createFollower(makeDefaultWeights(document, context));
   }
 
   function listAliveRegions(document: ServiceDocument): Set<string> {
--- a/src/steering/types.ts
+++ b/src/steering/types.ts
@@ -15,7 +15,7 @@
 const stepSchema = z.object({
   /** Number of the plan that took this step. */
   number: z.number(),
-  /** When it was written, in ms since the epoch. */
+  /** When it takes effect, in ms since the epoch. */
   atMs: z.number(),
   /** Share of the service's traffic whose region it changed. */
   share: z.number(),
@@ -28,6 +28,8 @@
   number: z.number(),
   /** Epoch of the lease under which it was written. */
   epoch: z.number(),
+  /** When it takes effect, in ms since the epoch. */
+  effectiveAtMs: z.number(),
   weights: z.record(z.string(), z.record(z.string(), z.number())),
   /** Share of the service's traffic that comes from each region. */
   demandShare: z.record(z.string(), z.number()),
