Add benches: steering, request path, slopes; leave room for few blocks

Cause: with 1,200 client blocks a window moved 1.035 of the cap (model), since which blocks move is decided by hashing and varies by sqrt(share / blocks). Change: the share that plans spend is the cap less two such deviations and the local part, at most 0.85 and at least 0.25 of the cap.

--- a/bench/mod.ts
+++ b/bench/mod.ts
@@ -4,9 +4,13 @@
  * @module
  */
 import process from "node:process";
+import { benchRequestPath } from "./request_path.ts";
+import { benchSlopes } from "./slopes.ts";
 import { benchSteering } from "./steering.ts";
 
 const BENCHES: Record<string, () => void | Promise<void>> = {
+  request_path: benchRequestPath,
+  slopes: benchSlopes,
   steering: benchSteering,
 };
 
--- a/bench/steering.ts
+++ b/bench/steering.ts
@@ -28,7 +28,9 @@
 import { publish, type Row } from "./report.ts";
 
 const STEP_MS = 500;
-const BLOCKS_PER_REGION = 700;
+const BLOCKS_PER_REGION = 400;
+/** Latency is taken from each so many steps. */
+const LATENCY_EVERY = 20;
 /** Service time of a cold server, as a multiple. */
 const COLD_FACTOR = 3;
 const COLD_MS = 15_000;
@@ -246,6 +248,7 @@
     current: world.plan,
     estimate: estimateNow(world, nowMs),
     regionOf: world.site.regionOf,
+    blockCount: BLOCKS_PER_REGION * world.site.document.regions.length,
     epoch: 1,
     wallMs: WALL_START_MS + nowMs,
   });
@@ -340,7 +343,9 @@
     const isCollapsed = strategy === "naive" && wanted > capacity * 1.05;
     inTime += isCollapsed ? capacity * 0.05 : Math.min(wanted, capacity);
   }
+  const takesLatency = nowMs / STEP_MS % LATENCY_EVERY === 0;
   document.regions.forEach((caller, index) => {
+    if (!takesLatency) return;
     for (const place of places[index]) {
       const capacity = capacityOf(world, place, nowMs);
       const use = Math.min(0.97, (arriving.get(place) ?? 0) / capacity);
@@ -407,9 +412,7 @@
       result.lowestLinkHeadroom,
       served.linkHeadroom,
     );
-    result.latency.push(
-      ...served.latency.filter((_, index) => index % 50 === 0),
-    );
+    result.latency.push(...served.latency);
     const before = history[Math.max(0, history.length - 1 - windowSteps)];
     const shift = before === places
       ? 0
--- a/src/lookup/blocks.ts
+++ b/src/lookup/blocks.ts
@@ -63,6 +63,17 @@
   };
 }
 
+/**
+ * @param ranges The fleet document's client blocks.
+ * @returns Blocks that the ranges are split into.
+ */
+export function countBlocks(ranges: FleetDocument["clientBlocks"]): number {
+  return ranges.reduce((sum, { cidr, blockPrefixLength }) => {
+    const prefixLength = Number(cidr.split("/")[1]);
+    return sum + 2 ** (blockPrefixLength - prefixLength);
+  }, 0);
+}
+
 function parseRange(block: FleetDocument["clientBlocks"][number]): Range {
   const [address, length] = block.cidr.split("/");
   const size = 2 ** (32 - Number(length));
--- a/src/steering/decide.ts
+++ b/src/steering/decide.ts
@@ -8,10 +8,10 @@
 import type { Estimate } from "./estimate.ts";
 import {
   getSharedBudget,
+  getSharedShare,
   keepRecent,
   LEAD_MS,
   measureShift,
-  SHARED_PART,
   type ShiftCap,
   stepTowards,
 } from "./shift.ts";
@@ -36,6 +36,8 @@
   defaults: Weights;
   estimate: Estimate;
   regionOf: RegionOf;
+  /** Client blocks of the fleet. */
+  blockCount: number;
   /** Epoch of the lease held. */
   epoch: number;
   /** Wall-clock time, in ms since the epoch. */
@@ -67,9 +69,14 @@
     regionOf: input.regionOf,
   };
   const cap = getShiftCap(document);
-  const budget = getSharedBudget(cap, current.trail, input.wallMs + LEAD_MS);
+  const sharedShare = getSharedShare(cap.maxShare, input.blockCount);
+  const budget = getSharedBudget(
+    { ...cap, sharedShare },
+    current.trail,
+    input.wallMs + LEAD_MS,
+  );
   const wanted = measureShift(change, estimate.demandShare);
-  const smallest = cap.maxShare * SHARED_PART * SMALLEST_STEP;
+  const smallest = sharedShare * SMALLEST_STEP;
   if (wanted > budget && budget < smallest) return undefined;
   const next = stepTowards(change, {
     budget,
--- a/src/steering/planner.ts
+++ b/src/steering/planner.ts
@@ -7,6 +7,7 @@
 import PQueue from "p-queue";
 import type { ControlAgent } from "../control/agent.ts";
 import { SNAPSHOT_NAME } from "../control/feed.ts";
+import { countBlocks } from "../lookup/blocks.ts";
 import type { Platform, RowPut } from "../platform/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
@@ -124,6 +125,7 @@
         current: readPlan(agent.row(getPlanKey(document.service))),
         estimate: known,
         regionOf: config.regionOf,
+        blockCount: countBlocks(fleet.clientBlocks),
         epoch,
         wallMs: clock.now().getTime(),
       });
--- a/src/steering/shift.ts
+++ b/src/steering/shift.ts
@@ -108,20 +108,43 @@
   );
 }
 
+/** Deviations of the moved share from its mean that stay under the cap. */
+const DEVIATIONS = 2;
+/** Part of the cap that plans spend however few blocks there are. */
+const LEAST_PART = 0.25;
+
 /**
- * @param cap The service's cap.
+ * The share that a window of plans may move. Which blocks move is decided by
+ * hashing, so the share that really moves varies around the one planned: with n
+ * blocks and a share of s, by a standard deviation of sqrt(s / n).
+ *
+ * @param maxShare The service's cap.
+ * @param blockCount Client blocks of the fleet.
+ * @returns The share that plans spend in a window.
+ */
+export function getSharedShare(maxShare: number, blockCount: number): number {
+  const deviation = Math.sqrt(maxShare / blockCount);
+  const kept = maxShare * (1 - LOCAL_PART) - DEVIATIONS * deviation;
+  return Math.max(
+    maxShare * LEAST_PART,
+    Math.min(maxShare * SHARED_PART, kept),
+  );
+}
+
+/**
+ * @param cap The service's cap, and the share of it that plans spend.
  * @param trail Steps taken so far.
  * @param nowMs Time on the clock of the steps, in ms.
  * @returns Share that a plan may still move now.
  */
 export function getSharedBudget(
-  cap: ShiftCap,
+  cap: ShiftCap & { sharedShare: number },
   trail: readonly PlanStep[],
   nowMs: number,
 ): number {
   const spent = keepRecent(trail, cap, nowMs)
     .reduce((sum, step) => sum + step.share, 0);
-  return Math.max(0, cap.maxShare * SHARED_PART - spent);
+  return Math.max(0, cap.sharedShare - spent);
 }
 
 /**
--- a/src/steering/shift_cap_test.ts
+++ b/src/steering/shift_cap_test.ts
@@ -170,6 +170,7 @@
       defaults: HOME,
       estimate: { input: makeInput(world), demandShare: DEMAND_SHARE },
       regionOf,
+      blockCount: 330_000,
       epoch: 1,
       wallMs: wallMs + world.holderSkewMs,
     });
