--- a/src/deployment/generate.ts
+++ b/src/deployment/generate.ts
@@ -195,6 +195,24 @@
   };
 }
 
+/** Name of the platform as the target of links from failure domains. */
+export const PLATFORM = "platform";
+
+/** Where a failure domain reaches the platform: a link that can be cut. */
+function platformRoute(
+  { deployment, options }: Plan,
+  domain: string,
+): RelayRoute {
+  const index = listDomains(deployment).indexOf(domain);
+  return {
+    from: domain,
+    to: PLATFORM,
+    listenAddress: `127.${options.base}.3.${index + 1}:7000`,
+    targetAddress: platformAddress(options),
+    oneWayMs: 0,
+  };
+}
+
 /** One address for each pair of a dialing region and a target elsewhere. */
 function listRoutes({ deployment, options, vms }: Plan): RelayRoute[] {
   return deployment.regions.flatMap((from, fromIndex) =>
@@ -225,7 +243,11 @@
     settings: {
       kind: "network",
       adminAddress: networkAdmin(plan.options),
-      routes: listRoutes(plan),
+      routes: [
+        ...listRoutes(plan),
+        ...listDomains(plan.deployment)
+          .map((domain) => platformRoute(plan, domain)),
+      ],
     },
   };
 }
@@ -268,7 +290,7 @@
 }
 
 function makeDaemons(plan: Plan, vm: PlacedVm): DeploymentProcess[] {
-  const { vms, options } = plan;
+  const { vms } = plan;
   const routes = listRoutes(plan).filter((route) => route.from === vm.region);
   const sameDomain = vms.filter((other) =>
     other.failureDomain === vm.failureDomain
@@ -277,7 +299,9 @@
     vmId: vm.id,
     failureDomain: vm.failureDomain,
     region: vm.region,
-    platformUrl: `http://${platformAddress(options)}`,
+    platformUrl: `http://${
+      platformRoute(plan, vm.failureDomain).listenAddress
+    }`,
     peerKey: PEER_KEY,
     operatorKey: OPERATOR_KEY,
     seeds: sameDomain.map((other) => steerOf(other).peer),
--- a/src/deployment/whole_path_test.ts
+++ b/src/deployment/whole_path_test.ts
@@ -1,9 +1,11 @@
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
+import { request } from "undici";
 import { type Caller, createCaller } from "../caller/mod.ts";
 import type { Call, CallResult } from "../caller/types.ts";
 import { getServiceKey } from "../config/rows.ts";
 import { createSystemClock } from "../runtime/clock.ts";
+import { PLATFORM } from "./generate.ts";
 import { type RunningDeployment, startDeployment } from "./in_process.ts";
 import { makeSmallDeployment, pickBase, SERVICE, until } from "./fixture.ts";
 
@@ -152,4 +154,65 @@
   }
 });
 
+async function edit({ deployment }: Context, answerTtlMs: number) {
+  const key = getServiceKey(SERVICE);
+  const read = (await deployment.store.read(key))._unsafeUnwrap();
+  const document = JSON.parse(read.stored!.text);
+  const text = JSON.stringify({ ...document, answerTtlMs });
+  const put = { key, text, author: "test", editedFrom: read.rowVersion };
+  (await deployment.store.put(put))._unsafeUnwrap();
+}
+
+/** Asks a steer of a region for the time to live that it has in force. */
+async function readTtl({ deployment }: Context, region: string) {
+  const { caller } = deployment.files.load.steers
+    .find((steer) => steer.region === region)!;
+  const response = await request(
+    `http://${caller}/v1/lookup/${SERVICE}?client=10.1.7.7`,
+  );
+  const { ttlMs } = await response.body.json() as { ttlMs: number };
+  return ttlMs;
+}
+
+test("a domain that lost the platform hears of an edit from its peers", async (context) => {
+  const { network } = context.deployment;
+  network.setCut("thies-1", PLATFORM, true);
+  await edit(context, 400);
+  await until(async () => await readTtl(context, "thies") === 400);
+});
+
+test("a domain cut from all serves on, and obeys once it is joined", async (context) => {
+  const { caller, deployment: { network } } = context;
+  const links = [["thies-1", PLATFORM], ["thies", "kaolack"], [
+    "kaolack",
+    "thies",
+  ]];
+  for (const [from, to] of links) network.setCut(from, to, true);
+  await edit(context, 400);
+  await until(async () => await readTtl(context, "kaolack") === 400);
+  assertAnswer(await caller.call(booking));
+  assert.is(await readTtl(context, "thies"), 300);
+  for (const [from, to] of links) network.setCut(from, to, false);
+  await until(async () => await readTtl(context, "thies") === 400);
+  await edit(context, 500);
+  let highest = 0;
+  await until(async () => {
+    const ttlMs = await readTtl(context, "thies");
+    assert.ok(ttlMs >= highest, `${ttlMs} after ${highest}`);
+    highest = ttlMs;
+    return ttlMs === 500;
+  });
+});
+
+test("a steer restarted while the table is down learns from its peers", async (context) => {
+  const { deployment } = context;
+  await edit(context, 400);
+  await until(async () => await readTtl(context, "thies") === 400);
+  deployment.platform.faults.down = true;
+  await deployment.daemons.get("steer-thies-1-a")!.kill();
+  await deployment.restart("steer-thies-1-a");
+  assert.is(await readTtl(context, "thies"), 400);
+  deployment.platform.faults.down = false;
+});
+
 test.run();
--- a/src/load/measure.ts
+++ b/src/load/measure.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { build } from "hdr-histogram-js";
+import { PLATFORM } from "../deployment/generate.ts";
 import type { LoadSettings } from "../deployment/types.ts";
 import type { BackendReport } from "../standin/backends.ts";
 import type { RunRecord } from "../standin/backend_server.ts";
@@ -201,7 +202,8 @@
 }
 
 function measureLinkHeadroom({ links, settings }: Evidence): number {
-  const most = Math.max(0, ...links.map(({ bytes }) => bytes));
+  const between = links.filter(({ to }) => to !== PLATFORM);
+  const most = Math.max(0, ...between.map(({ bytes }) => bytes));
   return 1 - most / settings.linkLimitBytesPerS;
 }
 
--- a/src/steering/assign.ts
+++ b/src/steering/assign.ts
@@ -25,6 +25,8 @@
 interface RegionProblem {
   callers: string[];
   regions: string[];
+  /** Index of each place's region. */
+  placeRegion: number[];
   /** By caller's region. */
   demand: number[];
   /** By region. */
@@ -56,9 +58,11 @@
   const regions = [...new Set(input.places.map(({ region }) => region))];
   const forPairs = (value: (from: string, to: string) => number) =>
     callers.map((from) => regions.map((to) => value(from, to)));
+  const regionIndex = new Map(regions.map((name, index) => [name, index]));
   return {
     callers,
     regions,
+    placeRegion: input.places.map(({ region }) => regionIndex.get(region)!),
     demand: input.demand.map(({ slots }) => slots),
     capacity: regions.map((region) =>
       sumOf(
@@ -116,22 +120,25 @@
 }
 
 function moveToFree(problem: RegionProblem, flows: number[][]): boolean {
-  const { capacity, delayMs, regions } = problem;
+  const { capacity, delayMs } = problem;
+  const used = capacity.map((_, to) => sumOf(flows.map((row) => row[to])));
   let moved = false;
   for (const { from, to } of listFlows(flows)) {
-    regions.forEach((_, other) => {
+    for (let other = 0; other < capacity.length; other++) {
       const gainMs = delayMs[from][to] - delayMs[from][other];
-      const used = flows.reduce((sum, row) => sum + row[other], 0);
+      if (gainMs <= EPSILON_MS) continue;
       const room = Math.min(
-        capacity[other] - used,
+        capacity[other] - used[other],
         freeLink(problem, flows, from, other),
       );
       const slots = Math.min(flows[from][to], room);
-      if (gainMs <= EPSILON_MS || slots <= EPSILON_SLOTS) return;
+      if (slots <= EPSILON_SLOTS) continue;
       flows[from][to] -= slots;
       flows[from][other] += slots;
+      used[to] -= slots;
+      used[other] += slots;
       moved = true;
-    });
+    }
   }
   return moved;
 }
@@ -146,6 +153,7 @@
       if (a.from === b.from || a.to === b.to) continue;
       const gainMs = delayMs[a.from][a.to] + delayMs[b.from][b.to] -
         delayMs[a.from][b.to] - delayMs[b.from][a.to];
+      if (gainMs <= EPSILON_MS) continue;
       const slots = Math.min(
         a.slots,
         b.slots,
@@ -178,19 +186,19 @@
 /** Inside a region, failure domains share by their slots. */
 function makeRow(
   input: AssignInput,
-  { regions, capacity }: RegionProblem,
+  { placeRegion, capacity }: RegionProblem,
   flow: number[],
   caller: string,
 ): WeightRow {
   const total = sumOf(flow);
   if (total <= EPSILON_SLOTS) return makeNearestRow(input, caller);
   const row: WeightRow = {};
-  for (const place of input.places) {
-    const index = regions.indexOf(place.region);
-    if (flow[index] <= EPSILON_SLOTS || place.slots <= 0) continue;
+  input.places.forEach((place, number) => {
+    const index = placeRegion[number];
+    if (flow[index] <= EPSILON_SLOTS || place.slots <= 0) return;
     const share = place.slots / capacity[index];
     row[place.failureDomain] = flow[index] / total * share;
-  }
+  });
   return row;
 }
 
