--- a/scripts/start.sh
+++ b/scripts/start.sh
@@ -58,7 +58,7 @@
 start_group entry
 leaver=${pids%% *}
 
-# HAWTHORNGW_LOAD=control measures the daemons without load instead.
+# HAWTHORNGW_LOAD=control|path measures the daemons themselves instead.
 mode=${HAWTHORNGW_LOAD:-run}
 node $bin/hawthorngw_load.js "$mode" --settings "$dir/load.jsonc" &
 load=$!
--- a/src/bin/hawthorngw_load.ts
+++ b/src/bin/hawthorngw_load.ts
@@ -11,9 +11,10 @@
 import { prepareDeployment } from "../deployment/prepare.ts";
 import { type LoadSettings, loadSettingsSchema } from "../deployment/types.ts";
 import { measureControl } from "../load/control_cost.ts";
+import { measurePathCost } from "../load/path_cost.ts";
 import { type Progress, runExperiment } from "../load/experiment.ts";
 import type { Report } from "../load/types.ts";
-import { createSystemClock } from "../runtime/clock.ts";
+import { type Clock, createSystemClock } from "../runtime/clock.ts";
 import { describeError, StepError } from "../runtime/errors.ts";
 import { EXIT_CODES } from "../runtime/process.ts";
 import { loadSettings } from "../runtime/settings.ts";
@@ -27,6 +28,8 @@
     Loads a deployment that is up, and prints a report as JSON.
   hawthorngw-load control --settings FILE
     Measures what control costs the daemons of a deployment without load.
+  hawthorngw-load path --settings FILE
+    Measures what an entry adds to a request, and look-ups a second.
 
 Exit codes: 0 done, 1 a promise was broken or the run failed, 2 bad arguments.
 `;
@@ -35,7 +38,8 @@
   const [command, ...args] = process.argv.slice(2);
   if (command === "prepare") return await prepare(args);
   if (command === "run") return await run(args);
-  if (command === "control") return await control(args);
+  if (command === "control") return await measure(args, measureControl);
+  if (command === "path") return await measure(args, measurePathCost);
   const wantsHelp = command === "--help" || command === "-h";
   (wantsHelp ? process.stdout : process.stderr).write(USAGE);
   return wantsHelp ? EXIT_CODES.ok : EXIT_CODES.usage;
@@ -102,9 +106,11 @@
   );
 }
 
-async function control(args: string[]): Promise<number> {
+type Measure = (settings: LoadSettings, clock: Clock) => Promise<unknown>;
+
+async function measure(args: string[], run: Measure): Promise<number> {
   const settings = readLoadSettings(args);
-  const cost = await measureControl(settings, createSystemClock());
+  const cost = await run(settings, createSystemClock());
   const json = JSON.stringify(cost, null, 2);
   process.stdout.write(`${json}\n`);
   if (settings.reportFile) writeFileSync(settings.reportFile, `${json}\n`);
--- a/src/standin/backends.ts
+++ b/src/standin/backends.ts
@@ -29,6 +29,7 @@
 /** What the admin address tells of one server. */
 export interface BackendReport {
   id: string;
+  address: string;
   service: string;
   region: string;
   slots: number;
@@ -68,6 +69,7 @@
   router.get("/admin/records", (_request, response) => {
     const reports = [...servers.values()].map((server): BackendReport => ({
       id: server.settings.id,
+      address: server.settings.address,
       service: server.settings.service,
       region: server.settings.region,
       slots: server.settings.slots,
