Let shares of slots grow late; kill a region under load from npm start

Cause: when an entry VM left the fleet document, the entries that stayed used its slots as soon as they heard, while the one that left could still be using them. Change: a share shrinks at once and grows after 15 s, longer than a document takes to be in force and a request to end. HAWTHORNGW_KILL=REGION npm start kills a region's processes at half time.

--- a/scripts/start.sh
+++ b/scripts/start.sh
@@ -8,6 +8,7 @@
 bin=dist/bin
 dir=$(mktemp -d "${TMPDIR:-/tmp}/hawthorngw.XXXXXX") || exit 1
 pids=
+doomed=
 load=
 
 stop_all() {
@@ -40,6 +41,10 @@
     esac
     node $bin/hawthorngw_"$binary".js --settings "$settings" </dev/null &
     pids="$! $pids"
+    # HAWTHORNGW_KILL=REGION: this region's processes are killed at half time.
+    case $name in
+      *"-${HAWTHORNGW_KILL:-none}"-*) doomed="$! $doomed" ;;
+    esac
   done <"$dir/processes.txt"
 }
 
@@ -62,12 +67,17 @@
 mode=${HAWTHORNGW_LOAD:-run}
 node $bin/hawthorngw_load.js "$mode" --settings "$dir/load.jsonc" &
 load=$!
-# A planned stop of the entry started last, while the load is on.
+# A planned stop of the entry started last, or a region's loss, under load.
 stop_after=$(sed -n 's/.*"durationS": *\([0-9]*\).*/\1/p' "$dir/load.jsonc")
 (
   [ "$mode" = run ] || exit 0
   sleep $((stop_after / 2))
-  kill -TERM "$leaver" 2>/dev/null
+  if [ -n "$doomed" ]; then
+    # shellcheck disable=SC2086
+    kill -KILL $doomed 2>/dev/null
+  else
+    kill -TERM "$leaver" 2>/dev/null
+  fi
 ) &
 stopper=$!
 wait $load
--- a/src/forwarding/servers.ts
+++ b/src/forwarding/servers.ts
@@ -22,6 +22,9 @@
 /** Age at which a probe no longer says anything. */
 const PROBE_EXPIRY_MS = 5_000;
 
+/** Time for a document to be in force everywhere, and for requests to end. */
+export const GROWTH_DELAY_MS = 15_000;
+
 /** Why a server takes no new work. */
 export type LeavingReason = "document" | "vm_list" | "health" | "refusal";
 
@@ -30,6 +33,8 @@
   server: BackendServer;
   /** This entry's share of its slots. */
   share: number;
+  /** A larger share by the documents, and when it may be used. */
+  growth: { share: number; fromMs: number } | undefined;
   inFlight: number;
   latency: MovingMean;
   latencyAtMs: number;
@@ -121,22 +126,41 @@
     const share = getSlotShare(server.slots, index, context.entry);
     const coldSinceMs = set.started ? context.nowMs : undefined;
     const state = set.servers.get(server.id) ??
-      createServerState(server, coldSinceMs);
+      createServerState(server, { share, coldSinceMs });
     state.server = server;
-    state.share = share;
+    updateShare(state, share, context.nowMs);
     set.servers.set(server.id, state);
     updateLeaving(state, context.leavingReason(server), context.nowMs);
   });
   set.started = true;
 }
 
+/**
+ * A share shrinks at once and grows late: until then another entry may not have
+ * heard of the document, or still have requests at the server.
+ */
+function updateShare(state: ServerState, share: number, nowMs: number): void {
+  if (share <= state.share) {
+    state.share = share;
+    state.growth = undefined;
+    return;
+  }
+  if (state.growth?.share !== share) {
+    state.growth = { share, fromMs: nowMs + GROWTH_DELAY_MS };
+  }
+  if (nowMs < state.growth.fromMs) return;
+  state.share = share;
+  state.growth = undefined;
+}
+
 function createServerState(
   server: BackendServer,
-  coldSinceMs: number | undefined,
+  { share, coldSinceMs }: { share: number; coldSinceMs: number | undefined },
 ): ServerState {
   return {
     server,
-    share: 0,
+    share,
+    growth: undefined,
     inFlight: 0,
     latency: createMovingMean(LATENCY_WEIGHT),
     latencyAtMs: 0,
--- a/src/forwarding/servers_test.ts
+++ b/src/forwarding/servers_test.ts
@@ -10,6 +10,7 @@
   getLimit,
   getSlotShare,
   getTotalLimit,
+  GROWTH_DELAY_MS,
   listEligible,
   markLeaving,
   noteHealth,
@@ -80,6 +81,25 @@
   );
 });
 
+test("a share shrinks at once and grows only after other entries let go", () => {
+  const document = makeDocument(1);
+  const set = createServerSet(document);
+  const shareAt = (nowMs: number, count: number) => {
+    syncServers(set, document, {
+      failureDomain: "a-1",
+      entry: { index: 0, count },
+      leavingReason: () => undefined,
+      nowMs,
+    });
+    return set.servers.get("s-0")!.share;
+  };
+  assert.is(shareAt(0, 2), 2);
+  assert.is(shareAt(1_000, 4), 1);
+  assert.is(shareAt(2_000, 1), 1);
+  assert.is(shareAt(2_000 + GROWTH_DELAY_MS - 1, 1), 1);
+  assert.is(shareAt(2_000 + GROWTH_DELAY_MS, 1), 4);
+});
+
 test("a VM that the fleet does not list has no slots", () => {
   assert.is(getSlotShare(8, 0, { index: 0, count: Infinity }), 0);
 });
--- a/src/load/evidence.ts
+++ b/src/load/evidence.ts
@@ -29,12 +29,15 @@
 export async function collectBackends(
   admins: readonly string[],
 ): Promise<BackendReport[]> {
-  const reports = await Promise.all(
+  // Those of a region that was killed during the run can't be asked.
+  const reports = await Promise.allSettled(
     admins.map((admin) =>
       getJson<BackendReport[]>(`http://${admin}/admin/records`)
     ),
   );
-  return reports.flat();
+  return reports.flatMap((report) =>
+    report.status === "fulfilled" ? report.value : []
+  );
 }
 
 /**
