--- a/src/forwarding/servers.ts
+++ b/src/forwarding/servers.ts
@@ -249,7 +249,8 @@
 /** How an exchange went, for judging the server. */
 export interface ExchangeReport {
   ok: boolean;
-  durationMs: number;
+  /** Absent where its length says nothing of the server. */
+  durationMs: number | undefined;
   /** Monotonic time, in ms. */
   nowMs: number;
 }
@@ -272,6 +273,7 @@
     state.failures = 0;
     state.ejections = 0;
     state.lastSuccessMs = nowMs;
+    if (durationMs === undefined) return;
     state.latency.add(durationMs);
     state.latencyAtMs = nowMs;
     return;
