--- a/src/forwarding/local_runner.ts
+++ b/src/forwarding/local_runner.ts
@@ -36,17 +36,6 @@
 /** How much longer than its deadline an at-most-once request is waited for. */
 const LATE_ANSWER_MS = 10_000;
 
-/** An idempotent request is late after this many mean service times. */
-const HEDGE_AFTER = 2.5;
-/** Share of the slots in use above which nothing is hedged. */
-const HEDGE_BELOW_USE = 0.7;
-
-/** An exchange under way. */
-interface RunningExchange {
-  result: Promise<ExchangeResult>;
-  cancel(): void;
-}
-
 /** What the runner needs. */
 export interface RunnerOptions {
   clock: Clock;
@@ -184,7 +173,7 @@
         return mayHaveRun ? unknown(reason) : notRun(reason, getServiceMs(own));
       }
       tried.add(state.server.id);
-      const result = await exchangeHedged(own, state, { request, tried });
+      const result = await exchange(own, state, request);
       if (result.kind === "answer") return result;
       const decision = decideRetry({
         result,
@@ -205,45 +194,6 @@
     }
   }
 
-  /** An idempotent request that is late gets a second server, if one is idle. */
-  async function exchangeHedged(
-    own: ServiceLine,
-    state: ServerState,
-    { request, tried }: { request: ForwardRequest; tried: Set<string> },
-  ): Promise<ExchangeResult> {
-    const first = startExchange(own, state, request);
-    if (!request.requestClass.idempotent) return first.result;
-    const hedgeMs = getServiceMs(own) * HEDGE_AFTER;
-    const isLate = await isPendingAfter(first.result, hedgeMs, clock);
-    if (!isLate || !mayHedge(own) || !hasTime(own, request)) {
-      return first.result;
-    }
-    const other = chooseServer(own, tried);
-    if (other === undefined) return first.result;
-    tried.add(other.server.id);
-    budget.spend();
-    return pickAnswer([first, startExchange(own, other, request)]);
-  }
-
-  /** Hedges take idle slots only, and from the retries' budget. */
-  function mayHedge(own: ServiceLine): boolean {
-    const isIdle = own.queue.size === 0 &&
-      own.inFlight() < own.limit() * HEDGE_BELOW_USE;
-    return isIdle && budget.hasBudget();
-  }
-
-  function startExchange(
-    own: ServiceLine,
-    state: ServerState,
-    request: ForwardRequest,
-  ): RunningExchange {
-    const cancelled = new AbortController();
-    return {
-      result: exchange(own, state, { request, cancelled: cancelled.signal }),
-      cancel: () => cancelled.abort(),
-    };
-  }
-
   function hasTime(own: ServiceLine, request: ForwardRequest): boolean {
     const remainingMs = request.deadlineMs - clock.monotonicMs();
     return !request.signal.aborted && remainingMs > getServiceMs(own);
@@ -269,7 +219,7 @@
   async function exchange(
     own: ServiceLine,
     state: ServerState,
-    { request, cancelled }: { request: ForwardRequest; cancelled: AbortSignal },
+    request: ForwardRequest,
   ): Promise<ExchangeResult> {
     const { idempotent } = request.requestClass;
     const startMs = clock.monotonicMs();
@@ -281,7 +231,6 @@
     );
     const onHangUp = () => cutOff.abort();
     if (idempotent) request.signal.addEventListener("abort", onHangUp);
-    cancelled.addEventListener("abort", onHangUp);
     beginRequest(state);
     const result = await backends.exchange({
       document: own.set.document,
@@ -293,16 +242,12 @@
     timer.cancel();
     request.signal.removeEventListener("abort", onHangUp);
     const nowMs = clock.monotonicMs();
-    const wasCutOff = cancelled.aborted ||
-      request.signal.aborted && idempotent;
-    const ok = result.kind === "answer" || result.kind === "shed" || wasCutOff;
-    // A cancelled exchange was at least this long; a short one says nothing.
-    const elapsedMs = nowMs - startMs;
-    const isTelling = !wasCutOff || elapsedMs > getServiceMs(own);
-    const durationMs = isTelling ? elapsedMs : undefined;
+    const durationMs = nowMs - startMs;
+    const hungUp = request.signal.aborted && idempotent;
+    const ok = result.kind === "answer" || result.kind === "shed" || hungUp;
     endRequest(state, { ok, durationMs, nowMs });
-    if (result.kind === "answer") own.serviceMs.add(elapsedMs);
-    else if (!wasCutOff) noteTrouble(state, result);
+    if (result.kind === "answer") own.serviceMs.add(durationMs);
+    else noteTrouble(state, result);
     return result;
   }
 
@@ -342,45 +287,6 @@
   };
 }
 
-/** @returns Whether a result is still missing after a time. */
-function isPendingAfter(
-  result: Promise<ExchangeResult>,
-  delayMs: number,
-  clock: Clock,
-): Promise<boolean> {
-  return new Promise((resolve) => {
-    const timer = clock.after(delayMs, () => resolve(true));
-    void result.then(() => {
-      timer.cancel();
-      resolve(false);
-    });
-  });
-}
-
-/**
- * Takes the first answer and cancels the other exchange. Without any answer the
- * result that may have run the request counts.
- */
-function pickAnswer(
-  exchanges: readonly RunningExchange[],
-): Promise<ExchangeResult> {
-  return new Promise((resolve) => {
-    let missing = exchanges.length;
-    let worst: ExchangeResult | undefined;
-    for (const exchange of exchanges) {
-      void exchange.result.then((result) => {
-        missing -= 1;
-        if (result.kind === "answer") {
-          for (const other of exchanges) if (other !== exchange) other.cancel();
-          return resolve(result);
-        }
-        if (worst === undefined || result.kind === "failed") worst = result;
-        if (missing === 0) resolve(worst);
-      });
-    }
-  });
-}
-
 function sumInFlight(set: ServerSet): number {
   let sum = 0;
   for (const { inFlight } of set.servers.values()) sum += inFlight;
--- a/src/forwarding/servers.ts
+++ b/src/forwarding/servers.ts
@@ -249,8 +249,7 @@
 /** How an exchange went, for judging the server. */
 export interface ExchangeReport {
   ok: boolean;
-  /** Absent where its length says nothing of the server. */
-  durationMs: number | undefined;
+  durationMs: number;
   /** Monotonic time, in ms. */
   nowMs: number;
 }
@@ -273,7 +272,6 @@
     state.failures = 0;
     state.ejections = 0;
     state.lastSuccessMs = nowMs;
-    if (durationMs === undefined) return;
     state.latency.add(durationMs);
     state.latencyAtMs = nowMs;
     return;
