Let relays of all failure domains hear each other

Cause: with four or more VMs in a failure domain, not every daemon came up (found by running 48 and 96 daemons): which steers kept links elsewhere and which one passed news on were decided by two different rankings, so the one that passed news on might hear none. Change: one ranked list of two relays for each domain; relays link to relays; the first that looks alive passes news on. Before: 48 and 96 daemons never saw each other whole.

--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -30,7 +30,7 @@
 } from "../replica/logic.ts";
 import type { Clock, Timer } from "../runtime/clock.ts";
 import { createLogger } from "../runtime/logger.ts";
-import { type Feed, rankSteers, readSnapshot, startFeed } from "./feed.ts";
+import { type Feed, rankReaders, readSnapshot, startFeed } from "./feed.ts";
 import { createLinkTable } from "./link_table.ts";
 import { createLoadExchange } from "./loads.ts";
 import type { HealthReport, PeerMessage } from "./messages.ts";
@@ -41,7 +41,7 @@
   linkTraffic,
   type PeerLink,
 } from "./peer_link.ts";
-import { chooseLinks } from "./topology.ts";
+import { chooseLinks, listRelays } from "./topology.ts";
 import { createViewExchange } from "./views.ts";
 
 const log = createLogger("control");
@@ -145,7 +145,16 @@
     },
   };
 
-  const isRelay = () => getRank("relay") === 0;
+  /** The first relay that looks alive passes news on. */
+  function isRelay(): boolean {
+    const fleet = config.fleet?.document;
+    if (fleet === undefined || self.role !== "steer") return false;
+    const alive = new Set(serving("steer").map((member) => member.vmId));
+    const first = listRelays(fleet, self.failureDomain)
+      .find((vm) => alive.has(vm.id));
+    return first?.id === self.vmId;
+  }
+
   const views = createViewExchange({ links, membership, clock, isRelay });
   const loadExchange = createLoadExchange({
     self,
@@ -296,16 +305,16 @@
     if (readTable || (!learning && caughtUp)) markReady();
   }
 
-  /** Place of this steer among its failure domain's; -1 for an entry. */
-  function getRank(duty: "feed" | "relay"): number {
+  /** Place of this steer among its domain's readers; -1 for an entry. */
+  function getReaderRank(): number {
     const steers = serving("steer")
       .filter((member) => member.failureDomain === self.failureDomain)
       .map((member) => member.id);
-    return rankSteers(duty, steers).indexOf(self.id);
+    return rankReaders(steers).indexOf(self.id);
   }
 
   function isOwnReader(): boolean {
-    return getRank("feed") === 0;
+    return getReaderRank() === 0;
   }
 
   function serving(role: Role): Member[] {
@@ -323,7 +332,7 @@
   const feed: Feed | undefined = platform && startFeed({
     platform,
     clock,
-    rank: () => config.fleet === undefined ? 0 : getRank("feed"),
+    rank: () => config.fleet === undefined ? 0 : getReaderRank(),
     throughVersion: () => replica.throughVersion,
     onChanges: receiveChanges,
   });
--- a/src/control/feed.ts
+++ b/src/control/feed.ts
@@ -23,20 +23,13 @@
 /** Name of the object that holds the last known rows. */
 export const SNAPSHOT_NAME = "replica/snapshot";
 
-/** A duty that some steers of a failure domain take on. */
-export type SteerDuty = "feed" | "relay";
-
 /**
- * @param duty The duty.
  * @param steerIds Ids of the steers of a failure domain that look alive.
- * @returns Them, the first to take the duty on first.
+ * @returns Them, the first to read first.
  */
-export function rankSteers(
-  duty: SteerDuty,
-  steerIds: readonly string[],
-): string[] {
+export function rankReaders(steerIds: readonly string[]): string[] {
   const candidates = steerIds.map((id) => ({ id, weight: 1 }));
-  return rankByRendezvous(duty, candidates).map(({ id }) => id);
+  return rankByRendezvous("feed", candidates).map(({ id }) => id);
 }
 
 /** What the feed needs to know. */
--- a/src/control/topology.ts
+++ b/src/control/topology.ts
@@ -8,10 +8,11 @@
 import type { Role } from "../membership/types.ts";
 import { rankByRendezvous } from "../runtime/hash.ts";
 
-/** Steers of each other failure domain that a relay keeps links to. */
-export const LINKS_PER_DOMAIN = 2;
-/** Steers of a failure domain that keep links to other failure domains. */
-export const RELAYS_PER_DOMAIN = 3;
+/**
+ * Steers of a failure domain that keep links to those of the others: one that
+ * passes news on, and one that takes over from it.
+ */
+export const RELAYS_PER_DOMAIN = 2;
 
 /** Who asks. */
 export interface TopologySelf {
@@ -34,28 +35,36 @@
   );
   if (self.role === "entry") return own.map((vm) => vm.steer.peer);
   const mesh = own.filter((vm) => vm.id > self.vmId);
-  const remote = isRelay(own, self) ? chooseRemote(fleet, self) : [];
+  const isRelay = listRelays(fleet, self.failureDomain)
+    .some((vm) => vm.id === self.vmId);
+  const remote = isRelay ? listRemoteRelays(fleet, self) : [];
   return [...mesh, ...remote].map((vm) => vm.steer.peer);
 }
 
-function isRelay(own: readonly EntryVm[], self: TopologySelf): boolean {
-  return rank(`relay ${self.failureDomain}`, own)
+/**
+ * @param fleet The fleet's document.
+ * @param failureDomain A failure domain.
+ * @returns Its VMs whose steers are relays, the first to pass news on first.
+ */
+export function listRelays(
+  fleet: FleetDocument,
+  failureDomain: string,
+): EntryVm[] {
+  const candidates = fleet.entryVms
+    .filter((vm) => vm.failureDomain === failureDomain)
+    .map((vm) => ({ id: vm.id, weight: 1, vm }));
+  return rankByRendezvous(`relay ${failureDomain}`, candidates)
     .slice(0, RELAYS_PER_DOMAIN)
-    .some((vm) => vm.id === self.vmId);
+    .map(({ vm }) => vm);
 }
 
 /** Of two domains, the one whose name is lower dials: no pair links twice. */
-function chooseRemote(fleet: FleetDocument, self: TopologySelf): EntryVm[] {
+function listRemoteRelays(
+  fleet: FleetDocument,
+  self: TopologySelf,
+): EntryVm[] {
   const domains = new Set(fleet.entryVms.map((vm) => vm.failureDomain));
   return [...domains]
     .filter((domain) => domain > self.failureDomain)
-    .flatMap((domain) => {
-      const vms = fleet.entryVms.filter((vm) => vm.failureDomain === domain);
-      return rank(`${self.vmId} ${domain}`, vms).slice(0, LINKS_PER_DOMAIN);
-    });
-}
-
-function rank(key: string, vms: readonly EntryVm[]): EntryVm[] {
-  const candidates = vms.map((vm) => ({ id: vm.id, weight: 1, vm }));
-  return rankByRendezvous(key, candidates).map(({ vm }) => vm);
+    .flatMap((domain) => listRelays(fleet, domain));
 }
