Count shifts by callers' records over all traffic; share the daemons' frame

Entries tell each other only who has room; figures go only to the planner's failure domain; demand of silent domains is what is declared. Steer and entry share one frame for listeners, control side and ending.

--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -30,6 +30,7 @@
 } from "../replica/logic.ts";
 import type { Clock, Timer } from "../runtime/clock.ts";
 import { createLogger } from "../runtime/logger.ts";
+import { LEASE_KEY, readLease } from "../steering/lease.ts";
 import { type Feed, rankReaders, readSnapshot, startFeed } from "./feed.ts";
 import { createLinkTable } from "./link_table.ts";
 import { createLoadExchange } from "./loads.ts";
@@ -162,8 +163,15 @@
     loads,
     clock,
     isRelay,
+    plannerDomain,
   });
 
+  function plannerDomain(): string | undefined {
+    const lease = readLease(replica.rows.get(LEASE_KEY));
+    return config.fleet?.document.entryVms
+      .find((vm) => lease?.holder === `${vm.id}/steer`)?.failureDomain;
+  }
+
   function makeHello(): PeerMessage {
     const { throughVersion } = replica;
     return { kind: "hello", member: membership.self, throughVersion };
--- a/src/control/link_table.ts
+++ b/src/control/link_table.ts
@@ -34,10 +34,9 @@
   all(): Iterable<[PeerLink, LinkState]>;
   /** @returns Links to members of the own failure domain. */
   inDomain(filter?: LinkFilter): [PeerLink, LinkState][];
-  /** @returns Links to members of other failure domains. */
-  elsewhere(): [PeerLink, LinkState][];
   sendInDomain(message: PeerMessage, filter?: LinkFilter): void;
-  sendElsewhere(message: PeerMessage): void;
+  /** Sends to other failure domains, or to one of them. */
+  sendElsewhere(message: PeerMessage, toDomain?: string): void;
 }
 
 /**
@@ -54,9 +53,10 @@
     );
   }
 
-  function elsewhere() {
+  function elsewhere(toDomain: string | undefined) {
     return [...links].filter(([, { member }]) =>
-      member !== undefined && member.failureDomain !== failureDomain
+      member !== undefined && member.failureDomain !== failureDomain &&
+      (toDomain === undefined || member.failureDomain === toDomain)
     );
   }
 
@@ -75,12 +75,11 @@
     get: (link) => links.get(link),
     all: () => links,
     inDomain,
-    elsewhere,
     sendInDomain(message, filter) {
       for (const [link] of inDomain(filter)) link.send(message);
     },
-    sendElsewhere(message) {
-      for (const [link] of elsewhere()) link.send(message);
+    sendElsewhere(message, toDomain) {
+      for (const [link] of elsewhere(toDomain)) link.send(message);
     },
   };
 }
--- a/src/control/loads.ts
+++ b/src/control/loads.ts
@@ -1,6 +1,6 @@
 /**
  * Entries' figures on links: rounded, sent when they changed or grew old, and
- * passed on by one steer of a failure domain.
+ * passed on by one steer of a failure domain, only to where plans are made.
  *
  * @module
  */
@@ -25,6 +25,8 @@
   clock: Clock;
   /** Whether this steer passes others' figures on. */
   isRelay(): boolean;
+  /** Failure domain of the steer that plans, if known. */
+  plannerDomain(): string | undefined;
 }
 
 /** Sends and receives figures. */
@@ -41,7 +43,7 @@
 export function createLoadExchange(
   options: LoadExchangeOptions,
 ): LoadExchange {
-  const { self, links, loads, clock, isRelay } = options;
+  const { self, links, loads, clock, isRelay, plannerDomain } = options;
   const sentElsewhereMs = new Map<string, number>();
   let sentText = "";
   let sentMs = -Infinity;
@@ -56,9 +58,14 @@
       return links.sendInDomain(message, { role: "steer" });
     }
     if (from.role !== "entry") return;
-    links.sendInDomain(message, { role: "entry", except: link });
+    // Entries need to know of each other only who has room.
+    const slim = received.map((load) => ({ ...load, services: [] }));
+    const filter = { role: "entry" as const, except: link };
+    links.sendInDomain({ kind: "load", loads: slim }, filter);
     const due = received.filter((load) => isDueElsewhere(load, nowMs));
-    if (due.length > 0) links.sendElsewhere({ kind: "load", loads: due });
+    const target = plannerDomain();
+    if (due.length === 0 || target === undefined) return;
+    links.sendElsewhere({ kind: "load", loads: due }, target);
   }
 
   function isDueElsewhere({ entryId }: EntryLoad, nowMs: number): boolean {
--- a/src/deployment/generate.ts
+++ b/src/deployment/generate.ts
@@ -260,11 +260,7 @@
   { deployment, options }: Plan,
   services: ServiceDocument[],
 ): DeploymentProcess[] {
-  const regionOf = new Map(
-    deployment.regions.flatMap(({ name, failureDomains }) =>
-      failureDomains.map((domain) => [domain.name, name] as const)
-    ),
-  );
+  const regionOf = mapRegions(deployment);
   return listDomains(deployment).map((domain, index) => ({
     name: `backends-${domain}`,
     binary: "standin",
@@ -325,6 +321,14 @@
   }));
 }
 
+function mapRegions({ regions }: Deployment): Map<string, string> {
+  return new Map(
+    regions.flatMap(({ name, failureDomains }) =>
+      failureDomains.map((domain) => [domain.name, name] as const)
+    ),
+  );
+}
+
 function makeLoad(plan: Plan, services: ServiceDocument[]): LoadSettings {
   const { deployment, options, vms } = plan;
   return {
@@ -361,6 +365,14 @@
       }),
       cap: services[index].shiftCap,
     })),
+    serverRegions: Object.fromEntries(
+      services.flatMap(({ backendServers }) =>
+        backendServers.map(({ id, failureDomain }) => [
+          id,
+          mapRegions(deployment).get(failureDomain)!,
+        ])
+      ),
+    ),
     requestsPerS: options.requestsPerS ?? deployment.requestsPerS,
     durationS: options.durationS,
     reportFile: options.reportFile,
--- a/src/deployment/types.ts
+++ b/src/deployment/types.ts
@@ -81,6 +81,8 @@
     ),
     cap: z.object({ maxShare: z.number(), windowS: z.number() }),
   })),
+  /** Region of each backend server. */
+  serverRegions: z.record(z.string(), z.string()),
   requestsPerS: z.number(),
   durationS: z.number(),
   reportFile: z.string().optional(),
--- a/src/forwarding/figures.ts
+++ b/src/forwarding/figures.ts
@@ -10,6 +10,7 @@
   type MovingMean,
   type RateCounter,
 } from "../measurement/rate.ts";
+import type { Member } from "../membership/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Metrics } from "../runtime/metrics.ts";
 import type { LocalRunner } from "./local_runner.ts";
@@ -37,8 +38,7 @@
 
 /** What the figures need. */
 export interface FigureOptions {
-  entryId: string;
-  failureDomain: string;
+  self: Member;
   runner: LocalRunner;
   clock: Clock;
   metrics: Metrics;
@@ -49,7 +49,7 @@
  * @returns Figures of an entry that has carried nothing.
  */
 export function createFigures(options: FigureOptions): EntryFigures {
-  const { entryId, failureDomain, runner, clock, metrics } = options;
+  const { self, runner, clock, metrics } = options;
   const services = new Map<string, ServiceFigures>();
   const counts: OutcomeCounts = { answer: 0, not_run: 0, unknown: 0 };
 
@@ -114,8 +114,8 @@
         };
       });
       return {
-        entryId,
-        failureDomain,
+        entryId: self.id,
+        failureDomain: self.failureDomain,
         utilization: total > 0 ? used / total : 1,
         services: loads,
       };
--- a/src/load/measure.ts
+++ b/src/load/measure.ts
@@ -217,28 +217,22 @@
 
 /**
  * Counts, for each window, the share of a service's traffic whose region at the
- * end differs from that at the start.
+ * end differs from that at the start, as the callers saw it.
  *
- * @param evidence Records of runs.
+ * @param evidence Records of calls.
  * @returns What was found.
  */
 export function measureLargestShift(
-  { settings, backends }: Pick<Evidence, "settings" | "backends">,
+  { settings, calls }: Pick<Evidence, "settings" | "calls">,
 ): ShiftFinding {
   const found: ShiftFinding = { overCapWindows: 0, largestOverCap: 0 };
   for (const { name, cap } of settings.services) {
-    const runs = backends.filter(({ service }) => service === name)
-      .flatMap(({ region, records }) =>
-        records.map(({ block, startMs }) => ({ region, block, startMs }))
-      )
-      .sort((a, b) => a.startMs - b.startMs);
+    const runs = listPlacedRuns(settings, calls, name);
     if (runs.length === 0) continue;
     const windowMs = cap.windowS * 1_000;
-    const startMs = runs[0].startMs;
     const endMs = runs[runs.length - 1].startMs;
-    for (let fromMs = startMs; fromMs < endMs; fromMs += USE_WINDOW_MS) {
-      const share = measureWindow(runs, fromMs, fromMs + windowMs);
-      const overCap = share / cap.maxShare;
+    for (let ms = runs[0].startMs; ms < endMs; ms += USE_WINDOW_MS) {
+      const overCap = measureWindow(runs, ms, ms + windowMs) / cap.maxShare;
       found.largestOverCap = Math.max(found.largestOverCap, overCap);
       if (overCap > 1) found.overCapWindows += 1;
     }
@@ -246,8 +240,26 @@
   return found;
 }
 
+function listPlacedRuns(
+  settings: LoadSettings,
+  calls: readonly CallRecord[],
+  name: string,
+): PlacedRun[] {
+  return calls
+    .filter(({ service }) => service === name)
+    .map(({ clientIp, dueMs, result }): PlacedRun => ({
+      region: result.kind === "answer"
+        ? settings.serverRegions[result.serverId]
+        : undefined,
+      block: clientIp,
+      startMs: dueMs,
+    }))
+    .sort((a, b) => a.startMs - b.startMs);
+}
+
 interface PlacedRun {
-  region: string;
+  /** Absent where the call was refused: it is traffic, but ran nowhere. */
+  region: string | undefined;
   block: string;
   startMs: number;
 }
@@ -259,18 +271,20 @@
 ): number {
   const before = new Map<string, string>();
   const after = new Map<string, string>();
-  const weight = new Map<string, number>();
+  const traffic = new Map<string, number>();
   for (const { region, block, startMs } of runs) {
-    weight.set(block, (weight.get(block) ?? 0) + 1);
-    if (startMs <= fromMs) before.set(block, region);
-    else if (startMs <= toMs) after.set(block, region);
+    if (startMs > toMs) break;
+    const isInside = startMs > fromMs;
+    if (isInside) traffic.set(block, (traffic.get(block) ?? 0) + 1);
+    if (region !== undefined) (isInside ? after : before).set(block, region);
   }
   let moved = 0;
   let all = 0;
-  for (const [block, region] of after) {
-    const own = weight.get(block) ?? 0;
-    all += own;
-    if (before.has(block) && before.get(block) !== region) moved += own;
+  for (const [block, calls] of traffic) {
+    all += calls;
+    const from = before.get(block);
+    const to = after.get(block);
+    if (from !== undefined && to !== undefined && from !== to) moved += calls;
   }
   return all > 0 ? moved / all : 0;
 }
--- a/src/load/runner.ts
+++ b/src/load/runner.ts
@@ -61,6 +61,7 @@
       className: arrival.className,
       weight: arrival.weight,
       idempotent: call.idempotent,
+      clientIp: call.clientIp,
       path: call.path,
       deadlineMs: call.deadlineMs,
       dueMs: startWallMs + arrival.atMs,
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -12,6 +12,7 @@
   className: string;
   weight: number;
   idempotent: boolean;
+  clientIp: string;
   path: string;
   deadlineMs: number;
   /** When it was due by the open-loop schedule, in ms since the epoch. */
--- a/src/steer/steer.ts
+++ b/src/steer/steer.ts
@@ -4,20 +4,16 @@
  *
  * @module
  */
-import { startAgent } from "../control/agent.ts";
+import { startFrame } from "../daemon/frame.ts";
 import { addLookupRoutes } from "../lookup/routes.ts";
-import { openOperatorAddress } from "../operator/routes.ts";
 import { createPlatformClient } from "../platform/http_client.ts";
 import type { Clock } from "../runtime/clock.ts";
-import { createRouter, listen } from "../runtime/http_server.ts";
-import { createMetrics } from "../runtime/metrics.ts";
-import { splitAddress } from "../runtime/address.ts";
+import { createRouter } from "../runtime/http_server.ts";
 import type { Daemon } from "../runtime/process.ts";
 import type { DaemonSettings } from "../runtime/settings.ts";
 import { startPlanner } from "../steering/planner.ts";
-import { startSteering } from "../steering/steering.ts";
 
-/** Time in which other steers learn that this one leaves. */
+/** Time in which callers and other steers learn that this one leaves. */
 const LEAVE_MS = 500;
 
 /**
@@ -31,62 +27,25 @@
   settings: DaemonSettings,
   clock: Clock,
 ): Promise<Daemon> {
-  const { vmId, failureDomain, region } = settings;
-  const statsd = settings.statsd ? splitAddress(settings.statsd) : undefined;
-  const metrics = createMetrics(statsd, { vm: vmId, role: "steer" });
   const platform = createPlatformClient(settings.platformUrl);
-  const peerServer = await listen(createRouter(), settings.peerAddress);
-  const agent = startAgent({
-    self: {
-      id: `${vmId}/steer`,
-      vmId,
-      role: "steer",
-      failureDomain,
-      region,
-      incarnation: clock.now().getTime(),
-      state: "serving",
-    },
+  const frame = await startFrame({
+    role: "steer",
+    settings,
     clock,
-    key: settings.peerKey,
     platform,
-    peerServer: peerServer.server,
-    seeds: settings.seeds.filter((seed) => seed !== settings.peerAddress),
-    translate: (address) => settings.peerRoutes[address] ?? address,
+    peerRouter: createRouter(),
   });
-  const steering = startSteering({ agent, clock });
+  const { agent, steering, metrics } = frame;
   const planner = startPlanner({ agent, platform, clock, metrics });
-  const operatorServer = await openOperatorAddress({
-    address: settings.operatorAddress,
-    key: settings.operatorKey,
-    agent,
-    dump: () => ({ steering: steering.dump(), planner: planner.dump() }),
-  });
-  await agent.ready;
+  await frame.openOperator(() => ({ planner: planner.dump() }));
   const router = createRouter();
   addLookupRoutes(router, { agent, steering, clock, metrics });
-  const callerServer = await listen(router, settings.callerAddress);
-  async function close(): Promise<void> {
-    planner.close();
-    steering.close();
-    agent.close();
-    await Promise.all([operatorServer.close(), peerServer.close()]);
-    await platform.close();
-    metrics.close();
-  }
-
-  return {
-    async stop() {
-      agent.leave();
-      callerServer.startClosing();
-      await new Promise<void>((resolve) => clock.after(LEAVE_MS, resolve));
-      await callerServer.close();
-      await close();
+  await frame.openCallers(router);
+  return frame.makeDaemon({
+    leaveMs: () => LEAVE_MS,
+    async close() {
+      planner.close();
+      await platform.close();
     },
-    async kill() {
-      for (const { server } of [callerServer, peerServer, operatorServer]) {
-        server.closeAllConnections();
-      }
-      await Promise.all([callerServer.close(), close()]);
-    },
-  };
+  });
 }
--- a/src/steering/estimate.ts
+++ b/src/steering/estimate.ts
@@ -150,17 +150,22 @@
 }
 
 function estimateRequests(
-  { document }: EstimateInput,
+  { document, aliveDomains }: EstimateInput,
   reports: readonly Report[],
   region: string,
 ): number {
   const declared = document.expectedRequestsPerS[region] ??
     UNKNOWN_REQUESTS_PER_S;
-  const fresh = reports.some(({ ageMs }) => ageMs <= FRESH_MS);
+  const fresh = new Set(
+    reports.filter(({ ageMs }) => ageMs <= FRESH_MS)
+      .map(({ domain }) => domain),
+  );
+  // What a silent domain's entries carry is not known, so it is not nothing.
+  const isComplete = [...aliveDomains].every((domain) => fresh.has(domain));
   const seen = reports.flatMap(({ load }) => load.arrivals)
     .filter((arrivals) => arrivals.region === region)
     .reduce((sum, { requestsPerS }) => sum + requestsPerS, 0);
-  if (!fresh) return Math.max(seen, declared);
+  if (!isComplete) return Math.max(seen, declared);
   return Math.max(seen, UNKNOWN_REQUESTS_PER_S);
 }
 
--- a/src/steering/lease.ts
+++ b/src/steering/lease.ts
@@ -32,6 +32,19 @@
 /** Content of the lease's row. */
 export type Lease = z.infer<typeof leaseSchema>;
 
+/**
+ * @param row The lease's row, if known.
+ * @returns What it holds, or undefined where it is absent or malformed.
+ */
+export function readLease(row: Row | undefined): Lease | undefined {
+  if (row === undefined || row.version === 0) return undefined;
+  try {
+    return leaseSchema.safeParse(JSON.parse(row.value)).data;
+  } catch {
+    return undefined;
+  }
+}
+
 /** What a candidate knows of the lease. */
 export interface LeaseState {
   selfId: string;
@@ -83,7 +96,7 @@
 ): void {
   if (row.version <= state.rowVersion) return;
   state.rowVersion = row.version;
-  state.lease = leaseSchema.safeParse(JSON.parse(row.value)).data;
+  state.lease = readLease(row);
   state.changedMs = nowMs;
 }
 
