--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -4,11 +4,8 @@
  *
  * @module
  */
-import type { Server } from "node:http";
 import { applyConfigRow, createConfigView } from "../config/view.ts";
-import type { ConfigView } from "../config/view.ts";
 import { forgetOldLoad, type LoadState } from "../measurement/state.ts";
-import type { EntryLoad } from "../measurement/types.ts";
 import {
   listServing,
   noteHeartbeat,
@@ -16,33 +13,25 @@
   observeMembers,
 } from "../membership/logic.ts";
 import { createMembershipState } from "../membership/state.ts";
-import type {
-  DomainView,
-  Member,
-  ObservedMember,
-  Role,
-} from "../membership/types.ts";
-import type { ChangeSet, Platform, Row } from "../platform/types.ts";
+import type { Member, Role } from "../membership/types.ts";
+import type { ChangeSet, Row } from "../platform/types.ts";
 import {
   applyChanges,
   collectChanges,
   createReplicaState,
 } from "../replica/logic.ts";
-import type { Clock, Timer } from "../runtime/clock.ts";
+import type { Timer } from "../runtime/clock.ts";
 import { createLogger } from "../runtime/logger.ts";
 import { LEASE_KEY, readLease } from "../steering/lease.ts";
+import { createDialer } from "./dialer.ts";
 import { type Feed, rankReaders, readSnapshot, startFeed } from "./feed.ts";
 import { createLinkTable } from "./link_table.ts";
 import { createLoadExchange } from "./loads.ts";
-import type { HealthReport, PeerMessage } from "./messages.ts";
-import {
-  acceptLinks,
-  type DialedLink,
-  keepLink,
-  linkTraffic,
-  type PeerLink,
-} from "./peer_link.ts";
+import type { PeerMessage } from "./messages.ts";
+import { acceptLinks, linkTraffic, type PeerLink } from "./peer_link.ts";
+import { createServerNews } from "./server_news.ts";
 import { chooseLinks, listRelays } from "./topology.ts";
+import type { AgentOptions, ControlAgent } from "./types.ts";
 import { createViewExchange } from "./views.ts";
 
 const log = createLogger("control");
@@ -56,59 +45,6 @@
 /** Time in which peers may still show newer rows before serving starts. */
 const LEARN_MS = 1_000;
 
-/** What the agent needs. */
-export interface AgentOptions {
-  self: Member;
-  clock: Clock;
-  key: string;
-  /** Only steers read the platform. */
-  platform: Platform | undefined;
-  /** Listener of the peer address. */
-  peerServer: Server;
-  /** Peer addresses known from the settings. */
-  seeds: readonly string[];
-  /** Gives the address to dial for a peer's address. */
-  translate(address: string): string;
-}
-
-/** The control side of a process. */
-export interface ControlAgent {
-  self: Member;
-  config(): ConfigView;
-  /** @returns The newest known form of a replicated row. */
-  row(key: string): Row | undefined;
-  /** Called with each batch of rows that came into force. */
-  onRows(listener: (rows: Row[]) => void): void;
-  members(): ObservedMember[];
-  serving(role: Role): Member[];
-  /** Newest view of each failure domain. */
-  views(): DomainView[];
-  /** Figures of entries, by entry id. */
-  loads(): LoadState;
-  /** Hands this process's own figures to the steers. */
-  reportLoad(load: EntryLoad): void;
-  /** Shares probes of backend servers within the failure domain. */
-  reportHealth(reports: HealthReport[]): void;
-  /** Called with probes that another process made. */
-  onHealth(listener: (reports: HealthReport[]) => void): void;
-  /** Ids of VMs and backend servers that the platform says are leaving. */
-  leavingVms(): ReadonlySet<string>;
-  /** Tells everybody that this process is about to stop. */
-  leave(): void;
-  /** Whether a newer process with this one's id was seen. */
-  replaced(): boolean;
-  /** Age of the last answer of the table, in ms; Infinity if none. */
-  tableAgeMs(): number;
-  throughVersion(): number;
-  /** Applies rows that this process has just written itself. */
-  applyOwnWrite(changes: ChangeSet): void;
-  allRows(): ChangeSet;
-  /** Resolves once a configuration is in force. */
-  ready: Promise<void>;
-  dump(): unknown;
-  close(): void;
-}
-
 /**
  * Starts the control side of a process.
  *
@@ -122,11 +58,8 @@
   const config = createConfigView();
   const loads: LoadState = new Map();
   const links = createLinkTable(self.failureDomain);
-  const dialed = new Map<string, DialedLink>();
   const listeners: ((rows: Row[]) => void)[] = [];
-  const healthListeners: ((reports: HealthReport[]) => void)[] = [];
   const startedMs = clock.monotonicMs();
-  let leavingVms: ReadonlySet<string> = new Set();
   let highestHeard = 0;
   let ticks = 0;
   let closed = false;
@@ -146,6 +79,8 @@
     },
   };
 
+  const dialer = createDialer({ key, clock, translate, events: linkEvents });
+
   /** The first relay that looks alive passes news on. */
   function isRelay(): boolean {
     const fleet = config.fleet?.document;
@@ -156,6 +91,7 @@
     return first?.id === self.vmId;
   }
 
+  const news = createServerNews({ self, links });
   const views = createViewExchange({ links, membership, clock, isRelay });
   const loadExchange = createLoadExchange({
     self,
@@ -191,10 +127,9 @@
       case "changes":
         return receiveChanges(message.changes);
       case "vms":
-        leavingVms = new Set(message.leaving);
-        return;
+        return news.receiveLeaving(message.leaving);
       case "health":
-        return handleHealth(link, message.reports);
+        return news.receiveHealth(link, message.reports);
     }
   }
 
@@ -236,26 +171,6 @@
     }
   }
 
-  /** Steers pass probes on to the other entries of their failure domain. */
-  function handleHealth(link: PeerLink, reports: HealthReport[]): void {
-    for (const listener of healthListeners) listener(reports);
-    if (self.role !== "steer") return;
-    const message = { kind: "health" as const, reports };
-    links.sendInDomain(message, { role: "entry", except: link });
-  }
-
-  async function readVms(): Promise<void> {
-    if (closed || platform === undefined || !isOwnReader()) return;
-    const list = await platform.vms.list();
-    if (list.isErr() || closed) return;
-    const leaving = list.value.filter(({ state }) => state === "leaving")
-      .map(({ id }) => id);
-    const isSame = leaving.length === leavingVms.size &&
-      leaving.every((id) => leavingVms.has(id));
-    leavingVms = new Set(leaving);
-    if (!isSame) links.sendInDomain({ kind: "vms", leaving });
-  }
-
   function receiveChanges(changes: ChangeSet): void {
     const applied = applyChanges(replica, changes);
     if (applied.outcome === "gap") {
@@ -278,17 +193,7 @@
 
   function dialPeers(): void {
     const fleet = config.fleet?.document;
-    const wanted = new Set(fleet ? chooseLinks(fleet, self) : seeds);
-    for (const [address, link] of dialed) {
-      if (wanted.has(address)) continue;
-      link.close();
-      dialed.delete(address);
-    }
-    for (const address of wanted) {
-      if (dialed.has(address)) continue;
-      const target = translate(address);
-      dialed.set(address, keepLink(target, { key, clock, events: linkEvents }));
-    }
+    dialer.dial(fleet ? chooseLinks(fleet, self) : seeds);
   }
 
   function tick(): void {
@@ -349,7 +254,9 @@
   const timers: Timer[] = [
     clock.every(membership.times.heartbeatPeriodMs, tick),
     clock.after(SNAPSHOT_AFTER_MS, () => void takeSnapshot()),
-    clock.every(VM_LIST_PERIOD_MS, () => void readVms()),
+    clock.every(VM_LIST_PERIOD_MS, () => {
+      if (platform && isOwnReader()) void news.readVms(platform.vms);
+    }),
   ];
 
   return {
@@ -362,13 +269,9 @@
     views: () => [...membership.views.values()].map(({ view }) => view),
     loads: () => loads,
     reportLoad: loadExchange.report,
-    reportHealth(reports) {
-      // One steer is enough: each of them passes it on to every entry.
-      const [first] = links.inDomain({ role: "steer" });
-      first?.[0].send({ kind: "health", reports });
-    },
-    onHealth: (listener) => void healthListeners.push(listener),
-    leavingVms: () => leavingVms,
+    reportHealth: news.reportHealth,
+    onHealth: news.onHealth,
+    leavingVms: news.leaving,
     leave() {
       membership.self = { ...self, state: "leaving" };
       for (const [link] of links.all()) link.send(makeHello());
@@ -405,7 +308,7 @@
       closed = true;
       feed?.close();
       for (const timer of timers) timer.cancel();
-      for (const link of dialed.values()) link.close();
+      dialer.close();
       for (const [link] of links.all()) link.close();
     },
   };
--- a/src/daemon/frame.ts
+++ b/src/daemon/frame.ts
@@ -5,7 +5,8 @@
  * @module
  */
 import type { Polka } from "polka";
-import { type ControlAgent, startAgent } from "../control/agent.ts";
+import { startAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import type { Role } from "../membership/types.ts";
 import { openOperatorAddress } from "../operator/routes.ts";
 import type { Platform } from "../platform/types.ts";
--- a/src/entry/server_watch.ts
+++ b/src/entry/server_watch.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { BackendServer, ServiceDocument } from "../config/schema.ts";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import type { HealthReport } from "../control/messages.ts";
 import { isServerDrained } from "../draining/logic.ts";
 import type { BackendClient } from "../forwarding/backend_client.ts";
--- a/src/forwarding/flow.ts
+++ b/src/forwarding/flow.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { ServiceDocument } from "../config/schema.ts";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import { isDomainDrained } from "../draining/logic.ts";
 import type { Member } from "../membership/types.ts";
 import type { Clock } from "../runtime/clock.ts";
--- a/src/forwarding/flow_test.ts
+++ b/src/forwarding/flow_test.ts
@@ -3,7 +3,7 @@
 import { test } from "uvu";
 import { serviceSchema } from "../config/schema.ts";
 import { createConfigView } from "../config/view.ts";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import type { Member, ObservedMember } from "../membership/types.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createRandom } from "../runtime/random.ts";
--- a/src/forwarding/routes.ts
+++ b/src/forwarding/routes.ts
@@ -7,7 +7,7 @@
 import type { ServerResponse } from "node:http";
 import type { Polka, Request } from "polka";
 import type { RequestClass, ServiceDocument } from "../config/schema.ts";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import type { BlockTable } from "../lookup/blocks.ts";
 import { parseIpv4 } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
--- a/src/lookup/routes.ts
+++ b/src/lookup/routes.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Polka, Request } from "polka";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import { parseIpv4 } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { sendJson, sendProblem } from "../runtime/http_server.ts";
--- a/src/operator/routes.ts
+++ b/src/operator/routes.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import process from "node:process";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import { requireKey } from "../runtime/access.ts";
 import {
   createRouter,
--- a/src/steering/planner.ts
+++ b/src/steering/planner.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import PQueue from "p-queue";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import { SNAPSHOT_NAME } from "../control/feed.ts";
 import { countBlocks } from "../lookup/blocks.ts";
 import type { Platform, RowPut } from "../platform/types.ts";
--- a/src/steering/steering.ts
+++ b/src/steering/steering.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ServiceDocument } from "../config/schema.ts";
-import type { ControlAgent } from "../control/agent.ts";
+import type { ControlAgent } from "../control/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { getShiftCap } from "./decide.ts";
 import { makeDefaultWeights } from "./defaults.ts";
