--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -80,6 +80,9 @@
 
 /** Bytes that what is made holds on to, buffers included. */
 function measureBytes(make: () => unknown): number {
+  // What earlier measurements left behind must be gone before the first look.
+  make();
+  collectGarbage();
   collectGarbage();
   const used = () => {
     const { heapUsed, arrayBuffers } = process.memoryUsage();
--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -26,7 +26,7 @@
 import { createDialer } from "./dialer.ts";
 import { type Feed, rankReaders, readSnapshot, startFeed } from "./feed.ts";
 import { createLinkTable } from "./link_table.ts";
-import { createLoadExchange } from "./loads.ts";
+import { createLoadExchange, type Planner } from "./loads.ts";
 import type { PeerMessage } from "./messages.ts";
 import { acceptLinks, linkTraffic, type PeerLink } from "./peer_link.ts";
 import { createServerNews } from "./server_news.ts";
@@ -99,13 +99,15 @@
     loads,
     clock,
     isRelay,
-    plannerDomain,
+    planner: findPlanner,
   });
 
-  function plannerDomain(): string | undefined {
-    const lease = readLease(replica.rows.get(LEASE_KEY));
-    return config.fleet?.document.entryVms
-      .find((vm) => lease?.holder === `${vm.id}/steer`)?.failureDomain;
+  function findPlanner(): Planner | undefined {
+    const id = readLease(replica.rows.get(LEASE_KEY))?.holder;
+    const vm = config.fleet?.document.entryVms
+      .find((one) => id === `${one.id}/steer`);
+    if (id === undefined || vm === undefined) return undefined;
+    return { id, failureDomain: vm.failureDomain };
   }
 
   function makeHello(): PeerMessage {
--- a/src/control/loads.ts
+++ b/src/control/loads.ts
@@ -17,6 +17,13 @@
 /** Figures leave the failure domain at most this often. */
 const ELSEWHERE_PERIOD_MS = 1_000;
 
+/** The steer that plans. */
+export interface Planner {
+  /** Member id. */
+  id: string;
+  failureDomain: string;
+}
+
 /** What the exchange needs. */
 export interface LoadExchangeOptions {
   self: Member;
@@ -25,8 +32,8 @@
   clock: Clock;
   /** Whether this steer passes others' figures on. */
   isRelay(): boolean;
-  /** Failure domain of the steer that plans, if known. */
-  plannerDomain(): string | undefined;
+  /** The steer that plans, if known. */
+  planner(): Planner | undefined;
 }
 
 /** Sends and receives figures. */
@@ -43,7 +50,7 @@
 export function createLoadExchange(
   options: LoadExchangeOptions,
 ): LoadExchange {
-  const { self, links, loads, clock, isRelay, plannerDomain } = options;
+  const { self, links, loads, clock, isRelay, planner } = options;
   const sentElsewhereMs = new Map<string, number>();
   let sentText = "";
   let sentMs = -Infinity;
@@ -53,9 +60,8 @@
     for (const load of received) noteLoad(loads, load, nowMs);
     const from = links.get(link)?.member;
     if (!from || self.role !== "steer" || !isRelay()) return;
-    const message = { kind: "load" as const, loads: [...received] };
     if (from.failureDomain !== self.failureDomain) {
-      return links.sendInDomain(message, { role: "steer" });
+      return sendToPlanner(received);
     }
     if (from.role !== "entry") return;
     // Entries need to know of each other only who has room.
@@ -63,9 +69,18 @@
     const filter = { role: "entry" as const, except: link };
     links.sendInDomain({ kind: "load", loads: slim }, filter);
     const due = received.filter((load) => isDueElsewhere(load, nowMs));
-    const target = plannerDomain();
+    const target = planner();
     if (due.length === 0 || target === undefined) return;
-    links.sendElsewhere({ kind: "load", loads: due }, target);
+    links.sendElsewhere({ kind: "load", loads: due }, target.failureDomain);
+  }
+
+  /** The last step of figures from another failure domain. */
+  function sendToPlanner(received: readonly EntryLoad[]): void {
+    const target = planner();
+    for (const [link, { member }] of links.inDomain({ role: "steer" })) {
+      if (member?.id !== target?.id) continue;
+      link.send({ kind: "load", loads: [...received] });
+    }
   }
 
   function isDueElsewhere({ entryId }: EntryLoad, nowMs: number): boolean {
--- a/src/load/control_cost.ts
+++ b/src/load/control_cost.ts
@@ -42,12 +42,16 @@
   durationS: number;
   steer: RoleCost;
   entry: RoleCost;
+  /** The daemon that sends most, with bytes a second by kind of message. */
+  busiest: { id: string; sentBytesPerS: Record<string, number> };
   platformReadsPerS: number;
   platformWritesPerS: number;
   configInForceMs: Spread;
 }
 
 interface Sample {
+  id: string;
+  sentByKind: Record<string, number>;
   role: "steer" | "entry";
   atMs: number;
   use: ProcessUse;
@@ -79,6 +83,7 @@
     durationS,
     steer: makeRoleCost("steer", before, after),
     entry: makeRoleCost("entry", before, after),
+    busiest: findBusiest(before, after),
     platformReadsPerS: (callsAfter.reads - callsBefore.reads) / durationS,
     platformWritesPerS: (callsAfter.writes - callsBefore.writes) / durationS,
     configInForceMs: await timeEdits(settings, clock),
@@ -111,12 +116,12 @@
   const { process: use, control } = await response.body.json() as {
     process: ProcessUse;
     control: {
-      self: { role: "steer" | "entry" };
-      linkTraffic: { sentBytes: number; receivedBytes: number };
+      self: { id: string; role: "steer" | "entry" };
+      linkTraffic: Pick<Sample, "sentBytes" | "receivedBytes" | "sentByKind">;
     };
   };
-  const { role } = control.self;
-  return { role, atMs: clock.monotonicMs(), use, ...control.linkTraffic };
+  const { id, role } = control.self;
+  return { id, role, atMs: clock.monotonicMs(), use, ...control.linkTraffic };
 }
 
 function makeRoleCost(
@@ -146,6 +151,24 @@
   };
 }
 
+function findBusiest(
+  before: readonly Sample[],
+  after: readonly Sample[],
+): ControlCost["busiest"] {
+  const rates = before.map((first, index) => {
+    const last = after[index];
+    const seconds = (last.atMs - first.atMs) / 1_000;
+    const byKind = Object.entries(last.sentByKind).map(([kind, bytes]) => [
+      kind,
+      Math.round((bytes - (first.sentByKind[kind] ?? 0)) / seconds),
+    ]);
+    const sent = (last.sentBytes - first.sentBytes) / seconds;
+    return { id: first.id, sent, byKind: Object.fromEntries(byKind) };
+  });
+  const [most] = rates.sort((a, b) => b.sent - a.sent);
+  return { id: most.id, sentBytesPerS: most.byKind };
+}
+
 function spread(values: readonly number[]): Spread {
   const sum = values.reduce((total, value) => total + value, 0);
   return { mean: sum / values.length, highest: Math.max(...values) };
