--- /dev/null
+++ b/src/forwarding/cut_off.ts
@@ -0,0 +1,47 @@
+/**
+ * When an exchange is cut off: at its deadline, or when the caller hangs up. One
+ * that must run at most once is not cut off by either: its late answer is kept.
+ *
+ * @module
+ */
+import type { Clock } from "../runtime/clock.ts";
+import type { ForwardRequest } from "./types.ts";
+
+/** How much longer than its deadline an at-most-once request is waited for. */
+const LATE_ANSWER_MS = 10_000;
+
+/** The end of an exchange. */
+export interface CutOff {
+  /** Aborts when the exchange must end. */
+  signal: AbortSignal;
+  /** Time that the exchange has until the request's deadline, in ms. */
+  remainingMs: number;
+  /** Whether the caller's hanging up ended it. */
+  isHungUp(): boolean;
+  /** To be called when the exchange has ended. */
+  release(): void;
+}
+
+/**
+ * @param request The request of the exchange.
+ * @param clock The clock.
+ * @returns The end of the exchange that starts now.
+ */
+export function createCutOff(request: ForwardRequest, clock: Clock): CutOff {
+  const { idempotent } = request.requestClass;
+  const remainingMs = request.deadlineMs - clock.monotonicMs();
+  const patienceMs = idempotent ? remainingMs : remainingMs + LATE_ANSWER_MS;
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  const timer = clock.after(Math.max(1, patienceMs), abort);
+  if (idempotent) request.signal.addEventListener("abort", abort);
+  return {
+    signal: controller.signal,
+    remainingMs,
+    isHungUp: () => idempotent && request.signal.aborted,
+    release() {
+      timer.cancel();
+      request.signal.removeEventListener("abort", abort);
+    },
+  };
+}
--- a/src/forwarding/flow.ts
+++ b/src/forwarding/flow.ts
@@ -14,11 +14,12 @@
 import { findLink, getDelayMs } from "../steering/estimate.ts";
 import { pickRegion, rankDomains } from "../steering/place.ts";
 import type { Steering } from "../steering/steering.ts";
-import { makeRetryAfter } from "../admission/logic.ts";
+import { createCutOff } from "./cut_off.ts";
 import type { KeyRegistry } from "./key_registry.ts";
 import { getKeyEpoch, type IdempotencyKey } from "./keys.ts";
 import type { LinkLimiter } from "./link_limit.ts";
 import type { LocalRunner } from "./local_runner.ts";
+import { createOutcomeMaker } from "./outcomes.ts";
 import type {
   HandoverMode,
   HandoverResult,
@@ -34,8 +35,8 @@
 const PEER_HAS_ROOM = 0.85;
 /** Age at which a peer's figures say nothing. */
 const PEER_FIGURES_MS = 1_500;
-/** How much longer than its deadline an at-most-once request is waited for. */
-const LATE_ANSWER_MS = 10_000;
+/** Bytes of a request's and an answer's headers, roughly. */
+const HEADER_BYTES = 900;
 
 /** What the flow needs. */
 export interface FlowOptions {
@@ -64,6 +65,7 @@
 export function createFlow(options: FlowOptions): Flow {
   const { agent, steering, runner, peers, links, registry, clock, random } =
     options;
+  const { notRun, unknown } = createOutcomeMaker(random);
   const { self } = agent;
 
   function carry(
@@ -202,7 +204,7 @@
     for (const domain of domains) {
       last = domain === self.failureDomain
         ? await runHere(document, request)
-        : await sendTo(domain, document, request);
+        : await sendTo(domain, request);
       const hasTime = clock.monotonicMs() < request.deadlineMs;
       if (last.kind !== "not_run" || !hasTime) return last;
     }
@@ -246,7 +248,6 @@
 
   async function sendTo(
     domain: string,
-    document: ServiceDocument,
     request: ForwardRequest,
   ): Promise<Outcome> {
     const region = agent.config().regionOf.get(domain) ?? domain;
@@ -263,7 +264,7 @@
       last = toOutcome(result);
       if (result.kind !== "not_sent") break;
     }
-    countLink(region, document, request, last);
+    countLink(region, request, last);
     return last;
   }
 
@@ -283,7 +284,6 @@
 
   function countLink(
     region: string,
-    _document: ServiceDocument,
     request: ForwardRequest,
     outcome: Outcome,
   ): void {
@@ -304,25 +304,14 @@
       return Promise.resolve({ kind: "not_sent", reason });
     }
     const wayMs = getDelayMs(fleet, self.region, member.region);
-    const timeMs = request.deadlineMs - clock.monotonicMs();
-    const patienceMs = request.requestClass.idempotent
-      ? timeMs
-      : timeMs + LATE_ANSWER_MS;
-    const cutOff = new AbortController();
-    const timer = clock.after(Math.max(1, patienceMs), () => cutOff.abort());
-    const onHangUp = () => cutOff.abort();
-    const { idempotent } = request.requestClass;
-    if (idempotent) request.signal.addEventListener("abort", onHangUp);
+    const cutOff = createCutOff(request, clock);
     return peers.handOver({
       address: vm.entry.peer,
       mode,
       request,
-      remainingMs: timeMs - 2 * wayMs,
+      remainingMs: cutOff.remainingMs - 2 * wayMs,
       signal: cutOff.signal,
-    }).finally(() => {
-      timer.cancel();
-      request.signal.removeEventListener("abort", onHangUp);
-    });
+    }).finally(cutOff.release);
   }
 
   function toOutcome(result: HandoverResult): Outcome {
@@ -345,18 +334,5 @@
     });
   }
 
-  function notRun(reason: string, waitMs: number): Outcome {
-    const retryAfterS = makeRetryAfter(waitMs, random());
-    return { kind: "not_run", reason, retryAfterS };
-  }
-
-  function unknown(reason: string): Outcome {
-    const retryAfterS = makeRetryAfter(0, random());
-    return { kind: "unknown", reason, retryAfterS };
-  }
-
   return { carry, runHere };
 }
-
-/** Bytes of a request's and an answer's headers, roughly. */
-const HEADER_BYTES = 900;
--- a/src/forwarding/local_runner.ts
+++ b/src/forwarding/local_runner.ts
@@ -6,7 +6,7 @@
  */
 import type PQueue from "p-queue";
 import { createFairQueue, type FairQueue } from "../admission/fair_queue.ts";
-import { decideAdmission, makeRetryAfter } from "../admission/logic.ts";
+import { decideAdmission } from "../admission/logic.ts";
 import type { ServiceDocument } from "../config/schema.ts";
 import { createMovingMean, type MovingMean } from "../measurement/rate.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -14,6 +14,8 @@
 import type { Random } from "../runtime/random.ts";
 import type { BackendClient } from "./backend_client.ts";
 import type { Candidate, ChoicePolicy } from "./choice.ts";
+import { createCutOff } from "./cut_off.ts";
+import { createOutcomeMaker } from "./outcomes.ts";
 import { createRetryBudget, decideRetry, type RetryBudget } from "./retry.ts";
 import {
   beginRequest,
@@ -33,8 +35,6 @@
 
 /** Weight of the newest service time in the mean. */
 const SERVICE_TIME_WEIGHT = 0.05;
-/** How much longer than its deadline an at-most-once request is waited for. */
-const LATE_ANSWER_MS = 10_000;
 
 /** What the runner needs. */
 export interface RunnerOptions {
@@ -73,6 +73,7 @@
  */
 export function createLocalRunner(options: RunnerOptions): LocalRunner {
   const { clock, random, backends, policy } = options;
+  const { notRun, unknown } = createOutcomeMaker(random);
   const lines = new Map<string, ServiceLine>();
   const budget: RetryBudget = createRetryBudget();
 
@@ -221,30 +222,21 @@
     state: ServerState,
     request: ForwardRequest,
   ): Promise<ExchangeResult> {
-    const { idempotent } = request.requestClass;
     const startMs = clock.monotonicMs();
-    const remainingMs = request.deadlineMs - startMs;
-    const cutOff = new AbortController();
-    const timer = clock.after(
-      Math.max(1, idempotent ? remainingMs : remainingMs + LATE_ANSWER_MS),
-      () => cutOff.abort(),
-    );
-    const onHangUp = () => cutOff.abort();
-    if (idempotent) request.signal.addEventListener("abort", onHangUp);
+    const cutOff = createCutOff(request, clock);
     beginRequest(state);
     const result = await backends.exchange({
       document: own.set.document,
       server: state.server,
       request,
-      remainingMs,
+      remainingMs: cutOff.remainingMs,
       signal: cutOff.signal,
     });
-    timer.cancel();
-    request.signal.removeEventListener("abort", onHangUp);
+    cutOff.release();
     const nowMs = clock.monotonicMs();
     const durationMs = nowMs - startMs;
-    const hungUp = request.signal.aborted && idempotent;
-    const ok = result.kind === "answer" || result.kind === "shed" || hungUp;
+    const ok = result.kind === "answer" || result.kind === "shed" ||
+      cutOff.isHungUp();
     endRequest(state, { ok, durationMs, nowMs });
     if (result.kind === "answer") own.serviceMs.add(durationMs);
     else noteTrouble(state, result);
@@ -262,19 +254,6 @@
     });
   }
 
-  function notRun(reason: string, waitMs: number): Outcome {
-    const retryAfterS = makeRetryAfter(waitMs, random());
-    return { kind: "not_run", reason, retryAfterS };
-  }
-
-  function unknown(reason: string): Outcome {
-    return {
-      kind: "unknown",
-      reason,
-      retryAfterS: makeRetryAfter(0, random()),
-    };
-  }
-
   return {
     line,
     lines: () => [...lines.values()],
