--- a/src/entry/server_watch.ts
+++ b/src/entry/server_watch.ts
@@ -11,10 +11,9 @@
 import { isServerDrained } from "../draining/logic.ts";
 import type { BackendClient } from "../forwarding/backend_client.ts";
 import type { LocalRunner } from "../forwarding/local_runner.ts";
+import { getLimit, getMedianLatency } from "../forwarding/server_judgement.ts";
 import {
   type EntryShare,
-  getLimit,
-  getMedianLatency,
   type LeavingReason,
   noteHealth,
   type ServerState,
--- a/src/forwarding/choice.ts
+++ b/src/forwarding/choice.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { pick, type Random } from "../runtime/random.ts";
-import { judgeLatency, type ServerState } from "./servers.ts";
+import { judgeLatency } from "./server_judgement.ts";
+import { type ServerState } from "./servers.ts";
 
 /** A server with room and what its choice depends on. */
 export interface Candidate {
--- a/src/forwarding/local_runner.ts
+++ b/src/forwarding/local_runner.ts
@@ -18,13 +18,15 @@
 import { createOutcomeMaker } from "./outcomes.ts";
 import { createRetryBudget, decideRetry, type RetryBudget } from "./retry.ts";
 import {
-  beginRequest,
-  createServerSet,
-  endRequest,
   getLimit,
   getMedianLatency,
   getTotalLimit,
   listEligible,
+} from "./server_judgement.ts";
+import {
+  beginRequest,
+  createServerSet,
+  endRequest,
   markLeaving,
   type ServerSet,
   type ServerState,
--- a/src/forwarding/servers_test.ts
+++ b/src/forwarding/servers_test.ts
@@ -3,15 +3,13 @@
 import { test } from "uvu";
 import type { BackendServer, ServiceDocument } from "../config/schema.ts";
 import { serviceSchema } from "../config/schema.ts";
+import { getLimit, getTotalLimit, listEligible } from "./server_judgement.ts";
 import {
   beginRequest,
   createServerSet,
   endRequest,
-  getLimit,
   getSlotShare,
-  getTotalLimit,
   GROWTH_DELAY_MS,
-  listEligible,
   markLeaving,
   noteHealth,
   type ServerSet,
