Stop a process that was replaced; split the steering bench

A paused process that wakes and is told by its peers that its VM has a newer one now stops gracefully in place of only leaving planning. Seen over sockets: a second process of the same VM says hello, the first one is told. Moved: the bench's scenarios, world and strategies into files of their own; the seeded part of the ways to choose into one class.

--- a/bench/mod.ts
+++ b/bench/mod.ts
@@ -6,7 +6,7 @@
 import process from "node:process";
 import { benchRequestPath } from "./request_path.ts";
 import { benchSlopes } from "./slopes.ts";
-import { benchSteering } from "./steering.ts";
+import { benchSteering } from "./steering/mod.ts";
 
 const BENCHES: Record<string, () => void | Promise<void>> = {
   request_path: benchRequestPath,
--- a/src/daemon/frame.ts
+++ b/src/daemon/frame.ts
@@ -18,6 +18,9 @@
 import type { DaemonSettings } from "../runtime/settings.ts";
 import { startSteering, type Steering } from "../steering/steering.ts";
 
+/** Time between two looks whether a newer process took the place. */
+const REPLACED_PERIOD_MS = 500;
+
 /** How a daemon is made. */
 export interface FrameOptions {
   role: Role;
@@ -86,7 +89,14 @@
   });
   const steering = startSteering({ agent, clock });
 
+  let markReplaced: () => void = () => {};
+  const replaced = new Promise<void>((resolve) => markReplaced = resolve);
+  const replacedTimer = clock.every(REPLACED_PERIOD_MS, () => {
+    if (agent.replaced()) markReplaced();
+  });
+
   async function close(ending: Ending): Promise<void> {
+    replacedTimer.cancel();
     await ending.close();
     steering.close();
     agent.close();
@@ -97,6 +107,7 @@
   function makeDaemon(ending: Ending): Daemon {
     const callerServer = servers[servers.length - 1];
     return {
+      replaced,
       async stop() {
         agent.leave();
         for (const server of servers) server.startClosing();
--- a/src/deployment/whole_path_test.ts
+++ b/src/deployment/whole_path_test.ts
@@ -4,7 +4,9 @@
 import { type Caller, createCaller } from "../caller/mod.ts";
 import type { Call, CallResult } from "../caller/types.ts";
 import { getServiceKey } from "../config/rows.ts";
+import { keepLink } from "../control/peer_link.ts";
 import { createSystemClock } from "../runtime/clock.ts";
+import { daemonSettingsSchema } from "../runtime/settings.ts";
 import { PLATFORM } from "./generate.ts";
 import { type RunningDeployment, startDeployment } from "./in_process.ts";
 import { makeSmallDeployment, pickBase, SERVICE, until } from "./fixture.ts";
@@ -154,6 +156,37 @@
   }
 });
 
+/** A newer process of a VM, as far as its steers can tell. */
+function startNewerProcess(deployment: RunningDeployment, vmId: string) {
+  const made = deployment.files.processes
+    .find(({ name }) => name === `entry-${vmId}`)!;
+  const settings = daemonSettingsSchema.parse(made.settings);
+  const { failureDomain, region } = settings;
+  return keepLink(settings.seeds[1], {
+    key: settings.peerKey,
+    clock,
+    events: {
+      onOpen(link) {
+        link.send({
+          kind: "hello",
+          member: {
+            id: `${vmId}/entry`,
+            vmId,
+            role: "entry",
+            failureDomain,
+            region,
+            incarnation: Date.now() + 60_000,
+            state: "serving",
+          },
+          throughVersion: 0,
+        });
+      },
+      onMessage() {},
+      onClose() {},
+    },
+  });
+}
+
 async function edit({ deployment }: Context, answerTtlMs: number) {
   const key = getServiceKey(SERVICE);
   const read = (await deployment.store.read(key))._unsafeUnwrap();
@@ -215,4 +248,11 @@
   deployment.platform.faults.down = false;
 });
 
+test("a process whose VM was replaced learns so from its peers", async ({ deployment }) => {
+  const old = deployment.daemons.get("entry-thies-1-a")!;
+  const newer = startNewerProcess(deployment, "thies-1-a");
+  await old.replaced;
+  newer.close();
+});
+
 test.run();
--- a/src/forwarding/choice.ts
+++ b/src/forwarding/choice.ts
@@ -36,18 +36,22 @@
   ): Candidate;
 }
 
-/** Any, by chance. */
-export class RandomChoice extends ChoicePolicy {
-  override readonly name = "random";
-  readonly #random: Random;
+/** A way to choose in which chance has a part. */
+abstract class ChanceChoice extends ChoicePolicy {
+  protected readonly random: Random;
 
+  /** @param random The random source. */
   constructor(random: Random) {
     super();
-    this.#random = random;
+    this.random = random;
   }
+}
 
+/** Any, by chance. */
+export class RandomChoice extends ChanceChoice {
+  override readonly name = "random";
   override choose(candidates: readonly Candidate[]): Candidate {
-    return pick(this.#random, candidates);
+    return pick(this.random, candidates);
   }
 }
 
@@ -63,33 +67,19 @@
 }
 
 /** The one with the fewest in flight. */
-export class LeastInFlightChoice extends ChoicePolicy {
+export class LeastInFlightChoice extends ChanceChoice {
   override readonly name = "least_in_flight";
-  readonly #random: Random;
-
-  constructor(random: Random) {
-    super();
-    this.#random = random;
-  }
-
   override choose(candidates: readonly Candidate[]): Candidate {
-    return pickLowest(candidates, this.#random, getUse);
+    return pickLowest(candidates, this.random, getUse);
   }
 }
 
 /** The less used of two taken by chance. */
-export class TwoChoices extends ChoicePolicy {
+export class TwoChoices extends ChanceChoice {
   override readonly name = "two_choices";
-  readonly #random: Random;
-
-  constructor(random: Random) {
-    super();
-    this.#random = random;
-  }
-
   override choose(candidates: readonly Candidate[]): Candidate {
-    const first = pick(this.#random, candidates);
-    const second = pick(this.#random, candidates);
+    const first = pick(this.random, candidates);
+    const second = pick(this.random, candidates);
     return getUse(first) <= getUse(second) ? first : second;
   }
 }
@@ -103,20 +93,13 @@
  * The one expected to answer first: observed latency, drawn out by what is in
  * flight, then by the server's own report, discounted by its age.
  */
-export class ExpectedLatencyChoice extends ChoicePolicy {
+export class ExpectedLatencyChoice extends ChanceChoice {
   override readonly name = "expected_latency";
-  readonly #random: Random;
-
-  constructor(random: Random) {
-    super();
-    this.#random = random;
-  }
-
   override choose(
     candidates: readonly Candidate[],
     { medianMs, nowMs }: ChoiceContext,
   ): Candidate {
-    return pickLowest(candidates, this.#random, (candidate) => {
+    return pickLowest(candidates, this.random, (candidate) => {
       const { state } = candidate;
       const latencyMs = judgeLatency(state, medianMs, nowMs);
       const ageMs = nowMs - state.healthAtMs;
--- a/src/runtime/process.ts
+++ b/src/runtime/process.ts
@@ -30,6 +30,8 @@
 
 /** A daemon, started in a process of its own or, in tests, beside others. */
 export interface Daemon extends Stoppable {
+  /** Resolves when a newer process is seen to have taken this one's place. */
+  replaced: Promise<void>;
   /** Stops at once, as a crash would: connections break. */
   kill(): Promise<void>;
 }
@@ -42,10 +44,10 @@
  */
 export async function runDaemon(
   name: string,
-  start: (settingsFile: string) => Promise<Stoppable>,
+  start: (settingsFile: string) => Promise<Stoppable & Partial<Daemon>>,
 ): Promise<void> {
   const settingsFile = readSettingsArgument(name);
-  let daemon: Stoppable;
+  let daemon: Stoppable & Partial<Daemon>;
   try {
     daemon = await start(settingsFile);
   } catch (cause) {
@@ -60,6 +62,10 @@
     await daemon.stop();
     process.exit(EXIT_CODES.ok);
   };
+  void daemon.replaced?.then(() => {
+    log.error("Replaced by a newer process", { step: "process", peer: name });
+    return stop();
+  });
   process.on("SIGTERM", () => void stop());
   process.on("SIGINT", () => void stop());
   process.on("unhandledRejection", (cause) => {
