--- a/src/deployment/callers_address_test.ts
+++ b/src/deployment/callers_address_test.ts
@@ -156,6 +156,22 @@
   });
 }
 
+test("a caller that drips its request is cut off", async ({ entry }) => {
+  const { host, port } = splitAddress(entry);
+  const answer = await new Promise<string>((resolve) => {
+    let received = "";
+    const socket = connect(port, host, () => socket.write("GET /v1/ser"));
+    const drip = clock.every(200, () => socket.write("v"));
+    socket.on("data", (chunk) => received += chunk.toString());
+    socket.on("error", () => {});
+    socket.on("close", () => {
+      drip.cancel();
+      resolve(received);
+    });
+  });
+  assert.match(answer, /^HTTP\/1\.1 408 /);
+});
+
 /** Sends bytes and waits until the other side has closed or gone silent. */
 function sendRaw(address: string, bytes: Uint8Array): Promise<void> {
   const { host, port } = splitAddress(address);
--- a/src/deployment/whole_path_test.ts
+++ b/src/deployment/whole_path_test.ts
@@ -67,6 +67,32 @@
   assert.is(result.kind, "answer", JSON.stringify(result));
 }
 
+test("request, edit, drain and graceful stop, one after the other", async (context) => {
+  const { caller, deployment } = context;
+  assertAnswer(await caller.call(booking));
+  await edit(context, { answerTtlMs: 250 });
+  await until(async () => await readTtl(context, "thies") === 250);
+  const [server] = deployment.backends.get("backends-thies-1")!.servers
+    .values();
+  const drains = [{ scope: "backendServer", name: server.settings.id }];
+  await edit(context, { drains });
+  await until(async () => {
+    const before = server.records.length;
+    for (let count = 0; count < 8; count++) {
+      assertAnswer(await caller.call(lookup));
+    }
+    return server.records.length === before;
+  });
+  const stopping = deployment.daemons.get("entry-thies-1-b")!.stop();
+  let stopped = false;
+  void stopping.then(() => stopped = true);
+  while (!stopped) assertAnswer(await caller.call(booking));
+  assertAnswer(await caller.call(booking));
+  assert.is(caller.brokenCount(), 0);
+  const keys = listRuns(deployment).map(({ key }) => key).filter((key) => key);
+  assert.is(new Set(keys).size, keys.length);
+});
+
 test("a caller has its own whole answer, run once", async (context) => {
   const { caller, deployment } = context;
   const result = await caller.call(booking);
@@ -187,11 +213,14 @@
   });
 }
 
-async function edit({ deployment }: Context, answerTtlMs: number) {
+async function edit(
+  { deployment }: Context,
+  changes: Record<string, unknown>,
+) {
   const key = getServiceKey(SERVICE);
   const read = (await deployment.store.read(key))._unsafeUnwrap();
   const document = JSON.parse(read.stored!.text);
-  const text = JSON.stringify({ ...document, answerTtlMs });
+  const text = JSON.stringify({ ...document, ...changes });
   const put = { key, text, author: "test", editedFrom: read.rowVersion };
   (await deployment.store.put(put))._unsafeUnwrap();
 }
@@ -210,7 +239,7 @@
 test("a domain that lost the platform hears of an edit from its peers", async (context) => {
   const { network } = context.deployment;
   network.setCut("thies-1", PLATFORM, true);
-  await edit(context, 400);
+  await edit(context, { answerTtlMs: 400 });
   await until(async () => await readTtl(context, "thies") === 400);
 });
 
@@ -221,13 +250,13 @@
     "thies",
   ]];
   for (const [from, to] of links) network.setCut(from, to, true);
-  await edit(context, 400);
+  await edit(context, { answerTtlMs: 400 });
   await until(async () => await readTtl(context, "kaolack") === 400);
   assertAnswer(await caller.call(booking));
   assert.is(await readTtl(context, "thies"), 300);
   for (const [from, to] of links) network.setCut(from, to, false);
   await until(async () => await readTtl(context, "thies") === 400);
-  await edit(context, 500);
+  await edit(context, { answerTtlMs: 500 });
   let highest = 0;
   await until(async () => {
     const ttlMs = await readTtl(context, "thies");
@@ -239,7 +268,7 @@
 
 test("a steer restarted while the table is down learns from its peers", async (context) => {
   const { deployment } = context;
-  await edit(context, 400);
+  await edit(context, { answerTtlMs: 400 });
   await until(async () => await readTtl(context, "thies") === 400);
   deployment.platform.faults.down = true;
   await deployment.daemons.get("steer-thies-1-a")!.kill();
--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -14,6 +14,8 @@
 export const MAX_BODY_BYTES = 1_048_576;
 const HEADERS_TIMEOUT_MS = 5_000;
 const REQUEST_TIMEOUT_MS = 15_000;
+/** How often slow connections are looked for. */
+const SLOW_CHECK_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 const MAX_HEADER_BYTES = 16_384;
 
@@ -108,6 +110,7 @@
   const server = createServer({
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionsCheckingInterval: SLOW_CHECK_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true,
