Hold a peer's figures valid until one report of them is missed

Cause: figures that do not change are sent again after 2 s, but an entry without a free slot believed a peer's figures for 1.5 s only, so for a quarter of the time it did not hand over to an idle peer. The two times stood in two files. Change: one constant; validity is one and a half of it, the planner's freshness twice it (4 s as before). The new test fails before, at figures of 2 s, and passes after.

--- a/src/control/loads.ts
+++ b/src/control/loads.ts
@@ -5,15 +5,17 @@
  * @module
  */
 import { quantiseLoad } from "../measurement/quantise.ts";
-import { type LoadState, noteLoad } from "../measurement/state.ts";
+import {
+  LOAD_REFRESH_MS,
+  type LoadState,
+  noteLoad,
+} from "../measurement/state.ts";
 import type { EntryLoad } from "../measurement/types.ts";
 import type { Member } from "../membership/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { LinkTable } from "./link_table.ts";
 import type { PeerLink } from "./peer_link.ts";
 
-/** Figures that did not change are sent again after this time. */
-const REFRESH_MS = 2_000;
 /** Figures leave the failure domain at most this often. */
 const ELSEWHERE_PERIOD_MS = 1_000;
 
@@ -96,7 +98,7 @@
       const load = quantiseLoad(exact);
       noteLoad(loads, load, nowMs);
       const text = JSON.stringify(load);
-      if (text === sentText && nowMs - sentMs < REFRESH_MS) return;
+      if (text === sentText && nowMs - sentMs < LOAD_REFRESH_MS) return;
       sentText = text;
       sentMs = nowMs;
       const message = { kind: "load" as const, loads: [load] };
--- a/src/forwarding/flow.ts
+++ b/src/forwarding/flow.ts
@@ -7,6 +7,7 @@
 import type { ServiceDocument } from "../config/schema.ts";
 import type { ControlAgent } from "../control/types.ts";
 import { isDomainDrained } from "../draining/logic.ts";
+import { LOAD_REFRESH_MS } from "../measurement/state.ts";
 import type { Member } from "../membership/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { hashToHex } from "../runtime/hash.ts";
@@ -33,8 +34,8 @@
 const MAX_DOMAINS = 3;
 /** A peer that uses more than this share of its slots is not handed work. */
 const PEER_HAS_ROOM = 0.85;
-/** Age at which a peer's figures say nothing. */
-const PEER_FIGURES_MS = 1_500;
+/** Age at which a peer's figures say nothing: one report of them was missed. */
+const PEER_FIGURES_MS = LOAD_REFRESH_MS * 1.5;
 /** Bytes of a request's and an answer's headers, roughly. */
 const HEADER_BYTES = 900;
 
--- a/src/forwarding/flow_test.ts
+++ b/src/forwarding/flow_test.ts
@@ -4,6 +4,11 @@
 import { serviceSchema } from "../config/schema.ts";
 import { createConfigView } from "../config/view.ts";
 import type { ControlAgent } from "../control/types.ts";
+import {
+  LOAD_REFRESH_MS,
+  type LoadState,
+  noteLoad,
+} from "../measurement/state.ts";
 import type { Member, ObservedMember } from "../membership/types.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createRandom } from "../runtime/random.ts";
@@ -79,6 +84,8 @@
   row?: Record<string, number>;
   alive?: string[];
   dead?: string[];
+  /** Age of the figures of the other entry of the own domain, in ms. */
+  peerFiguresMs?: number;
 }
 
 function setUp(options: SetUp = {}) {
@@ -105,11 +112,18 @@
     },
   };
   const members = alive.map(makeMember);
+  const { peerFiguresMs } = options;
+  const loads: LoadState = new Map();
+  if (peerFiguresMs !== undefined) {
+    const entryId = "a1-y/entry";
+    const load = { entryId, failureDomain: "a1", utilization: 0, services: [] };
+    noteLoad(loads, load, clock.monotonicMs() - peerFiguresMs);
+  }
   const agent = {
     self: makeMember("a1-x"),
     config: () => config,
     serving: () => members,
-    loads: () => new Map(),
+    loads: () => loads,
     members: (): ObservedMember[] => [
       ...members.map((member) => ({ member, liveness: "alive" as const })),
       ...dead.map((id) => ({
@@ -120,7 +134,7 @@
   } as unknown as ControlAgent;
   let localRuns = 0;
   const runner = {
-    hasRoom: () => true,
+    hasRoom: () => peerFiguresMs === undefined,
     run() {
       localRuns += 1;
       return typeof local === "function" ? local() : Promise.resolve(local);
@@ -232,6 +246,23 @@
   });
 }
 
+const figureAges: [number, boolean][] = [
+  [0, true],
+  [LOAD_REFRESH_MS, true],
+  [10 * LOAD_REFRESH_MS, false],
+];
+
+for (const [peerFiguresMs, isAsked] of figureAges) {
+  const verb = isAsked ? "goes" : "does not go";
+  test(`without a free slot, work ${verb} to a peer last heard ${peerFiguresMs} ms ago`, async () => {
+    const alive = ["a1-x", "a1-y"];
+    const { flow, peers } = setUp({ alive, peerFiguresMs });
+    assert.equal(await flow.carry(document, makeRequest()), answered);
+    const asked = peers.handovers.map(({ address }) => address);
+    assert.equal(asked, isAsked ? ["a1-y"] : []);
+  });
+}
+
 test("a repeated key is not run again, its answer is given again", async () => {
   const { flow, localRuns } = setUp();
   assert.equal(await flow.carry(document, makeBooking("a1-x")), answered);
--- a/src/measurement/state.ts
+++ b/src/measurement/state.ts
@@ -8,6 +8,8 @@
 /** By entry id. */
 export type LoadState = Map<string, ReceivedLoad>;
 
+/** Figures that did not change are sent again after this time. */
+export const LOAD_REFRESH_MS = 2_000;
 /** Figures older than this are dropped altogether. */
 export const FORGET_AFTER_MS = 60_000;
 
--- a/src/steering/estimate.ts
+++ b/src/steering/estimate.ts
@@ -11,12 +11,12 @@
   ServiceDocument,
 } from "../config/schema.ts";
 import { isDomainDrained, isServerDrained } from "../draining/logic.ts";
-import type { LoadState } from "../measurement/state.ts";
+import { LOAD_REFRESH_MS, type LoadState } from "../measurement/state.ts";
 import type { ServiceLoad } from "../measurement/types.ts";
 import type { AssignInput, CallerDemand, Place, RegionOf } from "./types.ts";
 
 /** Figures younger than this count in full. */
-const FRESH_MS = 4_000;
+const FRESH_MS = 2 * LOAD_REFRESH_MS;
 /** Reserve added for each second of age beyond that. */
 const RESERVE_PER_S = 0.02;
 const MAX_AGE_RESERVE = 0.3;
