Share one pause and one map of regions

The wait on a clock was written out in seven places and the map from failure domains to regions in four, one of them built anew for every backend server.

--- a/bench/steering/mod.ts
+++ b/bench/steering/mod.ts
@@ -9,6 +9,7 @@
  *
  * @module
  */
+import { mapRegions } from "../../src/config/regions.ts";
 import type {
   FleetDocument,
   ServiceDocument,
@@ -117,11 +118,7 @@
     seed: 1,
   });
   const fleet = files.documents[0].document as FleetDocument;
-  const regionOf = new Map(
-    fleet.regions.flatMap((region) =>
-      region.failureDomains.map((domain) => [domain, region.name] as const)
-    ),
-  );
+  const regionOf = mapRegions(fleet);
   return deployment.services.map((service, index) => {
     const document = files.documents[index + 1].document as ServiceDocument;
     const slots = service.backendServers * service.slots;
--- a/src/config/check.ts
+++ b/src/config/check.ts
@@ -13,6 +13,7 @@
   locateProblem,
   parseDocument,
 } from "./jsonc.ts";
+import { mapRegions } from "./regions.ts";
 import {
   type FleetDocument,
   fleetSchema,
@@ -168,11 +169,7 @@
   fleet: FleetDocument | undefined,
 ): number {
   const drained = new Set(document.drains.map(({ name }) => name));
-  const regionOf = new Map(
-    fleet?.regions.flatMap(({ name, failureDomains }) =>
-      failureDomains.map((domain) => [domain, name] as const)
-    ),
-  );
+  const regionOf = mapRegions(fleet ?? { regions: [] });
   return document.backendServers
     .filter(({ id, failureDomain }) =>
       !drained.has(id) && !drained.has(failureDomain) &&
--- a/src/config/store.ts
+++ b/src/config/store.ts
@@ -6,7 +6,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { TableService } from "../platform/types.ts";
-import type { Clock } from "../runtime/clock.ts";
+import { type Clock, pause } from "../runtime/clock.ts";
 import { StepError } from "../runtime/errors.ts";
 import { createId } from "../runtime/ids.ts";
 import {
@@ -117,9 +117,7 @@
           theirs: document,
         }));
       }
-      await new Promise<void>((resolve) =>
-        clock.after(READ_BACK_PAUSE_MS, resolve)
-      );
+      await pause(clock, READ_BACK_PAUSE_MS);
     }
     return err(
       new StepError(
--- a/src/config/view.ts
+++ b/src/config/view.ts
@@ -8,6 +8,7 @@
 import { createLogger } from "../runtime/logger.ts";
 import { checkFleet, checkService } from "./check.ts";
 import { formatProblem } from "./jsonc.ts";
+import { mapRegions } from "./regions.ts";
 import { FLEET_KEY, parseServiceKey, parseStoredDocument } from "./rows.ts";
 import type { DomainName, FleetDocument, ServiceDocument } from "./schema.ts";
 
@@ -63,11 +64,7 @@
   const { document } = checked.value;
   const { number } = stored;
   view.fleet = { document, number, rowVersion: row.version };
-  view.regionOf = new Map(
-    document.regions.flatMap(({ name, failureDomains }) =>
-      failureDomains.map((domain) => [domain, name] as const)
-    ),
-  );
+  view.regionOf = mapRegions(document);
   return true;
 }
 
--- a/src/daemon/frame.ts
+++ b/src/daemon/frame.ts
@@ -11,7 +11,7 @@
 import { openOperatorAddress } from "../operator/routes.ts";
 import type { Platform } from "../platform/types.ts";
 import { splitAddress } from "../runtime/address.ts";
-import type { Clock } from "../runtime/clock.ts";
+import { type Clock, pause } from "../runtime/clock.ts";
 import { type HttpServer, listen } from "../runtime/http_server.ts";
 import { createMetrics, type Metrics } from "../runtime/metrics.ts";
 import type { Daemon } from "../runtime/process.ts";
@@ -112,7 +112,7 @@
         agent.leave();
         for (const server of servers) server.startClosing();
         const leaveMs = ending.leaveMs();
-        await new Promise<void>((resolve) => clock.after(leaveMs, resolve));
+        await pause(clock, leaveMs);
         await callerServer.close();
         await close(ending);
       },
--- a/src/deployment/fixture.ts
+++ b/src/deployment/fixture.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import process from "node:process";
-import { createSystemClock } from "../runtime/clock.ts";
+import { createSystemClock, pause } from "../runtime/clock.ts";
 import { type Deployment, deploymentSchema } from "./types.ts";
 
 const clock = createSystemClock();
@@ -77,7 +77,7 @@
 ): Promise<void> {
   for (let tries = 0; tries < 400; tries++) {
     if (await isDone()) return;
-    await new Promise<void>((resolve) => clock.after(50, resolve));
+    await pause(clock, 50);
   }
   throw new Error("The state was not reached");
 }
--- a/src/deployment/generate.ts
+++ b/src/deployment/generate.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { mapRegions } from "../config/regions.ts";
 import type { FleetDocument, ServiceDocument } from "../config/schema.ts";
 import type { RelayRoute } from "../standin/network.ts";
 import type {
@@ -130,10 +131,7 @@
 function makeFleet({ deployment, vms }: Plan): FleetDocument {
   const { regions } = deployment;
   return {
-    regions: regions.map(({ name, failureDomains }) => ({
-      name,
-      failureDomains: failureDomains.map((domain) => domain.name),
-    })),
+    regions: listRegions(deployment),
     entryVms: vms.map((vm) => ({
       id: vm.id,
       failureDomain: vm.failureDomain,
@@ -157,10 +155,15 @@
   };
 }
 
+function listRegions({ regions }: Deployment): FleetDocument["regions"] {
+  return regions.map(({ name, failureDomains }) => ({
+    name,
+    failureDomains: failureDomains.map((domain) => domain.name),
+  }));
+}
+
 function listDomains(deployment: Deployment): string[] {
-  return deployment.regions.flatMap(({ failureDomains }) =>
-    failureDomains.map((domain) => domain.name)
-  );
+  return listRegions(deployment).flatMap((region) => region.failureDomains);
 }
 
 function makeServiceDocument(
@@ -260,7 +263,7 @@
   { deployment, options }: Plan,
   services: ServiceDocument[],
 ): DeploymentProcess[] {
-  const regionOf = mapRegions(deployment);
+  const regionOf = mapRegions({ regions: listRegions(deployment) });
   return listDomains(deployment).map((domain, index) => ({
     name: `backends-${domain}`,
     binary: "standin",
@@ -321,16 +324,9 @@
   }));
 }
 
-function mapRegions({ regions }: Deployment): Map<string, string> {
-  return new Map(
-    regions.flatMap(({ name, failureDomains }) =>
-      failureDomains.map((domain) => [domain.name, name] as const)
-    ),
-  );
-}
-
 function makeLoad(plan: Plan, services: ServiceDocument[]): LoadSettings {
   const { deployment, options, vms } = plan;
+  const regionOf = mapRegions({ regions: listRegions(deployment) });
   return {
     deployment: deployment.name,
     platformUrl: `http://${platformAddress(options)}`,
@@ -369,7 +365,7 @@
       services.flatMap(({ backendServers }) =>
         backendServers.map(({ id, failureDomain }) => [
           id,
-          mapRegions(deployment).get(failureDomain)!,
+          regionOf.get(failureDomain)!,
         ])
       ),
     ),
--- a/src/load/control_cost.ts
+++ b/src/load/control_cost.ts
@@ -12,7 +12,7 @@
 import type { ProcessUse } from "../operator/routes.ts";
 import { createPlatformClient } from "../platform/http_client.ts";
 import { KEY_HEADER } from "../runtime/access.ts";
-import type { Clock } from "../runtime/clock.ts";
+import { type Clock, pause } from "../runtime/clock.ts";
 import type { PlatformCounts } from "../standin/platform.ts";
 import { startConfigWatch } from "./evidence.ts";
 
@@ -90,10 +90,6 @@
   };
 }
 
-function pause(clock: Clock, durationMs: number): Promise<void> {
-  return new Promise((resolve) => clock.after(durationMs, resolve));
-}
-
 async function readCounts(settings: LoadSettings): Promise<PlatformCounts> {
   const response = await request(`${settings.platformUrl}/admin/counts`);
   return await response.body.json() as PlatformCounts;
--- a/src/load/evidence.ts
+++ b/src/load/evidence.ts
@@ -6,7 +6,7 @@
 import { request } from "undici";
 import type { StatusAnswer } from "../operator/routes.ts";
 import { KEY_HEADER } from "../runtime/access.ts";
-import type { Clock } from "../runtime/clock.ts";
+import { type Clock, pause } from "../runtime/clock.ts";
 import { StepError } from "../runtime/errors.ts";
 import type { BackendReport } from "../standin/backends.ts";
 import type { LinkSecond } from "../standin/network.ts";
@@ -141,7 +141,7 @@
         const elapsedMs = clock.monotonicMs() - startMs;
         if (waiting.length === 0) return elapsedMs;
         if (elapsedMs > WAIT_LIMIT_MS) return Infinity;
-        await new Promise<void>((resolve) => clock.after(POLL_MS, resolve));
+        await pause(clock, POLL_MS);
       }
       return 0;
     },
@@ -150,9 +150,7 @@
       while (clock.monotonicMs() < endMs) {
         const states = await Promise.all(operators.map(seesAll));
         if (!states.includes(false)) return;
-        await new Promise<void>((resolve) =>
-          clock.after(CALM_POLL_MS, resolve)
-        );
+        await pause(clock, CALM_POLL_MS);
       }
       throw new StepError("Not every daemon came up", {
         step: "load.start",
--- a/src/load/path_cost.ts
+++ b/src/load/path_cost.ts
@@ -13,7 +13,7 @@
 import type { LoadSettings } from "../deployment/types.ts";
 import { HEADERS } from "../forwarding/types.ts";
 import type { LookupAnswer } from "../lookup/types.ts";
-import type { Clock } from "../runtime/clock.ts";
+import { type Clock, pause } from "../runtime/clock.ts";
 import { createId } from "../runtime/ids.ts";
 import { createRandom, drawExponential, pick } from "../runtime/random.ts";
 import { collectBackends, startConfigWatch } from "./evidence.ts";
@@ -70,7 +70,7 @@
   for (let nextMs = clock.monotonicMs(); nextMs < endMs;) {
     const waitMs = nextMs - clock.monotonicMs();
     if (waitMs > 0) {
-      await new Promise<void>((resolve) => clock.after(waitMs, resolve));
+      await pause(clock, waitMs);
       continue;
     }
     const isDirect = random() < 0.5;
--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -52,6 +52,15 @@
   };
 }
 
+/**
+ * @param clock The clock.
+ * @param durationMs Milliseconds to wait.
+ * @returns Resolves when the time is over.
+ */
+export function pause(clock: Clock, durationMs: number): Promise<void> {
+  return new Promise((resolve) => void clock.after(durationMs, resolve));
+}
+
 /** A clock that stands still until it is told to advance. */
 export interface FakeClock extends Clock {
   /**
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -8,7 +8,7 @@
 import type { Polka, Request } from "polka";
 import type { Result } from "neverthrow";
 import type { Transaction, VmState } from "../platform/types.ts";
-import type { Clock } from "../runtime/clock.ts";
+import { type Clock, pause } from "../runtime/clock.ts";
 import type { StepError } from "../runtime/errors.ts";
 import {
   createRouter,
@@ -84,9 +84,7 @@
   ): Promise<void> {
     if (request.path.startsWith("/admin/")) return next();
     if (faults.delayMs > 0) {
-      await new Promise<void>((resolve) =>
-        clock.after(faults.delayMs, resolve)
-      );
+      await pause(clock, faults.delayMs);
     }
     if (!faults.down) return next();
     sendProblem(response, {
