--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -9,7 +9,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import type { FleetDocument, ServiceDocument } from "../src/config/schema.ts";
-import { createLinkCodec } from "../src/control/peer_link.ts";
+import { createControlCodec } from "../src/control/links.ts";
 import type { PeerMessage } from "../src/control/messages.ts";
 import { createKeyRegistry } from "../src/forwarding/key_registry.ts";
 import { parseKey } from "../src/forwarding/keys.ts";
@@ -274,14 +274,14 @@
 function measureMessages(): Row[] {
   const wire = (make: (size: number) => PeerMessage, sizes: number[]) =>
     sizes.map((size) => {
-      const codec = createLinkCodec();
+      const codec = createControlCodec();
       codec.encode(make(size));
       return { size, value: codec.encode(make(size)).length };
     });
   const cpu = (make: (size: number) => PeerMessage, sizes: number[]) =>
     sizes.map((size) => {
-      const sender = createLinkCodec();
-      const receiver = createLinkCodec();
+      const sender = createControlCodec();
+      const receiver = createControlCodec();
       const message = make(size);
       const value = timeUs(500, () => {
         receiver.decode(Buffer.from(sender.encode(message)));
--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -27,8 +27,9 @@
 import { type Feed, rankReaders, readSnapshot, startFeed } from "./feed.ts";
 import { createLinkTable } from "./link_table.ts";
 import { createLoadExchange, type Planner } from "./loads.ts";
-import type { PeerMessage } from "./messages.ts";
-import { acceptLinks, linkTraffic, type PeerLink } from "./peer_link.ts";
+import { type PeerMessage, peerMessageSchema } from "./messages.ts";
+import { acceptLinks, linkTraffic } from "../runtime/peer_link.ts";
+import type { PeerLink } from "./links.ts";
 import { createServerNews } from "./server_news.ts";
 import { chooseLinks, listRelays } from "./topology.ts";
 import type { AgentOptions, ControlAgent } from "./types.ts";
@@ -82,7 +83,13 @@
     },
   };
 
-  const dialer = createDialer({ key, clock, translate, events: linkEvents });
+  const dialer = createDialer({
+    key,
+    clock,
+    translate,
+    schema: peerMessageSchema,
+    events: linkEvents,
+  });
 
   /** The first relay that looks alive passes news on. */
   function isRelay(): boolean {
@@ -260,7 +267,11 @@
     throughVersion: () => replica.throughVersion,
     onChanges: receiveChanges,
   });
-  acceptLinks(peerServer, key, linkEvents);
+  acceptLinks(peerServer, {
+    key,
+    schema: peerMessageSchema,
+    events: linkEvents,
+  });
   dialPeers();
   const timers: Timer[] = [
     clock.every(membership.times.heartbeatPeriodMs, tick),
--- a/src/control/dialer.ts
+++ b/src/control/dialer.ts
@@ -3,10 +3,15 @@
  *
  * @module
  */
-import { type DialedLink, type DialOptions, keepLink } from "./peer_link.ts";
+import {
+  type DialedLink,
+  type DialOptions,
+  keepLink,
+} from "../runtime/peer_link.ts";
+import type { PeerMessage } from "./messages.ts";
 
 /** What the dialer needs. */
-export interface DialerOptions extends DialOptions {
+export interface DialerOptions extends DialOptions<PeerMessage> {
   /** Gives the address to dial for a peer's address. */
   translate(address: string): string;
 }
--- a/src/control/link_table.ts
+++ b/src/control/link_table.ts
@@ -5,7 +5,7 @@
  */
 import type { Member, Role } from "../membership/types.ts";
 import type { PeerMessage } from "./messages.ts";
-import type { PeerLink } from "./peer_link.ts";
+import type { PeerLink } from "./links.ts";
 
 /** What is known of a link. */
 export interface LinkState {
--- a/src/control/loads.ts
+++ b/src/control/loads.ts
@@ -14,7 +14,7 @@
 import type { Member } from "../membership/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { LinkTable } from "./link_table.ts";
-import type { PeerLink } from "./peer_link.ts";
+import type { PeerLink } from "./links.ts";
 
 /** Figures leave the failure domain at most this often. */
 const ELSEWHERE_PERIOD_MS = 1_000;
--- a/src/control/messages_test.ts
+++ b/src/control/messages_test.ts
@@ -3,7 +3,7 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import type { PeerMessage } from "./messages.ts";
-import { createLinkCodec } from "./peer_link.ts";
+import { createControlCodec } from "./links.ts";
 
 const SEED = 20261202;
 
@@ -21,12 +21,12 @@
   throughVersion: 7,
 };
 
-const decodeMessage = (frame: Uint8Array) => createLinkCodec().decode(frame);
-const pack = (value: unknown) => createLinkCodec().encode(value as PeerMessage);
+const decodeMessage = (frame: Uint8Array) => createControlCodec().decode(frame);
+const pack = (value: unknown) => createControlCodec().encode(value as PeerMessage);
 
 test("messages survive the wire, and names of fields travel once", () => {
-  const sender = createLinkCodec();
-  const receiver = createLinkCodec();
+  const sender = createControlCodec();
+  const receiver = createControlCodec();
   const frames = [hello, hello, hello].map((message) =>
     Buffer.from(sender.encode(message))
   );
--- a/src/control/server_news.ts
+++ b/src/control/server_news.ts
@@ -8,7 +8,7 @@
 import type { VmList } from "../platform/types.ts";
 import type { LinkTable } from "./link_table.ts";
 import type { HealthReport } from "./messages.ts";
-import type { PeerLink } from "./peer_link.ts";
+import type { PeerLink } from "./links.ts";
 
 /** What the exchange needs. */
 export interface ServerNewsOptions {
--- a/src/control/views.ts
+++ b/src/control/views.ts
@@ -10,7 +10,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { LinkState, LinkTable } from "./link_table.ts";
 import type { WireView } from "./messages.ts";
-import type { PeerLink } from "./peer_link.ts";
+import type { PeerLink } from "./links.ts";
 
 /** What the exchange needs. */
 export interface ViewExchangeOptions {
--- a/src/deployment/whole_path_test.ts
+++ b/src/deployment/whole_path_test.ts
@@ -4,7 +4,8 @@
 import { type Caller, createCaller } from "../caller/mod.ts";
 import type { Call, CallResult } from "../caller/types.ts";
 import { getServiceKey } from "../config/rows.ts";
-import { keepLink } from "../control/peer_link.ts";
+import { peerMessageSchema } from "../control/messages.ts";
+import { keepLink } from "../runtime/peer_link.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { daemonSettingsSchema } from "../runtime/settings.ts";
 import { PLATFORM } from "./generate.ts";
@@ -191,6 +192,7 @@
   return keepLink(settings.seeds[1], {
     key: settings.peerKey,
     clock,
+    schema: peerMessageSchema,
     events: {
       onOpen(link) {
         link.send({
--- /dev/null
+++ b/src/members/mesh.ts
@@ -0,0 +1,223 @@
+/**
+ * Links between VMs: who is up, and facts passed on.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+import type { NewsBoard } from "../news/board.ts";
+import { type NewsItem, TOPICS } from "../news/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { describeError } from "../runtime/errors.ts";
+import {
+  acceptLinks,
+  type DialedLink,
+  keepLink,
+  type PeerLink,
+} from "../runtime/peer_link.ts";
+import type { Log } from "../telemetry/log.ts";
+import { type VmMessage, vmMessageSchema } from "./messages.ts";
+import { type MemberTable, SILENCE_LIMIT_MS } from "./table.ts";
+import type { VmIdentity, VmRegister, VmReport } from "./types.ts";
+
+type VmLink = PeerLink<VmMessage>;
+
+/** What a mesh needs. */
+export interface MeshParts {
+  self: VmIdentity;
+  table: MemberTable;
+  board: NewsBoard;
+  register: VmRegister;
+  clock: Clock;
+  log: Log;
+  /** Server that accepts links of other VMs. */
+  server: Server;
+  /** Peer addresses to begin with; some may be down. */
+  seeds: readonly string[];
+  /** What this VM tells of itself. */
+  makeReport: () => VmReport;
+}
+
+/** The links of this VM. */
+export interface Mesh {
+  /** Passes facts on to every VM that is linked. */
+  passOn(items: NewsItem[]): void;
+  /** Tells every VM how this one is, now. */
+  reportNow(): void;
+  stop(): void;
+}
+
+const REPORT_MS = 400;
+/** How often the register is asked for VMs while this one starts. */
+const STARTING_LIST_MS = 2_000;
+/** After that time VMs learn of new ones from each other. */
+const STARTING_MS = 10_000;
+const SETTLED_LIST_MS = 30_000;
+const REGISTER_RETRY_MS = 1_000;
+
+interface LinkState {
+  /** The VM at the other end, once it said so. */
+  id: string | undefined;
+  heardAtMs: number;
+}
+
+/**
+ * @param parts What the mesh needs.
+ * @returns The running mesh.
+ */
+export function startMesh(parts: MeshParts): Mesh {
+  const { self, table, board, register, clock, log } = parts;
+  const links = new Map<VmLink, LinkState>();
+  const dialed = new Map<string, DialedLink>();
+  const startedAtMs = clock.monotonicMs();
+  let stopped = false;
+
+  const options = {
+    schema: vmMessageSchema,
+    clock,
+    events: { onOpen, onMessage, onClose },
+  };
+
+  function onOpen(link: VmLink): void {
+    links.set(link, { id: undefined, heardAtMs: clock.monotonicMs() });
+    link.send({ kind: "hello", identity: self });
+    link.send({ kind: "members", members: listIdentities() });
+    link.send({ kind: "news", items: board.listAll() });
+    link.send({ kind: "report", ...parts.makeReport() });
+  }
+
+  function onClose(link: VmLink): void {
+    const state = links.get(link);
+    links.delete(link);
+    if (state?.id === undefined) return;
+    const isLinked = [...links.values()].some(({ id }) => id === state.id);
+    if (isLinked) return;
+    table.noteSilent(state.id);
+    log.info({ vm: state.id, peer: link.peer }, "VM lost");
+  }
+
+  function onMessage(link: VmLink, message: VmMessage): void {
+    const state = links.get(link);
+    if (state === undefined) return;
+    state.heardAtMs = clock.monotonicMs();
+    if (message.kind === "hello") receiveHello(state, message.identity);
+    if (message.kind === "members") receiveMembers(message.members);
+    if (message.kind === "news") board.apply(message.items);
+    if (message.kind === "report") receiveReport(state, message);
+  }
+
+  function receiveHello(state: LinkState, identity: VmIdentity): void {
+    const before = table.get(identity.id)?.identity.incarnation;
+    state.id = identity.id;
+    table.noteHello(identity);
+    if (before !== identity.incarnation) {
+      const { id, region, frontAddress } = identity;
+      log.info({ vm: id, region, frontAddress }, "VM found");
+    }
+    dialMissing();
+  }
+
+  function receiveMembers(members: readonly VmIdentity[]): void {
+    const found = members.filter((identity) => table.noteHeardOf(identity));
+    if (found.length > 0) dialMissing();
+  }
+
+  function receiveReport(state: LinkState, report: VmReport): void {
+    if (state.id === undefined) return;
+    table.noteReport(state.id, report);
+    for (const topic of TOPICS) {
+      const ageMs = report.factAgesMs[topic];
+      if (ageMs !== undefined) board.noteCurrent(topic, ageMs);
+    }
+  }
+
+  function send(message: VmMessage): void {
+    const reached = new Set<string>();
+    for (const [link, { id }] of links) {
+      if (id === undefined || reached.has(id)) continue;
+      reached.add(id);
+      link.send(message);
+    }
+  }
+
+  function listIdentities(): VmIdentity[] {
+    return [self, ...table.listAlive().map((member) => member.identity)];
+  }
+
+  /** Of two VMs the one with the lower address dials; seeds are dialed too. */
+  function dialMissing(): void {
+    if (stopped) return;
+    const wanted = new Set(
+      table.listKnown()
+        .map((member) => member.identity.peerAddress)
+        .filter((address) => self.peerAddress < address),
+    );
+    const isAlone = table.listAlive().length === 0;
+    if (isAlone) parts.seeds.forEach((seed) => wanted.add(seed));
+    wanted.delete(self.peerAddress);
+    for (const address of wanted) {
+      if (dialed.has(address)) continue;
+      dialed.set(address, keepLink(address, options));
+    }
+    if (isAlone) return;
+    for (const [address, link] of dialed) {
+      if (wanted.has(address)) continue;
+      link.close();
+      dialed.delete(address);
+    }
+  }
+
+  function reportNow(): void {
+    send({ kind: "report", ...parts.makeReport() });
+  }
+
+  function closeSilentLinks(): void {
+    const limitMs = clock.monotonicMs() - SILENCE_LIMIT_MS;
+    for (const [link, state] of links) {
+      if (state.heardAtMs < limitMs) link.close();
+    }
+  }
+
+  async function registerSelf(): Promise<void> {
+    try {
+      await register.register(self);
+    } catch (cause) {
+      log.warn({ error: describeError(cause) }, "registering failed");
+      clock.after(REGISTER_RETRY_MS, () => void registerSelf());
+    }
+  }
+
+  async function findMembers(): Promise<void> {
+    if (stopped) return;
+    try {
+      receiveMembers(await register.list());
+    } catch (cause) {
+      log.warn({ error: describeError(cause) }, "listing VMs failed");
+    }
+    const isStarting = clock.monotonicMs() - startedAtMs < STARTING_MS;
+    clock.after(
+      isStarting ? STARTING_LIST_MS : SETTLED_LIST_MS,
+      () => void findMembers(),
+    );
+  }
+
+  acceptLinks(parts.server, options);
+  const timer = clock.every(REPORT_MS, () => {
+    closeSilentLinks();
+    table.prune();
+    dialMissing();
+    reportNow();
+  });
+  void registerSelf().then(findMembers);
+  dialMissing();
+
+  return {
+    passOn: (items) => send({ kind: "news", items }),
+    reportNow,
+    stop() {
+      stopped = true;
+      timer.cancel();
+      for (const link of dialed.values()) link.close();
+      for (const link of links.keys()) link.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/members/messages.ts
@@ -0,0 +1,48 @@
+/**
+ * Messages between VMs, and their check on arrival.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { newsItemSchema } from "../news/schema.ts";
+
+const MAX_MEMBERS = 4_096;
+const MAX_ITEMS = 10_000;
+
+const identitySchema = z.object({
+  id: z.string().max(128),
+  incarnation: z.string().max(64),
+  region: z.string().max(64),
+  failureDomain: z.string().max(64),
+  frontAddress: z.string().max(64),
+  peerAddress: z.string().max(64),
+});
+
+/** Checks messages between VMs. */
+export const vmMessageSchema = z.discriminatedUnion("kind", [
+  /** First message of both sides. */
+  z.object({ kind: z.literal("hello"), identity: identitySchema }),
+  /** How the sender is; sent again and again. */
+  z.object({
+    kind: z.literal("report"),
+    state: z.enum(["starting", "serving", "leaving"]),
+    demandPerS: z.record(z.string().max(200), z.number().nonnegative()),
+    factAgesMs: z.object({
+      operations: z.number().nonnegative().optional(),
+      servers: z.number().nonnegative().optional(),
+    }),
+  }),
+  /** Other VMs that the sender knows. */
+  z.object({
+    kind: z.literal("members"),
+    members: z.array(identitySchema).max(MAX_MEMBERS),
+  }),
+  /** Facts that the receiver may not know. */
+  z.object({
+    kind: z.literal("news"),
+    items: z.array(newsItemSchema).max(MAX_ITEMS),
+  }),
+]);
+
+/** A message between VMs. */
+export type VmMessage = z.infer<typeof vmMessageSchema>;
--- /dev/null
+++ b/src/members/types.ts
@@ -0,0 +1,44 @@
+/**
+ * The VMs of the system and what they tell each other of themselves.
+ *
+ * @module
+ */
+
+import type { Topic } from "../news/types.ts";
+
+/** How a VM is reached and where it stands; fixed for one start. */
+export interface VmIdentity {
+  /** Its name, the same after a restart. */
+  id: string;
+  /** Tells one start of the process from the next. */
+  incarnation: string;
+  region: string;
+  failureDomain: string;
+  /** Where clients connect. */
+  frontAddress: string;
+  /** Where other VMs connect. */
+  peerAddress: string;
+}
+
+/** Whether a VM serves clients. */
+export type VmState = "starting" | "serving" | "leaving";
+
+/** What a VM tells of itself again and again. */
+export interface VmReport {
+  state: VmState;
+  /** Requests a second that its clients make, by service. */
+  demandPerS: Record<string, number>;
+  /**
+   * How long ago it read a topic from the source itself; absent where it did
+   * not. Facts that another VM passed on to it may not have reached the rest.
+   */
+  factAgesMs: Partial<Record<Topic, number>>;
+}
+
+/** Where VMs register so that others find them. Calls throw StepError. */
+export abstract class VmRegister {
+  /** @param identity The VM to register; replaces its earlier entry. */
+  abstract register(identity: VmIdentity): Promise<void>;
+  /** @returns All VMs that ever registered, those that are gone included. */
+  abstract list(): Promise<VmIdentity[]>;
+}
--- /dev/null
+++ b/src/news/reader.ts
@@ -0,0 +1,139 @@
+/**
+ * Reads topics from their source while this VM has the duty to, and for
+ * itself whenever nobody passes current facts on.
+ *
+ * @module
+ */
+import { type Clock, pause } from "../runtime/clock.ts";
+import { describeError } from "../runtime/errors.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { NewsBoard } from "./board.ts";
+import type { FactSource, NewsItem, Topic } from "./types.ts";
+
+/** Times of a reader. */
+export interface ReaderTimes {
+  /**
+   * How long the source holds a call back when nothing changed. Facts count
+   * as current as of the last answer, so it is also their age on a calm day.
+   */
+  waitMs: number;
+  /** Pause between two answers, so that changes come in batches. */
+  batchMs: number;
+  /** Facts older than this are read by every VM for itself. */
+  staleMs: number;
+  /** First pause after a failed call; doubles up to `maxRetryMs`. */
+  retryMs: number;
+  maxRetryMs: number;
+}
+
+/**
+ * 1,000 ms and 1,500 ms leave half of the shortest time in which a change has
+ * to be in force (2 s) for a VM whose readers were lost at the worst moment.
+ */
+export const DEFAULT_READER_TIMES: ReaderTimes = {
+  waitMs: 1_000,
+  batchMs: 60,
+  staleMs: 1_500,
+  retryMs: 100,
+  maxRetryMs: 800,
+};
+
+/** How often a VM that does not read checks whether it has to. */
+const IDLE_CHECK_MS = 100;
+/** A call that found nothing is this much late before it counts as lost. */
+export const SOURCE_SLACK_MS = 700;
+
+/** What a reader needs. */
+export interface ReaderParts {
+  source: FactSource;
+  board: NewsBoard;
+  clock: Clock;
+  log: Log;
+  times: ReaderTimes;
+  /** Whether this VM reads for others. */
+  hasDuty: () => boolean;
+  /** Told of facts that were new, to pass them on. */
+  onNews: (items: NewsItem[]) => void;
+}
+
+/** A running reader. */
+export interface Reader {
+  /** @returns How long ago it read the topic itself; undefined before that. */
+  getAgeMs(): number | undefined;
+  stop(): void;
+}
+
+/**
+ * @param topic The topic to read.
+ * @param parts What the reader needs.
+ * @returns The running reader.
+ */
+export function startReader(topic: Topic, parts: ReaderParts): Reader {
+  const { source, board, clock, log, times } = parts;
+  let stopped = false;
+  let position: number | undefined;
+  let failures = 0;
+  let readAtMs: number | undefined;
+
+  async function readOnce(): Promise<void> {
+    if (position === undefined) {
+      const batch = await source.list(topic);
+      position = batch.version;
+      publish(board.applyWhole(topic, batch));
+      return;
+    }
+    const result = await source.follow(topic, position, times.waitMs);
+    if (result.kind === "history_lost") {
+      log.info({ topic, position }, "history lost, listing anew");
+      position = undefined;
+      return;
+    }
+    position = result.batch.version;
+    publish(board.apply(result.batch.items));
+  }
+
+  function publish(items: NewsItem[]): void {
+    readAtMs = clock.monotonicMs();
+    board.noteCurrent(topic, 0);
+    if (items.length > 0) parts.onNews(items);
+  }
+
+  function noteSuccess(): void {
+    if (failures > 0) {
+      log.info({ topic, failures }, "platform reachable again");
+    }
+    failures = 0;
+  }
+
+  async function noteFailure(cause: unknown): Promise<void> {
+    failures++;
+    if (failures === 1) {
+      log.warn({ topic, error: describeError(cause) }, "platform lost");
+    }
+    const factor = 2 ** Math.min(failures - 1, 10);
+    await pause(clock, Math.min(times.retryMs * factor, times.maxRetryMs));
+  }
+
+  async function run(): Promise<void> {
+    while (!stopped) {
+      if (!parts.hasDuty() && board.getAgeMs(topic) < times.staleMs) {
+        await pause(clock, IDLE_CHECK_MS);
+        continue;
+      }
+      try {
+        await readOnce();
+        noteSuccess();
+        await pause(clock, times.batchMs);
+      } catch (cause) {
+        await noteFailure(cause);
+      }
+    }
+  }
+
+  void run();
+  return {
+    getAgeMs: () =>
+      readAtMs === undefined ? undefined : clock.monotonicMs() - readAtMs,
+    stop: () => void (stopped = true),
+  };
+}
--- /dev/null
+++ b/src/news/schema.ts
@@ -0,0 +1,69 @@
+/**
+ * Checks of facts: of those that other VMs pass on, and of those that the
+ * platform's formats are decoded into.
+ *
+ * @module
+ */
+import { z } from "zod";
+
+const MAX_NAME = 200;
+const name = z.string().min(1).max(MAX_NAME);
+
+const routeSchema = z.object({
+  name: z.string().max(MAX_NAME),
+  host: name,
+  prefix: z.string().regex(/^\/(.*\/)?$/, "begins and ends with a slash"),
+  kind: z.enum(["idempotent", "non_idempotent"]),
+  timeoutMs: z.number().positive(),
+  targetLatencyMs: z.number().positive(),
+  priority: z.number().int().nonnegative(),
+  shares: z.array(z.object({ service: name, weight: z.number().nonnegative() }))
+    .min(1),
+  maxAttempts: z.number().int().positive(),
+  isSticky: z.boolean(),
+  homeRegions: z.array(name),
+});
+
+/** Checks a configuration. */
+export const configurationSchema = z.object({
+  version: z.number().int().nonnegative(),
+  routes: z.array(routeSchema),
+  services: z.array(z.object({
+    name,
+    maxConnections: z.number().int().positive(),
+    coldDurationMs: z.number().nonnegative(),
+    coldRequestsPerS: z.number().nonnegative(),
+  })),
+  limits: z.object({
+    maxHeaderBytes: z.number().int().positive(),
+    maxBodyBytes: z.number().int().nonnegative(),
+    headerTimeoutMs: z.number().positive(),
+    idleTimeoutMs: z.number().positive(),
+  }),
+});
+
+/** Checks a listed backend server. */
+export const listedServerSchema = z.object({
+  id: name,
+  service: name,
+  address: name,
+  failureDomain: name,
+  slots: z.number().int().positive(),
+  state: z.enum(["ready", "draining"]),
+  coldLeftMs: z.number().nonnegative(),
+});
+
+/** Checks one fact. */
+export const newsItemSchema = z.object({
+  topic: z.enum(["operations", "servers"]),
+  key: z.string().max(2 * MAX_NAME),
+  version: z.number().nonnegative(),
+  fact: z.discriminatedUnion("kind", [
+    z.object({
+      kind: z.literal("configuration"),
+      configuration: configurationSchema,
+    }),
+    z.object({ kind: z.literal("evacuation"), failureDomain: name }),
+    z.object({ kind: z.literal("server"), server: listedServerSchema }),
+  ]).optional(),
+});
--- /dev/null
+++ b/src/placement/shares.ts
@@ -0,0 +1,158 @@
+/**
+ * In which region requests run: a share of each region's objects, by hash.
+ *
+ * Load pattern: a third of the callers are near a sixth of the slots. Sending
+ * what finds its region full elsewhere scatters objects over servers that
+ * don't know them; moving always the same objects keeps them warm where they
+ * run.
+ *
+ * @module
+ */
+
+/** What a region can do and has to do for one service. */
+export interface RegionFigures {
+  region: string;
+  /** Slots of its usable, warm servers. */
+  slots: number;
+  /** Requests a second from its callers; any unit, the same for all. */
+  demand: number;
+}
+
+/** Where the objects of one region's callers run. */
+export interface RegionShare {
+  region: string;
+  /** Part of the objects, all parts adding up to 1. */
+  share: number;
+}
+
+/**
+ * A region keeps objects until it is this much busier than the average. A
+ * round trip between regions (24 to 70 ms) is worth a little waiting.
+ */
+export const LOCAL_BONUS = 1.15;
+
+/**
+ * Works out where the callers of one region are served.
+ *
+ * @param from The callers' region.
+ * @param figures All regions that may serve them.
+ * @returns Shares by region, the callers' own first; empty where no region
+ *   has slots.
+ */
+export function computeShares(
+  from: string,
+  figures: readonly RegionFigures[],
+): RegionShare[] {
+  const totalSlots = sum(figures.map((region) => region.slots));
+  const totalDemand = sum(figures.map((region) => region.demand));
+  if (totalSlots <= 0) return [];
+  const use = totalDemand / totalSlots;
+
+  function getKept({ slots, demand }: RegionFigures): number {
+    if (demand <= 0 || use <= 0) return slots > 0 ? 1 : 0;
+    return Math.min(1, LOCAL_BONUS * use * slots / demand);
+  }
+
+  const own = figures.find((region) => region.region === from);
+  const kept = own === undefined ? 0 : getKept(own);
+  const spare = figures
+    .filter((region) => region.region !== from)
+    .map((region) => ({
+      region: region.region,
+      slots: Math.max(
+        0,
+        region.slots - (use > 0 ? getKept(region) * region.demand / use : 0),
+      ),
+    }));
+  const totalSpare = sum(spare.map((region) => region.slots));
+  if (totalSpare <= 0) return shareBySlots(from, kept, figures);
+  const away = spare.map(({ region, slots }) => ({
+    region,
+    share: (1 - kept) * slots / totalSpare,
+  }));
+  return [{ region: from, share: kept }, ...away];
+}
+
+function shareBySlots(
+  from: string,
+  kept: number,
+  figures: readonly RegionFigures[],
+): RegionShare[] {
+  const others = figures.filter((region) => region.region !== from);
+  const slots = sum(others.map((region) => region.slots));
+  if (slots <= 0) return [{ region: from, share: 1 }];
+  return [
+    { region: from, share: kept },
+    ...others.map((region) => ({
+      region: region.region,
+      share: (1 - kept) * region.slots / slots,
+    })),
+  ];
+}
+
+/**
+ * Moves shares towards their target, by no more than a step.
+ *
+ * @param current Shares in force.
+ * @param target Shares wanted.
+ * @param maxStep Largest part of the requests that may change region.
+ * @returns The shares to use next.
+ */
+export function stepShares(
+  current: readonly RegionShare[],
+  target: readonly RegionShare[],
+  maxStep: number,
+): RegionShare[] {
+  const distance = computeDistance(current, target);
+  if (distance <= maxStep) return [...target];
+  const part = maxStep / distance;
+  const regions = new Set(
+    [...target, ...current].map((share) => share.region),
+  );
+  return [...regions].map((region) => {
+    const before = getShare(current, region);
+    const after = getShare(target, region);
+    return { region, share: before + (after - before) * part };
+  });
+}
+
+/**
+ * @param a Shares.
+ * @param b Other shares.
+ * @returns Part of the requests that run in another region by `b` than by `a`.
+ */
+export function computeDistance(
+  a: readonly RegionShare[],
+  b: readonly RegionShare[],
+): number {
+  const regions = new Set([...a, ...b].map((share) => share.region));
+  const gains = [...regions].map((region) =>
+    Math.max(0, getShare(b, region) - getShare(a, region))
+  );
+  return sum(gains);
+}
+
+/**
+ * @param shares Shares by region, the callers' own first.
+ * @param position The object's place in [0, 1).
+ * @returns The region where the object runs.
+ */
+export function pickRegion(
+  shares: readonly RegionShare[],
+  position: number,
+): string | undefined {
+  let end = 0;
+  for (const { region, share } of shares) {
+    end += share;
+    if (position < end) return region;
+  }
+  return shares.findLast(({ share }) => share > 0)?.region;
+}
+
+function getShare(shares: readonly RegionShare[], region: string): number {
+  return shares.find((share) => share.region === region)?.share ?? 0;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/src/runtime/address.ts
+++ b/src/runtime/address.ts
@@ -31,6 +31,14 @@
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
 }
 
+/**
+ * @param address A parsed address.
+ * @returns `host:port`.
+ */
+export function formatAddress({ host, port }: HostPort): string {
+  return `${host}:${port}`;
+}
+
 /**
  * @param text An IPv4 number such as `127.1.2.3`.
  * @returns It as an unsigned 32-bit number, or undefined where malformed.
--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -248,3 +248,13 @@
   const value = request.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
+
+/**
+ * @param request The incoming request.
+ * @param name A query parameter.
+ * @returns Its first value, if any.
+ */
+export function getQuery(request: Request, name: string): string | undefined {
+  const value = request.query?.[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- a/src/control/peer_link.ts
+++ b/src/runtime/peer_link.ts
@@ -8,11 +8,11 @@
 import type { Duplex } from "node:stream";
 import { Packr, Unpackr } from "msgpackr";
 import { type RawData, WebSocket, WebSocketServer } from "ws";
-import { hasKey, KEY_HEADER } from "../runtime/access.ts";
-import type { Clock, Timer } from "../runtime/clock.ts";
-import { describeError } from "../runtime/errors.ts";
-import { createLogger } from "../runtime/logger.ts";
-import { type PeerMessage, peerMessageSchema } from "./messages.ts";
+import type { z } from "zod";
+import { hasKey, KEY_HEADER } from "./access.ts";
+import type { Clock, Timer } from "./clock.ts";
+import { describeError } from "./errors.ts";
+import { createLogger } from "./logger.ts";
 
 /** Path of the upgrade request. */
 export const PEER_PATH = "/v1/peer";
@@ -23,20 +23,39 @@
 
 const log = createLogger("control");
 
+/** A message of any set of messages; `kind` tells them apart. */
+export interface LinkMessage {
+  kind: string;
+}
+
+/** Checks a received message and tells its type. */
+export type MessageSchema<M extends LinkMessage> = z.ZodType<M>;
+
 /** One side of a link. */
-export interface PeerLink {
+export interface PeerLink<M extends LinkMessage> {
   /** Address of the other side, for logs. */
   peer: string;
   /** Sends a message; dropped where the link is closed or congested. */
-  send(message: PeerMessage): void;
+  send(message: M): void;
   close(): void;
 }
 
 /** What happens on links. */
-export interface LinkEvents {
-  onOpen(link: PeerLink): void;
-  onMessage(link: PeerLink, message: PeerMessage): void;
-  onClose(link: PeerLink): void;
+export interface LinkEvents<M extends LinkMessage> {
+  onOpen(link: PeerLink<M>): void;
+  onMessage(link: PeerLink<M>, message: M): void;
+  onClose(link: PeerLink<M>): void;
+}
+
+/** What both sides of a link need. */
+export interface LinkOptions<M extends LinkMessage> {
+  /**
+   * The key that links must carry; absent where only this system's processes
+   * can reach the address.
+   */
+  key?: string;
+  schema: MessageSchema<M>;
+  events: LinkEvents<M>;
 }
 
 /** Bytes that passed over this process's links. */
@@ -44,7 +63,7 @@
   sentBytes: number;
   receivedBytes: number;
   /** Bytes sent, by kind of message. */
-  sentByKind: Partial<Record<PeerMessage["kind"], number>>;
+  sentByKind: Partial<Record<string, number>>;
 }
 
 /** Totals since the process started. */
@@ -54,33 +73,36 @@
   sentByKind: {},
 };
 
-function countSent(kind: PeerMessage["kind"], bytes: number): void {
+function countSent(kind: string, bytes: number): void {
   linkTraffic.sentBytes += bytes;
   const { sentByKind } = linkTraffic;
   sentByKind[kind] = (sentByKind[kind] ?? 0) + bytes;
 }
 
 /** Turns messages of one link into frames and back. */
-export interface LinkCodec {
-  encode(message: PeerMessage): Uint8Array;
+export interface LinkCodec<M extends LinkMessage> {
+  encode(message: M): Uint8Array;
   /** @returns The message, or undefined where the frame is malformed. */
-  decode(frame: Uint8Array): PeerMessage | undefined;
+  decode(frame: Uint8Array): M | undefined;
 }
 
 /**
  * Names of fields travel once on a link and are referred to after that, so a
  * codec belongs to one link and frames must arrive in order.
  *
+ * @param schema Checks received messages.
  * @returns A codec for a new link.
  */
-export function createLinkCodec(): LinkCodec {
+export function createLinkCodec<M extends LinkMessage>(
+  schema: MessageSchema<M>,
+): LinkCodec<M> {
   const packr = new Packr({ sequential: true });
   const unpackr = new Unpackr({ sequential: true });
   return {
     encode: (message) => packr.pack(message),
     decode(frame) {
       try {
-        const checked = peerMessageSchema.safeParse(unpackr.unpack(frame));
+        const checked = schema.safeParse(unpackr.unpack(frame));
         return checked.success ? checked.data : undefined;
       } catch {
         return undefined;
@@ -89,13 +111,13 @@
   };
 }
 
-function wrapSocket(
+function wrapSocket<M extends LinkMessage>(
   socket: WebSocket,
   peer: string,
-  events: LinkEvents,
-): PeerLink {
-  const codec = createLinkCodec();
-  const link: PeerLink = {
+  { schema, events }: LinkOptions<M>,
+): PeerLink<M> {
+  const codec = createLinkCodec(schema);
+  const link: PeerLink<M> = {
     peer,
     send(message) {
       if (socket.readyState !== WebSocket.OPEN) return;
@@ -125,27 +147,27 @@
  * Accepts links on a listening server.
  *
  * @param server The peer address's server.
- * @param key The key that links must carry.
- * @param events What happens on links.
+ * @param options Key, messages and what happens on links.
  */
-export function acceptLinks(
+export function acceptLinks<M extends LinkMessage>(
   server: Server,
-  key: string,
-  events: LinkEvents,
+  options: LinkOptions<M>,
 ): void {
+  const { key } = options;
   const sockets = new WebSocketServer({
     noServer: true,
     maxPayload: MAX_FRAME_BYTES,
   });
   server.on("upgrade", (request: IncomingMessage, raw: Duplex, head) => {
-    if (request.url !== PEER_PATH || !hasKey(request, key)) {
+    const isAllowed = key === undefined || hasKey(request, key);
+    if (request.url !== PEER_PATH || !isAllowed) {
       raw.end("HTTP/1.1 401 Unauthorized\r\ncontent-length: 0\r\n\r\n");
       return;
     }
     sockets.handleUpgrade(request, raw, head, (socket) => {
       const { remoteAddress, remotePort } = request.socket;
-      events.onOpen(
-        wrapSocket(socket, `${remoteAddress}:${remotePort}`, events),
+      options.events.onOpen(
+        wrapSocket(socket, `${remoteAddress}:${remotePort}`, options),
       );
     });
   });
@@ -157,10 +179,8 @@
 }
 
 /** How to dial. */
-export interface DialOptions {
-  key: string;
+export interface DialOptions<M extends LinkMessage> extends LinkOptions<M> {
   clock: Clock;
-  events: LinkEvents;
 }
 
 /**
@@ -170,25 +190,31 @@
  * @param options Key, clock and what happens on the link.
  * @returns A handle to stop it.
  */
-export function keepLink(address: string, options: DialOptions): DialedLink {
-  const { key, clock, events } = options;
+export function keepLink<M extends LinkMessage>(
+  address: string,
+  options: DialOptions<M>,
+): DialedLink {
+  const { key, clock, schema, events } = options;
   let closed = false;
   let socket: WebSocket | undefined;
   let retry: Timer | undefined;
 
   function dial() {
     const dialed = new WebSocket(`ws://${address}${PEER_PATH}`, {
-      headers: { [KEY_HEADER]: key },
+      headers: key === undefined ? {} : { [KEY_HEADER]: key },
       handshakeTimeout: 1_000,
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
     });
     socket = dialed;
     const link = wrapSocket(dialed, address, {
-      ...events,
-      onClose(closedLink) {
-        events.onClose(closedLink);
-        if (!closed) retry = clock.after(RECONNECT_MS, dial);
+      schema,
+      events: {
+        ...events,
+        onClose(closedLink) {
+          events.onClose(closedLink);
+          if (!closed) retry = clock.after(RECONNECT_MS, dial);
+        },
       },
     });
     dialed.on("open", () => events.onOpen(link));
--- /dev/null
+++ b/src/servers/registry.ts
@@ -0,0 +1,214 @@
+/**
+ * The backend servers of every service, with what this VM has seen of each.
+ *
+ * @module
+ */
+import type { NewsItem } from "../news/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Log } from "../telemetry/log.ts";
+import { createServerHealth, type ServerHealth } from "./health.ts";
+import { createServerLoad, type ServerLoad } from "./load.ts";
+import type { ListedServer } from "./types.ts";
+
+/** A backend server and this VM's view of it. */
+export interface KnownServer {
+  listed: ListedServer;
+  region: string;
+  load: ServerLoad;
+  health: ServerHealth;
+  /** Cold until then on the monotonic clock; 0 where it is warm. */
+  coldUntilMs: number;
+  /** Set once it answered that another server has its address. */
+  isReplaced: boolean;
+  /** Since when it is missing from the list; undefined while it is listed. */
+  missingSinceMs: number | undefined;
+}
+
+/** All backend servers that this VM knows. */
+export interface ServerRegistry {
+  /** Takes a changed fact in. */
+  apply(item: NewsItem): void;
+  /**
+   * @param service A service.
+   * @returns Its servers that may be sent requests, cold ones included.
+   */
+  listUsable(service: string): readonly KnownServer[];
+  /** @returns Every server that is listed. */
+  listAll(): KnownServer[];
+  /**
+   * @param id A server's id.
+   * @returns Whether it may still be sent requests.
+   */
+  isUsable(id: string): boolean;
+  /** Notes that a server's address belongs to another one now. */
+  markReplaced(id: string): void;
+  /** Notes that a server said how long it stays cold. */
+  noteCold(id: string, coldLeftMs: number): void;
+  /** Changes whenever `listUsable` would list other servers. */
+  getRevision(): number;
+  /** @returns Failure domains that are to get no requests. */
+  listEvacuated(): string[];
+}
+
+/** What a registry needs. */
+export interface RegistryParts {
+  clock: Clock;
+  log: Log;
+  /** Region of each failure domain. */
+  regions: ReadonlyMap<string, string>;
+  /** How long a server of a service stays cold after a start. */
+  getColdDurationMs: (service: string) => number;
+}
+
+/**
+ * Servers of a failure domain that is taken back may be cold, which the
+ * register tells up to a heartbeat (1.5 s) later.
+ */
+const REGISTER_LAG_MS = 1_600;
+
+/**
+ * @param parts What the registry needs.
+ * @returns A registry with no servers.
+ */
+export function createServerRegistry(parts: RegistryParts): ServerRegistry {
+  const { clock, log, regions } = parts;
+  const servers = new Map<string, KnownServer>();
+  const evacuated = new Set<string>();
+  const usableByService = new Map<string, KnownServer[]>();
+  let revision = 0;
+
+  function touch(): void {
+    revision++;
+    usableByService.clear();
+  }
+
+  function isUsableServer(server: KnownServer): boolean {
+    return server.listed.state === "ready" && !server.isReplaced &&
+      server.missingSinceMs === undefined &&
+      !evacuated.has(server.listed.failureDomain);
+  }
+
+  function listUsable(service: string): readonly KnownServer[] {
+    const cached = usableByService.get(service);
+    if (cached !== undefined) return cached;
+    const usable = [...servers.values()].filter((server) =>
+      server.listed.service === service && isUsableServer(server)
+    );
+    usableByService.set(service, usable);
+    return usable;
+  }
+
+  function add(listed: ListedServer): void {
+    const region = regions.get(listed.failureDomain);
+    if (region === undefined) {
+      log.warn(
+        { server: listed.id, failureDomain: listed.failureDomain },
+        "server in an unknown failure domain, left out",
+      );
+      return;
+    }
+    servers.set(listed.id, {
+      listed,
+      region,
+      load: createServerLoad(listed.slots, clock),
+      health: createServerHealth(clock),
+      coldUntilMs: toColdUntil(listed.coldLeftMs),
+      isReplaced: false,
+      missingSinceMs: undefined,
+    });
+    log.info(describe(listed), "server listed");
+  }
+
+  function toColdUntil(coldLeftMs: number): number {
+    return coldLeftMs > 0 ? clock.monotonicMs() + coldLeftMs : 0;
+  }
+
+  function update(server: KnownServer, listed: ListedServer): void {
+    const wasUsable = isUsableServer(server);
+    if (listed.state !== server.listed.state) {
+      log.info(describe(listed), "server changed state");
+    }
+    server.listed = listed;
+    server.missingSinceMs = undefined;
+    if (listed.coldLeftMs > 0) {
+      server.coldUntilMs = toColdUntil(listed.coldLeftMs);
+    }
+    if (wasUsable !== isUsableServer(server)) touch();
+  }
+
+  function applyServer(item: NewsItem, id: string): void {
+    const known = servers.get(id);
+    if (item.fact?.kind === "server") {
+      if (known === undefined) {
+        add(item.fact.server);
+        touch();
+      } else update(known, item.fact.server);
+      return;
+    }
+    if (known === undefined) return;
+    servers.delete(id);
+    known.missingSinceMs = clock.monotonicMs();
+    log.info({ server: id, service: known.listed.service }, "server gone");
+    touch();
+  }
+
+  function applyEvacuation(item: NewsItem, failureDomain: string): void {
+    const isAsked = item.fact !== undefined;
+    if (isAsked === evacuated.has(failureDomain)) return;
+    if (isAsked) evacuated.add(failureDomain);
+    else {
+      evacuated.delete(failureDomain);
+      presumeCold(failureDomain);
+    }
+    log.info({ failureDomain, isAsked, version: item.version }, "evacuation");
+    touch();
+  }
+
+  /** Keeps a domain that is taken back from a rush that cold servers fail at. */
+  function presumeCold(failureDomain: string): void {
+    for (const server of servers.values()) {
+      if (server.listed.failureDomain !== failureDomain) continue;
+      const coldMs = parts.getColdDurationMs(server.listed.service);
+      server.coldUntilMs = clock.monotonicMs() + coldMs + REGISTER_LAG_MS;
+    }
+  }
+
+  function apply(item: NewsItem): void {
+    const [topic, name] = splitKey(item.key);
+    if (topic === "server") applyServer(item, name);
+    if (topic === "evacuation") applyEvacuation(item, name);
+  }
+
+  return {
+    apply,
+    listUsable,
+    listAll: () => [...servers.values()],
+    isUsable(id) {
+      const server = servers.get(id);
+      return server !== undefined && isUsableServer(server);
+    },
+    markReplaced(id) {
+      const server = servers.get(id);
+      if (server === undefined || server.isReplaced) return;
+      server.isReplaced = true;
+      log.warn({ server: id }, "address belongs to another server now");
+      touch();
+    },
+    noteCold(id, coldLeftMs) {
+      const server = servers.get(id);
+      if (server !== undefined) server.coldUntilMs = toColdUntil(coldLeftMs);
+    },
+    getRevision: () => revision,
+    listEvacuated: () => [...evacuated],
+  };
+}
+
+function splitKey(key: string): [string, string] {
+  const at = key.indexOf("/");
+  return at < 0 ? [key, ""] : [key.slice(0, at), key.slice(at + 1)];
+}
+
+function describe(listed: ListedServer): Record<string, unknown> {
+  const { id, service, failureDomain, state, coldLeftMs } = listed;
+  return { server: id, service, failureDomain, state, coldLeftMs };
+}
--- /dev/null
+++ b/src/serving/exchange.ts
@@ -0,0 +1,233 @@
+/**
+ * One attempt: a request to one backend server over a kept connection.
+ *
+ * Only a whole, signed answer to this very request counts as one. undici
+ * closes a connection on which bytes arrive that no request waits for.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import { type Dispatcher, Pool } from "undici";
+import { classifyTransportError, describeError } from "../runtime/errors.ts";
+import type { ListedServer } from "../servers/types.ts";
+import type {
+  AnswerMark,
+  CallerRequest,
+  ExchangeResult,
+  LossReason,
+  WireCodec,
+} from "./types.ts";
+
+/** How long a connection may take; a round trip between regions takes 70 ms. */
+const CONNECT_TIMEOUT_MS = 400;
+/**
+ * Idle time after which a connection is closed where its server doesn't name
+ * one. A request that meets the server's own close is lost.
+ */
+const IDLE_CONNECTION_MS = 4_000;
+/** Longest idle time taken over from a server. */
+const MAX_IDLE_CONNECTION_MS = 60_000;
+/** A connection is given up this long before its server would close it. */
+const IDLE_MARGIN_MS = 1_000;
+/** Largest answer that is passed on; whole answers are kept in memory. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
+/** Headers that concern one connection only (RFC 9110, 7.6.1). */
+const CONNECTION_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+/** A running attempt. */
+export interface Attempt {
+  /** How it ends; never rejects. */
+  result: Promise<ExchangeResult>;
+  /** Breaks it off; the server sees its connection close. */
+  abort(reason: LossReason): void;
+}
+
+/** Sends requests to backend servers. */
+export interface Exchange {
+  /**
+   * @param server The server.
+   * @param request The request.
+   * @param remainingMs Time that the server has.
+   * @returns The running attempt.
+   */
+  send(
+    server: ListedServer,
+    request: CallerRequest,
+    remainingMs: number,
+  ): Attempt;
+  /** Closes connections to servers that are not listed any more. */
+  forget(serverId: string): void;
+  /** @returns Open connections, for metrics. */
+  countConnections(): number;
+  close(): Promise<void>;
+}
+
+/**
+ * @param codec Header names of the deployment.
+ * @param getConnectionLimit Connections that this VM may open to a server.
+ * @returns An exchange without connections.
+ */
+export function createExchange(
+  codec: WireCodec,
+  getConnectionLimit: (server: ListedServer) => number,
+): Exchange {
+  const pools = new Map<string, Pool>();
+
+  function getPool(server: ListedServer): Pool {
+    const known = pools.get(server.id);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${server.address}`, {
+      connections: getConnectionLimit(server),
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      keepAliveMaxTimeout: MAX_IDLE_CONNECTION_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxResponseSize: MAX_ANSWER_BYTES,
+    });
+    pools.set(server.id, pool);
+    return pool;
+  }
+
+  return {
+    send(server, request, remainingMs) {
+      const headers = codec.encodeRequest(copyEndToEnd(request.headers), {
+        serverId: server.id,
+        remainingMs: Math.max(1, Math.floor(remainingMs)),
+      });
+      return startAttempt(getPool(server), request, headers, codec);
+    },
+    forget(serverId) {
+      const pool = pools.get(serverId);
+      if (pool === undefined) return;
+      pools.delete(serverId);
+      // Requests in flight are finished first.
+      pool.close().catch(() => pool.destroy());
+    },
+    countConnections() {
+      let count = 0;
+      for (const pool of pools.values()) count += pool.stats.connected;
+      return count;
+    },
+    async close() {
+      const open = [...pools.values()];
+      pools.clear();
+      await Promise.all(open.map((pool) => pool.destroy()));
+    },
+  };
+}
+
+function startAttempt(
+  pool: Pool,
+  request: CallerRequest,
+  headers: Record<string, string | string[]>,
+  codec: WireCodec,
+): Attempt {
+  let controller: Dispatcher.DispatchController | undefined;
+  let abortReason: LossReason | undefined;
+  const result = new Promise<ExchangeResult>((resolve) => {
+    const chunks: Buffer[] = [];
+    let status = 0;
+    let answerHeaders: IncomingHttpHeaders = {};
+    pool.dispatch({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers,
+      body: request.body.length > 0 ? request.body : undefined,
+    }, {
+      onRequestStart(started) {
+        controller = started;
+        if (abortReason !== undefined) started.abort(new Error(abortReason));
+      },
+      onResponseStart(_controller, statusCode, received) {
+        status = statusCode;
+        answerHeaders = received;
+      },
+      onResponseData: (_controller, chunk) => void chunks.push(chunk),
+      onResponseEnd() {
+        const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        const mark = codec.decodeAnswer(status, answerHeaders);
+        const headers = copyEndToEnd(answerHeaders);
+        resolve(judgeAnswer(mark, { status, headers, body }, request));
+      },
+      onResponseError(_controller, error) {
+        resolve(judgeError(error, abortReason));
+      },
+    });
+  });
+  return {
+    result,
+    abort(reason) {
+      abortReason ??= reason;
+      controller?.abort(new Error(reason));
+    },
+  };
+}
+
+function judgeAnswer(
+  mark: AnswerMark,
+  answer: { status: number; headers: IncomingHttpHeaders; body: Buffer },
+  request: CallerRequest,
+): ExchangeResult {
+  const { requestId } = request.terms;
+  const { load } = mark;
+  if (mark.requestId !== requestId) {
+    const detail = `answer to request ${mark.requestId ?? "without id"}`;
+    return { kind: "lost", reason: "crossed", detail };
+  }
+  if (mark.isOtherServer) {
+    return { kind: "not_run", reason: "other_server", load: undefined };
+  }
+  if (mark.isNotRun) return { kind: "not_run", reason: "shed", load };
+  if (answer.status >= 200 && answer.status < 300 && !mark.isSigned) {
+    return { kind: "lost", reason: "unsigned", detail: "answer is not signed" };
+  }
+  return { kind: "answer", answer, load };
+}
+
+function judgeError(
+  error: Error,
+  abortReason: LossReason | undefined,
+): ExchangeResult {
+  const detail = describeError(error);
+  if (abortReason !== undefined) {
+    return { kind: "lost", reason: abortReason, detail };
+  }
+  if (classifyTransportError(error) === "not_sent") {
+    return { kind: "not_sent", reason: detail };
+  }
+  const isMalformed = error.name === "HTTPParserError";
+  return { kind: "lost", reason: isMalformed ? "malformed" : "cut", detail };
+}
+
+/**
+ * @param headers Headers of a request or an answer.
+ * @returns Those that concern more than one connection.
+ */
+export function copyEndToEnd(
+  headers: IncomingHttpHeaders,
+): IncomingHttpHeaders {
+  const listed = String(headers.connection ?? "").toLowerCase().split(",")
+    .map((name) => name.trim());
+  const copy: IncomingHttpHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    const isHop = CONNECTION_HEADERS.has(name) || listed.includes(name);
+    if (!isHop && name !== "content-length") copy[name] = value;
+  }
+  return copy;
+}
--- /dev/null
+++ b/src/serving/types.ts
@@ -0,0 +1,127 @@
+/**
+ * Requests on their way through a VM, and how they end.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import type { LoadReport } from "../servers/load.ts";
+import type { Route } from "../routing/types.ts";
+
+/** What a client says about its request apart from the request itself. */
+export interface CallerTerms {
+  requestId: string | undefined;
+  /** How long the client waits from now on; absent where it doesn't say. */
+  deadlineMs: number | undefined;
+  /** The object that the request concerns. */
+  objectKey: string | undefined;
+}
+
+/** A request that was read whole. */
+export interface CallerRequest {
+  method: string;
+  /** Path and query as they stand in the request line. */
+  path: string;
+  headers: IncomingHttpHeaders;
+  body: Buffer;
+  terms: CallerTerms;
+  route: Route;
+  /** When its headers had arrived, on the monotonic clock. */
+  arrivedAtMs: number;
+  /** Aborted when the client leaves. */
+  signal: AbortSignal;
+}
+
+/** What an answer's head says. */
+export interface AnswerMark {
+  requestId: string | undefined;
+  /** Whether the server signed it. */
+  isSigned: boolean;
+  /** Whether the server says that it did not run the request. */
+  isNotRun: boolean;
+  /** Whether another server has the address now. */
+  isOtherServer: boolean;
+  load: LoadReport | undefined;
+}
+
+/** A whole answer of a backend server. */
+export interface ServerAnswer {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: Buffer;
+}
+
+/** Why a request that was sent has no usable answer. */
+export type LossReason =
+  | "cut"
+  | "malformed"
+  | "crossed"
+  | "unsigned"
+  | "timeout"
+  | "client_left";
+
+/** How one attempt ended. */
+export type ExchangeResult =
+  | { kind: "answer"; answer: ServerAnswer; load: LoadReport | undefined }
+  /** The server said that it did not run the request. */
+  | {
+    kind: "not_run";
+    reason: "shed" | "other_server";
+    load: LoadReport | undefined;
+  }
+  /** No byte of the request can have reached the server. */
+  | { kind: "not_sent"; reason: string }
+  /** It may have run. */
+  | { kind: "lost"; reason: LossReason; detail: string };
+
+/** Why a request is turned away without having run. */
+export type RefusalReason =
+  | "no_configuration"
+  | "no_server"
+  | "all_full"
+  | "not_run_anywhere"
+  | "too_late";
+
+/** How a request ends for its client. */
+export type ServeResult =
+  | { kind: "answer"; answer: ServerAnswer }
+  /** Did not run and never will. */
+  | { kind: "refused"; reason: RefusalReason; retryAfterMs: number }
+  /** May have run; no usable answer came. */
+  | { kind: "failed"; reason: LossReason }
+  /** The route's time is over. */
+  | { kind: "timed_out" }
+  | { kind: "client_left" };
+
+/** Turns the terms of requests and answers into headers and back. */
+export abstract class WireCodec {
+  /**
+   * @param headers Headers of a client's request.
+   * @returns What they say about it.
+   */
+  abstract decodeRequest(headers: IncomingHttpHeaders): CallerTerms;
+  /**
+   * @param headers Headers of the client's request, without those that concern
+   *   one connection.
+   * @param terms What the backend server is told.
+   * @returns Headers to send.
+   */
+  abstract encodeRequest(
+    headers: IncomingHttpHeaders,
+    terms: { serverId: string; remainingMs: number },
+  ): Record<string, string | string[]>;
+  /**
+   * @param status Status of an answer.
+   * @param headers Its headers.
+   * @returns What they say about it.
+   */
+  abstract decodeAnswer(
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): AnswerMark;
+  /**
+   * @param retryAfterMs When the client should come back.
+   * @returns Headers of a refusal.
+   */
+  abstract encodeRefusal(retryAfterMs: number): Record<string, string>;
+}
