Move shares at once where a region loses servers

Cause: with both failure domains of a region evacuated, its callers' requests all went to the first region in the list, which had the fewest slots, and shares followed at 0.045 in 2 s. Change: a loss of a quarter of the slots is followed at once; where an object's region has no server, the rest of the shares decide. VMs report each 800 ms and directory answers hold 1.5 s: fewer calls.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -58,7 +58,7 @@
  * How long clients use a directory answer. Some use it three times as long,
  * which has to pass before a VM that leaves stops taking connections.
  */
-const DIRECTORY_TTL_MS = 1_000;
+const DIRECTORY_TTL_MS = 1_500;
 const TTL_STRETCH = 3;
 /** Connections that reach a leaving VM just as clients forget it. */
 const LEAVE_MARGIN_MS = 300;
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -46,7 +46,7 @@
   stop(): void;
 }
 
-const REPORT_MS = 400;
+const REPORT_MS = 800;
 /** How often the register is asked for VMs while this one starts. */
 const STARTING_LIST_MS = 2_000;
 /** After that time VMs learn of new ones from each other. */
--- a/src/members/table.ts
+++ b/src/members/table.ts
@@ -32,8 +32,8 @@
   prune(): void;
 }
 
-/** A VM that was silent for this long counts as down: four reports. */
-export const SILENCE_LIMIT_MS = 1_600;
+/** A VM that was silent for this long counts as down: two reports and a half. */
+export const SILENCE_LIMIT_MS = 2_000;
 /** VMs that can't be reached for this long are not dialed any more. */
 const FORGET_MS = 60_000;
 
--- a/src/placement/regions.ts
+++ b/src/placement/regions.ts
@@ -38,7 +38,7 @@
 /** Window in which a shift is counted. */
 const SHIFT_WINDOW_MS = 2_000;
 /** How often a plan is brought up to date. */
-const STEP_MS = 500;
+const STEP_MS = 250;
 /**
  * Part of the allowed shift that is planned. Requests arrive by chance: with
  * 300 in a window, a share of a half swings by 4 in 100 unplanned, and two
@@ -47,10 +47,18 @@
 const PLANNED_PART = 0.3;
 /** Target moves below this are not followed; figures swing by chance. */
 const MIN_MOVE = 0.03;
+/**
+ * A region that has less than this part of the slots that its shares were made
+ * for has lost servers: its requests go elsewhere at once. At the usual pace
+ * the servers that are left would be overwhelmed for ten seconds.
+ */
+const LOST_SLOTS_PART = 0.75;
 
 interface Entry {
   shares: RegionShare[];
   steppedAtMs: number;
+  /** Slots of each region when shares were last brought up to date. */
+  slots: Map<string, number>;
 }
 
 /**
@@ -62,18 +70,33 @@
   const entries = new Map<string, Entry>();
   const maxStep = maxShift * PLANNED_PART * STEP_MS / SHIFT_WINDOW_MS;
 
-  function computeTarget(service: string, allowed: readonly string[]) {
-    const figures = parts.getFigures(service).filter((region) =>
+  function listFigures(service: string, allowed: readonly string[]) {
+    return parts.getFigures(service).filter((region) =>
       allowed.length === 0 || allowed.includes(region.region)
     );
-    return computeShares(ownRegion, figures);
   }
 
-  function step(entry: Entry, target: RegionShare[], elapsedMs: number): void {
+  function hasLostSlots(entry: Entry, figures: readonly RegionFigures[]) {
+    return figures.some(({ region, slots }) =>
+      slots < LOST_SLOTS_PART * (entry.slots.get(region) ?? 0)
+    );
+  }
+
+  function step(
+    entry: Entry,
+    figures: readonly RegionFigures[],
+    elapsedMs: number,
+  ): void {
+    const target = computeShares(ownRegion, figures);
+    const isLoss = hasLostSlots(entry, figures);
     const steps = Math.min(2, Math.floor(elapsedMs / STEP_MS));
+    const distance = computeDistance(entry.shares, target);
     entry.steppedAtMs = clock.monotonicMs();
-    if (computeDistance(entry.shares, target) < MIN_MOVE) return;
-    entry.shares = stepShares(entry.shares, target, maxStep * steps);
+    entry.slots = mapSlots(figures);
+    if (target.length === 0 || distance < MIN_MOVE) return;
+    const limit = isLoss ? 1 : maxStep * steps;
+    entry.shares = stepShares(entry.shares, target, limit);
+    if (isLoss) log.info({ target, distance }, "servers lost, shares moved");
   }
 
   return {
@@ -82,16 +105,22 @@
       const entry = entries.get(key);
       const nowMs = clock.monotonicMs();
       if (entry === undefined || entry.shares.length === 0) {
-        const shares = computeTarget(service, allowed);
-        entries.set(key, { shares, steppedAtMs: nowMs });
+        const figures = listFigures(service, allowed);
+        const shares = computeShares(ownRegion, figures);
+        const slots = mapSlots(figures);
+        entries.set(key, { shares, steppedAtMs: nowMs, slots });
         log.info({ service, allowed, shares }, "region shares");
         return shares;
       }
       const elapsedMs = nowMs - entry.steppedAtMs;
       if (elapsedMs >= STEP_MS) {
-        step(entry, computeTarget(service, allowed), elapsedMs);
+        step(entry, listFigures(service, allowed), elapsedMs);
       }
       return entry.shares;
     },
   };
 }
+
+function mapSlots(figures: readonly RegionFigures[]): Map<string, number> {
+  return new Map(figures.map(({ region, slots }) => [region, slots]));
+}
--- a/src/placement/shares.ts
+++ b/src/placement/shares.ts
@@ -149,6 +149,21 @@
   return shares.findLast(({ share }) => share > 0)?.region;
 }
 
+/**
+ * @param shares Some of the shares of a whole.
+ * @returns The same regions with shares that add up to 1.
+ */
+export function scaleToOne(shares: readonly RegionShare[]): RegionShare[] {
+  const total = sum(shares.map(({ share }) => share));
+  if (total > 0) {
+    return shares.map(({ region, share }) => ({
+      region,
+      share: share / total,
+    }));
+  }
+  return shares.map(({ region }) => ({ region, share: 1 / shares.length }));
+}
+
 function getShare(shares: readonly RegionShare[], region: string): number {
   return shares.find((share) => share.region === region)?.share ?? 0;
 }
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -10,7 +10,7 @@
 import { chooseServer } from "../placement/choose.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
-import { pickRegion, type RegionShare } from "../placement/shares.ts";
+import { pickRegion, type RegionShare, scaleToOne } from "../placement/shares.ts";
 import type { RetryBudget } from "../retries/budget.ts";
 import type { Splitter } from "../routing/split.ts";
 import type { ServiceTerms } from "../routing/types.ts";
@@ -151,7 +151,7 @@
   }
 
   /**
-   * The object's region, and the next one only where that has no server.
+   * The object's region, or another one where that has no server.
    * Sending on what finds its region full scatters objects over servers that
    * don't know them: it gained nothing against refusing.
    */
@@ -161,12 +161,15 @@
     objectKey: string,
   ): string[] {
     const position = hashToUnit(`${service} ${objectKey}`, REGION_SEED);
+    const hasServers = ({ region }: RegionShare) =>
+      parts.ranking.rank(service, region, objectKey).length > 0;
     const first = pickRegion(shares, position);
-    if (first === undefined) return [];
-    if (parts.ranking.rank(service, first, objectKey).length > 0) {
-      return [first];
-    }
-    return shares.map(({ region }) => region);
+    const isServed = shares.some((share) =>
+      share.region === first && hasServers(share)
+    );
+    if (first !== undefined && isServed) return [first];
+    const other = pickRegion(scaleToOne(shares.filter(hasServers)), position);
+    return other === undefined ? [] : [other];
   }
 
   async function attempt(
