Take a timeout at a server that answers others for load, not for a fault

Change: such a timeout says nothing about the server's health. The load limit follows the time that requests run, not the time that they wait.

--- a/src/servers/health.ts
+++ b/src/servers/health.ts
@@ -14,13 +14,18 @@
   | "shed"
   /** A 5xx of its own, or an answer that was cut, spoiled or crossed. */
   | "failed"
-  /** No connection, or silence until the request's time was over. */
+  /** No connection, or silence on all its connections. */
   | "unreachable";
 
 /** What this VM believes of one server's health. */
 export interface ServerHealth {
   /** Notes the end of a request. */
   note(outcome: ServerOutcome): void;
+  /**
+   * @param sinceMs A time on the monotonic clock.
+   * @returns Whether anything came from the server since then.
+   */
+  wasHeardSince(sinceMs: number): boolean;
   /** @returns Whether it is kept out of the choice for now. */
   isEjected(): boolean;
   /** @returns Share of recent requests that failed, 0 to 1. */
@@ -43,6 +48,7 @@
   let unreachableInRow = 0;
   let ejections = 0;
   let ejectedUntilMs = 0;
+  let heardAtMs = -Infinity;
 
   function eject(): void {
     const durationMs = FIRST_EJECTION_MS * 2 ** Math.min(ejections, 8);
@@ -52,6 +58,7 @@
   }
 
   function note(outcome: ServerOutcome): void {
+    if (outcome !== "unreachable") heardAtMs = clock.monotonicMs();
     if (outcome === "shed") return;
     const isFailure = outcome !== "answered";
     failureShare += OUTCOME_WEIGHT * ((isFailure ? 1 : 0) - failureShare);
@@ -66,6 +73,7 @@
 
   return {
     note,
+    wasHeardSince: (sinceMs) => heardAtMs >= sinceMs,
     isEjected: () => clock.monotonicMs() < ejectedUntilMs,
     getFailureShare: () => failureShare,
   };
--- a/src/servers/servers_test.ts
+++ b/src/servers/servers_test.ts
@@ -125,6 +125,17 @@
   assert.ok(health.isEjected(), "the second time lasts longer");
 });
 
+test("a server is heard by whatever it says, not by silence", () => {
+  const clock = createFakeClock();
+  const health = createServerHealth(clock);
+  health.note("unreachable");
+  assert.not(health.wasHeardSince(0));
+  clock.advance(10);
+  health.note("shed");
+  assert.ok(health.wasHeardSince(10));
+  assert.not(health.wasHeardSince(11));
+});
+
 test("being full is no sign of a fault", () => {
   const health = createServerHealth(createFakeClock());
   for (let count = 0; count < 50; count++) health.note("shed");
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -76,6 +76,12 @@
   lost: LossReason | undefined;
 }
 
+interface AttemptFigures {
+  tookMs: number;
+  /** Load of the server when the attempt was sent. */
+  useAtStart: number;
+}
+
 type Step = { kind: "again" } | { kind: "done"; result: ServeResult };
 
 /**
@@ -144,7 +150,15 @@
     }
     const { server, rank, use } = choice;
     log.debug(
-      { requestId, service, regions, server: server.listed.id, rank, use },
+      {
+        requestId,
+        service,
+        objectKey,
+        regions,
+        server: server.listed.id,
+        rank,
+        use,
+      },
       "choose",
     );
     return server;
@@ -180,6 +194,7 @@
     const { request } = progress;
     progress.tried.add(server.listed.id);
     const startedAtMs = clock.monotonicMs();
+    const useAtStart = server.load.getUse();
     server.load.begin();
     const running = exchange.send(server.listed, request, remainingMs);
     const leave = () => running.abort("client_left");
@@ -189,7 +204,7 @@
     timer.cancel();
     request.signal.removeEventListener("abort", leave);
     const tookMs = clock.monotonicMs() - startedAtMs;
-    noteResult(progress, server, result, tookMs);
+    noteResult(progress, server, result, { tookMs, useAtStart });
     server.load.end();
     return judge(progress, server, result);
   }
@@ -198,7 +213,7 @@
     progress: Progress,
     server: KnownServer,
     result: ExchangeResult,
-    tookMs: number,
+    { tookMs, useAtStart }: AttemptFigures,
   ): void {
     if (result.kind === "answer" || result.kind === "not_run") {
       if (result.load !== undefined) server.load.report(result.load);
@@ -206,14 +221,13 @@
     if (result.kind === "answer") {
       const isError = result.answer.status >= FIRST_SERVER_ERROR;
       server.health.note(isError ? "failed" : "answered");
-      if (!isError) parts.pace.note(progress.request.route, tookMs);
+      if (!isError) {
+        parts.pace.note(progress.request.route, tookMs, useAtStart);
+      }
     }
     if (result.kind === "not_run") server.health.note("shed");
     if (result.kind === "not_sent") server.health.note("unreachable");
-    if (result.kind === "lost" && result.reason !== "client_left") {
-      const isSilent = result.reason === "timeout";
-      server.health.note(isSilent ? "unreachable" : "failed");
-    }
+    if (result.kind === "lost") noteLoss(server, result.reason, tookMs);
     log.debug(
       {
         requestId: progress.request.terms.requestId,
@@ -226,6 +240,23 @@
     );
   }
 
+  /**
+   * A request that runs out of time on a server that answers others is a sign
+   * of load. Keeping such servers out moved their load to the rest, which then
+   * ran out of time as well.
+   */
+  function noteLoss(
+    server: KnownServer,
+    reason: LossReason,
+    tookMs: number,
+  ): void {
+    if (reason === "client_left") return;
+    if (reason !== "timeout") return server.health.note("failed");
+    const sentAtMs = clock.monotonicMs() - tookMs;
+    if (server.health.wasHeardSince(sentAtMs)) return;
+    server.health.note("unreachable");
+  }
+
   function judge(
     progress: Progress,
     server: KnownServer,
--- a/src/serving/pace.ts
+++ b/src/serving/pace.ts
@@ -8,8 +8,14 @@
 
 /** Durations of requests, by route. */
 export interface PaceTable {
-  /** Notes how long an attempt took that was answered. */
-  note(route: Route, tookMs: number): void;
+  /**
+   * Notes an attempt that was answered.
+   *
+   * @param route The route.
+   * @param tookMs How long it took, waiting at the server included.
+   * @param use Load of the server when it was sent, in requests a slot.
+   */
+  note(route: Route, tookMs: number, use: number): void;
   /**
    * @param route The route.
    * @returns Load, in requests a slot, up to which a server can be expected to
@@ -29,8 +35,16 @@
 /** Least load that is allowed: estimates of other VMs' requests are rough. */
 const MIN_MAX_USE = 1.25;
 /** Servers refuse by themselves at about four requests a slot. */
-const MAX_MAX_USE = 2.5;
-const UNKNOWN_MAX_USE = 1.5;
+const MAX_MAX_USE = 3.2;
+const UNKNOWN_MAX_USE = 2;
+/**
+ * Where running alone takes this part of the target, nothing that waits is
+ * answered within it. A late answer is still better than none, and running
+ * requests is what makes servers know their objects.
+ */
+const HOPELESS_PART = 0.8;
+/** Part of the route's time that waiting and running may take then. */
+const LATE_PART = 0.5;
 const MIN_RETRY_AFTER_MS = 60;
 const MAX_RETRY_AFTER_MS = 600;
 /** Part of a usual duration after which slots become free. */
@@ -38,27 +52,32 @@
 
 /** @returns A table that knows no durations. */
 export function createPaceTable(): PaceTable {
-  const usualMs = new Map<string, number>();
+  const runningMs = new Map<string, number>();
 
   function keyOf(route: Route): string {
     return `${route.host}${route.prefix}`;
   }
 
   return {
-    note(route, tookMs) {
+    note(route, tookMs, use) {
       const key = keyOf(route);
-      const before = usualMs.get(key) ?? tookMs;
-      usualMs.set(key, before + WEIGHT * (tookMs - before));
+      const ranMs = tookMs / Math.max(1, use);
+      const before = runningMs.get(key) ?? ranMs;
+      runningMs.set(key, before + WEIGHT * (ranMs - before));
     },
     getMaxUse(route) {
-      const tookMs = usualMs.get(keyOf(route));
-      if (tookMs === undefined) return UNKNOWN_MAX_USE;
-      const fitting = route.targetLatencyMs / Math.max(1, tookMs);
+      const ranMs = runningMs.get(keyOf(route));
+      if (ranMs === undefined) return UNKNOWN_MAX_USE;
+      const isHopeless = ranMs > HOPELESS_PART * route.targetLatencyMs;
+      const limitMs = isHopeless
+        ? Math.max(route.targetLatencyMs, LATE_PART * route.timeoutMs)
+        : route.targetLatencyMs;
+      const fitting = limitMs / Math.max(1, ranMs);
       return Math.min(MAX_MAX_USE, Math.max(MIN_MAX_USE, fitting));
     },
     getRetryAfterMs(route, spread) {
-      const tookMs = usualMs.get(keyOf(route)) ?? route.targetLatencyMs;
-      const baseMs = tookMs * RETRY_PART * (0.5 + spread);
+      const ranMs = runningMs.get(keyOf(route)) ?? route.targetLatencyMs;
+      const baseMs = ranMs * RETRY_PART * (0.5 + spread);
       return Math.round(
         Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, baseMs)),
       );
