Tell a reset from an end where both arrive with data

Ruled out: taking all answers without a length for cut; whole ones exist. Change: at the end of a connection its peer is asked for; after a reset there is none. Test: no_length_reset_at_once, seen failing before.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -144,9 +144,10 @@
 
 /**
  * An answer without a length ends with its connection. undici takes such an
- * answer as complete when the connection is reset; the listener here runs
+ * answer as complete when the connection is reset; the listeners here run
  * before undici's, in the same step of the loop, so that the answer's end can
- * be told from a reset.
+ * be told from a reset. A reset that arrives together with data shows as a
+ * plain end, after which the connection has no peer any more.
  */
 function createFailureWatch(): FailureWatch {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -159,7 +160,12 @@
     connect(options, callback) {
       connect(options, (...result) => {
         const [error, socket] = result;
-        if (error === null) socket.on("error", noteFailure);
+        if (error === null) {
+          socket.on("error", noteFailure);
+          socket.on("end", () => {
+            if (socket.remoteAddress === undefined) noteFailure();
+          });
+        }
         callback(...result);
       });
     },
