Keep an object with two backend servers; the second only when that pays

Cause: callers of each region have objects of their own, three times as many as a server remembers. What found its servers full went to any other server of the region, which then had to forget objects of its own: with half of the servers lost, answers took 450 ms at a use of 2.5 where 180 ms were due. Change: two servers an object; the second costs 0.9 requests a slot where this VM does not know it to know the object, else 0.25; the rest is refused.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { createNewsBoard, getOldestAgeMs } from "../news/board.ts";
 import { DEFAULT_READER_TIMES, startReader } from "../news/reader.ts";
 import { type FactSource, TOPICS } from "../news/types.ts";
+import { createObjectMemory } from "../placement/memory.ts";
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import type { RegionFigures } from "../placement/shares.ts";
@@ -212,6 +213,7 @@
     demand,
     pace: createPaceTable(),
     exchange,
+    memory: createObjectMemory(clock),
     getTerms: (service) => routes?.getTerms(service),
   });
 
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -22,6 +22,8 @@
   maxUse: number;
   /** Rate that a cold server of the service bears. */
   coldRatePerS: number;
+  /** Whether a server answered for the object not long ago. */
+  knowsObject: (serverId: string) => boolean;
 }
 
 /** Where an attempt goes. */
@@ -32,13 +34,19 @@
   /** There is no server that could take it. */
   | { kind: "none" };
 
-/** Servers that share an object before the others are asked. */
+/**
+ * Servers that share an object. What finds all of them full is refused: other
+ * servers would have to forget objects of their own for it, and with half of
+ * the servers lost none knew its objects any more.
+ */
 const CIRCLE = 2;
 /**
  * How much fuller the first server must be, in requests a slot, before the
- * second is taken.
+ * second is taken: one that knows the object, and one that does not. Running
+ * an object that isn't known takes three times as long.
  */
-const SECOND_PENALTY = 0.3;
+const KNOWING_PENALTY = 0.25;
+const UNKNOWING_PENALTY = 0.9;
 /** A server that failed this share of recent requests is asked last. */
 const POOR_FAILURE_SHARE = 0.35;
 
@@ -85,8 +93,8 @@
   const sound = warm.filter((server) =>
     server.health.getFailureShare() < POOR_FAILURE_SHARE
   );
-  return chooseWithRoom(sound, placement.maxUse) ??
-    chooseWithRoom(warm, placement.maxUse);
+  const chosen = sound.length > 0 ? sound : warm;
+  return chooseInCircle(chosen.slice(0, CIRCLE), placement);
 }
 
 /** A cold server gets its own objects only, and only at its rate. */
@@ -107,21 +115,30 @@
   return { kind: "server", server: first, rank: 0, use };
 }
 
-function chooseWithRoom(
-  servers: readonly KnownServer[],
-  maxUse: number,
+function chooseInCircle(
+  circle: readonly KnownServer[],
+  placement: Placement,
 ): Choice | undefined {
   let best: Choice | undefined;
   let bestCost = Infinity;
-  for (let rank = 0; rank < servers.length; rank++) {
-    if (rank >= CIRCLE && best !== undefined) break;
-    const server = servers[rank];
+  circle.forEach((server, rank) => {
     const use = server.load.getUse();
-    if (use >= maxUse) continue;
-    const cost = use + rank * SECOND_PENALTY;
-    if (cost >= bestCost) continue;
+    if (use >= placement.maxUse) return;
+    const cost = use + getPenalty(server, rank, placement);
+    if (cost >= bestCost) return;
     bestCost = cost;
     best = { kind: "server", server, rank, use };
-  }
+  });
   return best;
 }
+
+function getPenalty(
+  server: KnownServer,
+  rank: number,
+  placement: Placement,
+): number {
+  if (rank === 0) return 0;
+  return placement.knowsObject(server.listed.id)
+    ? KNOWING_PENALTY
+    : UNKNOWING_PENALTY;
+}
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -8,9 +8,14 @@
  * @module
  */
 import { chooseServer } from "../placement/choose.ts";
+import type { ObjectMemory } from "../placement/memory.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
-import { pickRegion, type RegionShare, scaleToOne } from "../placement/shares.ts";
+import {
+  pickRegion,
+  type RegionShare,
+  scaleToOne,
+} from "../placement/shares.ts";
 import type { RetryBudget } from "../retries/budget.ts";
 import type { Splitter } from "../routing/split.ts";
 import type { ServiceTerms } from "../routing/types.ts";
@@ -46,6 +51,7 @@
   demand: DemandMeter;
   pace: PaceTable;
   exchange: Exchange;
+  memory: ObjectMemory;
   /** Terms of a service in the configuration in force. */
   getTerms: (service: string) => ServiceTerms | undefined;
 }
@@ -139,6 +145,7 @@
         tried,
         maxUse: parts.pace.getMaxUse(route),
         coldRatePerS: parts.getTerms(service)?.coldRequestsPerS ?? 0,
+        knowsObject: (id) => parts.memory.knows(id, memoryKey(progress)),
       },
       parts.coldLimit,
       clock,
@@ -223,6 +230,7 @@
       server.health.note(isError ? "failed" : "answered");
       if (!isError) {
         parts.pace.note(progress.request.route, tookMs, useAtStart);
+        parts.memory.note(server.listed.id, memoryKey(progress));
       }
     }
     if (result.kind === "not_run") server.health.note("shed");
@@ -315,6 +323,11 @@
   return { serve };
 }
 
+/** Servers remember objects by route: another route does other work on it. */
+function memoryKey({ request, objectKey }: Progress): string {
+  return `${request.route.prefix} ${objectKey}`;
+}
+
 /** Sets the choice of a region apart from that of a server. */
 const REGION_SEED = 7;
 
