--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -65,6 +65,8 @@
 const LEAVE_MARGIN_MS = 300;
 /** Kept back from the time to stop, for the end of the process itself. */
 const EXIT_MARGIN_MS = 400;
+/** Connections that don't close in this time are left to the process's end. */
+const CLOSE_MS = 100;
 /** Part of a server's connections that all VMs together open. */
 const CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 2;
@@ -327,8 +329,8 @@
     log.info({ openRequests: front.countOpen() }, "stopped");
     readers.forEach((reader) => reader.stop());
     mesh.stop();
-    await exchange.close();
     control.forEach((server) => server.server.close());
+    await Promise.race([exchange.close(), pause(clock, CLOSE_MS)]);
   }
 
   return { stop };
