Log every decision on a request

Cause: choices of servers and ends of attempts were logged below the default level, and whether a retry was allowed was not logged at all. Change: both at the default level; a line for each retry allowed or denied.

--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -88,6 +88,9 @@
   useAtStart: number;
 }
 
+/** Why a request is not sent again. */
+type RetryDenial = "attempts_used" | "too_late" | "budget_spent";
+
 type Step = { kind: "again" } | { kind: "done"; result: ServeResult };
 
 /**
@@ -152,11 +155,11 @@
     );
     const { requestId } = request.terms;
     if (choice.kind !== "server") {
-      log.debug({ requestId, service, regions, choice: choice.kind }, "choose");
+      log.info({ requestId, service, regions, choice: choice.kind }, "choose");
       return choice.kind === "full" ? "all_full" : "no_server";
     }
     const { server, rank, use } = choice;
-    log.debug(
+    log.info(
       {
         requestId,
         service,
@@ -236,7 +239,7 @@
     if (result.kind === "not_run") server.health.note("shed");
     if (result.kind === "not_sent") server.health.note("unreachable");
     if (result.kind === "lost") noteLoss(server, result.reason, tookMs);
-    log.debug(
+    log.info(
       {
         requestId: progress.request.terms.requestId,
         server: server.listed.id,
@@ -301,12 +304,28 @@
 
   function retryOr(progress: Progress, end: () => ServeResult): Step {
     const { request, tried, service } = progress;
-    const isLast = tried.size >= request.route.maxAttempts;
-    const isLate = progress.endsAtMs - clock.monotonicMs() < MIN_ATTEMPT_MS;
-    if (!isLast && !isLate && budget.take(service)) return { kind: "again" };
+    const denial = findDenial(progress);
+    log.info(
+      {
+        requestId: request.terms.requestId,
+        service,
+        tried: tried.size,
+        denial,
+      },
+      denial === undefined ? "retry" : "no retry",
+    );
+    if (denial === undefined) return { kind: "again" };
     return { kind: "done", result: end() };
   }
 
+  function findDenial(progress: Progress): RetryDenial | undefined {
+    const { request, tried, service } = progress;
+    if (tried.size >= request.route.maxAttempts) return "attempts_used";
+    const leftMs = progress.endsAtMs - clock.monotonicMs();
+    if (leftMs < MIN_ATTEMPT_MS) return "too_late";
+    return budget.take(service) ? undefined : "budget_spent";
+  }
+
   function giveUp(progress: Progress, reason: RefusalReason): ServeResult {
     if (progress.fallback !== undefined) {
       return { kind: "answer", answer: progress.fallback };
