Send news on every link of a VM

Cause: a VM that two links join for a moment (both sides dialed) got news on one only, which its other side may just have closed; a link whose VM had not said yet who it is got none. Reports then said that facts were current. Seen once as a failed test under load (a VM that the platform turns away). Change: news and reports go over all links; applying them twice does no harm. Test: src/members/mesh_test.ts, both cases seen failing before.

--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -130,13 +130,13 @@
     }
   }
 
+  /**
+   * Sends on every link, also where a VM has two or has not said yet who it
+   * is: one of two may be closing, and what a new link missed would be taken
+   * for known.
+   */
   function send(message: VmMessage): void {
-    const reached = new Set<string>();
-    for (const [link, { id }] of links) {
-      if (id === undefined || reached.has(id)) continue;
-      reached.add(id);
-      link.send(message);
-    }
+    for (const link of links.keys()) link.send(message);
   }
 
   function listIdentities(): VmIdentity[] {
--- /dev/null
+++ b/src/members/mesh_test.ts
@@ -0,0 +1,113 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { makeServer, makeServerNews } from "../gateway/fixture.ts";
+import { createNewsBoard } from "../news/board.ts";
+import { createSystemClock } from "../runtime/clock.ts";
+import { createRouter, listen } from "../runtime/http_server.ts";
+import { keepLink } from "../runtime/peer_link.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { startMesh } from "./mesh.ts";
+import { type VmMessage, vmMessageSchema } from "./messages.ts";
+import { createMemberTable } from "./table.ts";
+import { type VmIdentity, VmRegister } from "./types.ts";
+
+const clock = createSystemClock();
+
+class EmptyRegister extends VmRegister {
+  override register(): Promise<void> {
+    return Promise.resolve();
+  }
+  override list(): Promise<VmIdentity[]> {
+    return Promise.resolve([]);
+  }
+}
+
+function makeIdentity(id: string, peerAddress: string): VmIdentity {
+  return {
+    id,
+    incarnation: "1",
+    region: "oslo",
+    failureDomain: "oslo-a",
+    frontAddress: "127.0.0.1:1",
+    peerAddress,
+  };
+}
+
+async function startTestMesh() {
+  const http = await listen(createRouter(), "127.0.0.1:0");
+  const board = createNewsBoard(clock);
+  const mesh = startMesh({
+    self: makeIdentity("self", http.address),
+    table: createMemberTable("self", clock),
+    board,
+    register: new EmptyRegister(),
+    clock,
+    log: createSilentLog(),
+    server: http.server,
+    seeds: [],
+    makeReport: () => ({ state: "serving", demandPerS: {}, factAgesMs: {} }),
+  });
+  const stop = async () => {
+    mesh.stop();
+    await http.close();
+  };
+  return { address: http.address, board, mesh, stop };
+}
+
+/** Links to a mesh; says who it is only where an identity is given. */
+async function openLink(address: string, identity?: VmIdentity) {
+  const received: VmMessage[] = [];
+  const dialed = keepLink(address, {
+    schema: vmMessageSchema,
+    clock,
+    events: {
+      onOpen(opened) {
+        if (identity) opened.send({ kind: "hello", identity });
+      },
+      onMessage: (_link, message) => void received.push(message),
+      onClose() {},
+    },
+  });
+  await waitUntil(() => received.some(({ kind }) => kind === "news"));
+  received.length = 0;
+  return { received, close: () => dialed.close() };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 400 && !condition(); tries++) await sleep(5);
+  assert.ok(condition());
+}
+
+function hasNews(received: readonly VmMessage[]): boolean {
+  return received.some(({ kind }) => kind === "news");
+}
+
+test("news reach a link whose VM has not said yet who it is", async () => {
+  const { address, mesh, stop } = await startTestMesh();
+  const link = await openLink(address);
+  mesh.passOn([makeServerNews(makeServer("1"), 1)]);
+  await sleep(200);
+  const isReached = hasNews(link.received);
+  link.close();
+  await stop();
+  assert.ok(isReached);
+});
+
+test("news reach all links of a VM, since one of them may be closing", async () => {
+  const { address, mesh, stop } = await startTestMesh();
+  const identity = makeIdentity("other", "127.0.0.1:2");
+  const links = [
+    await openLink(address, identity),
+    await openLink(address, identity),
+  ];
+  await sleep(100);
+  mesh.passOn([makeServerNews(makeServer("1"), 1)]);
+  await sleep(200);
+  const reached = links.map((link) => hasNews(link.received));
+  links.forEach((link) => link.close());
+  await stop();
+  assert.equal(reached, [true, true]);
+});
+
+test.run();
