--- /dev/null
+++ b/src/gateway/core.ts
@@ -0,0 +1,153 @@
+/**
+ * What a gateway decides with: facts, servers, placement and the flow of
+ * requests, without any address that listens.
+ *
+ * @module
+ */
+import type { MemberTable } from "../members/table.ts";
+import type { VmIdentity } from "../members/types.ts";
+import type { VmViews } from "../members/views.ts";
+import type { NewsBoard } from "../news/board.ts";
+import { createFiguresReader } from "../placement/figures.ts";
+import { createObjectMemory } from "../placement/memory.ts";
+import { createRanking } from "../placement/ranking.ts";
+import { createRegionPlan } from "../placement/regions.ts";
+import { createRetryBudget } from "../retries/budget.ts";
+import { createSplitter } from "../routing/split.ts";
+import { createRouteTable, type RouteTable } from "../routing/table.ts";
+import type { Configuration } from "../routing/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { hashToUnit } from "../runtime/hash.ts";
+import { createRandom } from "../runtime/random.ts";
+import { createColdLimit } from "../servers/cold_limit.ts";
+import {
+  createServerRegistry,
+  type ServerRegistry,
+} from "../servers/registry.ts";
+import type { ListedServer } from "../servers/types.ts";
+import { createDemandMeter, type DemandMeter } from "../serving/demand.ts";
+import { createExchange, type Exchange } from "../serving/exchange.ts";
+import { createFlow, type Flow } from "../serving/flow.ts";
+import { createPaceTable } from "../serving/pace.ts";
+import type { WireCodec } from "../serving/types.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { GatewaySettings } from "./settings.ts";
+
+/** What a core is built from. */
+export interface CoreParts {
+  settings: GatewaySettings;
+  clock: Clock;
+  log: Log;
+  codec: WireCodec;
+  self: VmIdentity;
+  table: MemberTable;
+  vms: VmViews;
+  board: NewsBoard;
+}
+
+/** The deciding parts of a gateway. */
+export interface Core {
+  registry: ServerRegistry;
+  exchange: Exchange;
+  demand: DemandMeter;
+  flow: Flow;
+  /** @returns Routes in force; undefined before the first configuration. */
+  getRoutes(): RouteTable | undefined;
+}
+
+/** Part of a server's connections that all VMs together open. */
+const CONNECTION_SHARE = 0.8;
+const MIN_CONNECTIONS = 2;
+/** Used until a configuration tells how many a server accepts. */
+const DEFAULT_CONNECTIONS = 16;
+const MAX_RANDOM_SEED = 0x7fff_ffff;
+
+/**
+ * @param parts What the core is built from.
+ * @returns A core that follows the board's facts.
+ */
+export function createCore(parts: CoreParts): Core {
+  const { settings, clock, log, codec, self, table, vms, board } = parts;
+  let routes: RouteTable | undefined;
+  const getTerms = (service: string) => routes?.getTerms(service);
+  const demand = createDemandMeter(clock);
+  const registry = createServerRegistry({
+    clock,
+    log,
+    regions: settings.regions,
+    getColdDurationMs: (service) => getTerms(service)?.coldDurationMs ?? 0,
+  });
+  const exchange = createExchange(codec, getConnectionLimit);
+
+  function getConnectionLimit(server: ListedServer): number {
+    const accepted = getTerms(server.service)?.maxConnections;
+    if (accepted === undefined) return DEFAULT_CONNECTIONS;
+    const part = accepted * CONNECTION_SHARE / vms.countServing();
+    return Math.max(MIN_CONNECTIONS, Math.floor(part));
+  }
+
+  function takeConfiguration(configuration: Configuration): void {
+    const { version } = configuration;
+    routes = createRouteTable(configuration);
+    log.info(
+      { version, routes: configuration.routes.length },
+      "configuration in force",
+    );
+  }
+
+  board.subscribe((item, previous) => {
+    if (item.fact?.kind === "configuration") {
+      takeConfiguration(item.fact.configuration);
+    }
+    registry.apply(item);
+    if (previous?.kind === "server" && item.fact === undefined) {
+      exchange.forget(previous.server.id);
+    }
+  });
+
+  const plan = createRegionPlan({
+    clock,
+    log,
+    ownRegion: self.region,
+    getFigures: createFiguresReader({
+      clock,
+      ownRegion: self.region,
+      regions: settings.regions,
+      registry,
+      table,
+      getOwnDemand: demand.getRates,
+    }),
+    maxShift: settings.bounds.maxShift,
+  });
+  const budget = createRetryBudget({
+    ratio: settings.bounds.retryRatio,
+    allowance: settings.bounds.retryAllowance,
+  }, vms.countServing);
+  const flow = createFlow({
+    clock,
+    log,
+    random: createRandom(makeSeed(self)),
+    registry,
+    ranking: createRanking(registry),
+    plan,
+    coldLimit: createColdLimit({
+      clock,
+      ownId: self.id,
+      listVms: vms.listServingIds,
+    }),
+    budget,
+    splitter: createSplitter(),
+    demand,
+    pace: createPaceTable(),
+    exchange,
+    memory: createObjectMemory(clock),
+    getTerms,
+  });
+
+  return { registry, exchange, demand, flow, getRoutes: () => routes };
+}
+
+/** VMs that start at the same moment must not draw the same numbers. */
+function makeSeed({ id, incarnation }: VmIdentity): number {
+  return Math.floor(hashToUnit(`${id} ${incarnation}`) * MAX_RANDOM_SEED);
+}
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -92,7 +92,7 @@
     const isLinked = [...links.values()].some(({ id }) => id === state.id);
     if (isLinked) return;
     table.noteSilent(state.id);
-    log.info({ vm: state.id, peer: link.peer }, "VM lost");
+    log.info({ member: state.id, peer: link.peer }, "VM lost");
   }
 
   function onMessage(link: VmLink, message: VmMessage): void {
@@ -111,7 +111,7 @@
     table.noteHello(identity);
     if (before !== identity.incarnation) {
       const { id, region, frontAddress } = identity;
-      log.info({ vm: id, region, frontAddress }, "VM found");
+      log.info({ member: id, region, frontAddress }, "VM found");
     }
     dialMissing();
   }
@@ -178,6 +178,7 @@
   }
 
   async function registerSelf(): Promise<void> {
+    if (stopped) return;
     try {
       await register.register(self);
     } catch (cause) {
--- /dev/null
+++ b/src/members/views.ts
@@ -0,0 +1,54 @@
+/**
+ * What this VM makes of the table of VMs: who serves, who reads the platform.
+ *
+ * @module
+ */
+import type { MemberTable } from "./table.ts";
+import type { VmIdentity } from "./types.ts";
+
+/** Lists of VMs; this one always counts as running. */
+export interface VmViews {
+  /** @returns How many VMs serve clients. */
+  countServing(): number;
+  /**
+   * @param region A region.
+   * @returns Ids of the VMs that serve clients there.
+   */
+  listServingIds(region: string): string[];
+  /** @returns Whether this VM reads the platform for its region. */
+  hasReadDuty(): boolean;
+}
+
+/**
+ * VMs of a region that read the platform for the others. The second one covers
+ * the time until the loss of the first is noticed.
+ */
+const READERS_PER_REGION = 2;
+
+/**
+ * @param self This VM.
+ * @param table The VMs that it knows.
+ * @returns Views that follow the table.
+ */
+export function createVmViews(self: VmIdentity, table: MemberTable): VmViews {
+  function listServing(): VmIdentity[] {
+    const others = table.listAlive()
+      .filter((member) => member.report?.state === "serving")
+      .map((member) => member.identity);
+    return [self, ...others];
+  }
+
+  return {
+    countServing: () => listServing().length,
+    listServingIds: (region) =>
+      listServing()
+        .filter((identity) => identity.region === region)
+        .map((identity) => identity.id),
+    hasReadDuty() {
+      const before = table.listAlive().filter(({ identity }) =>
+        identity.region === self.region && identity.id < self.id
+      );
+      return before.length < READERS_PER_REGION;
+    },
+  };
+}
--- /dev/null
+++ b/src/placement/figures.ts
@@ -0,0 +1,73 @@
+/**
+ * Slots and demand of every region, from the list of servers and the reports of
+ * VMs.
+ *
+ * @module
+ */
+import type { MemberTable } from "../members/table.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { ServerRegistry } from "../servers/registry.ts";
+import type { RegionFigures } from "./shares.ts";
+
+/** What figures are made from. */
+export interface FiguresParts {
+  clock: Clock;
+  ownRegion: string;
+  /** Region of each failure domain. */
+  regions: ReadonlyMap<string, string>;
+  registry: ServerRegistry;
+  table: MemberTable;
+  /** Requests a second that this VM's clients make, by service. */
+  getOwnDemand: () => Record<string, number>;
+}
+
+/**
+ * Demand that every region is taken to have besides what was measured, in
+ * requests a second: figures of the first seconds don't swing the shares.
+ */
+const PRIOR_DEMAND_PER_S = 10;
+
+/**
+ * @param parts What figures are made from.
+ * @returns A function that gives the figures of one service.
+ */
+export function createFiguresReader(
+  parts: FiguresParts,
+): (service: string) => RegionFigures[] {
+  const { clock, registry, table } = parts;
+
+  function addSlots(
+    figures: Map<string, RegionFigures>,
+    service: string,
+  ): void {
+    const nowMs = clock.monotonicMs();
+    for (const server of registry.listUsable(service)) {
+      const region = figures.get(server.region);
+      const isCold = server.coldUntilMs > nowMs;
+      if (region !== undefined && !isCold) region.slots += server.listed.slots;
+    }
+  }
+
+  function addDemand(
+    figures: Map<string, RegionFigures>,
+    service: string,
+  ): void {
+    const own = figures.get(parts.ownRegion);
+    if (own !== undefined) own.demand += parts.getOwnDemand()[service] ?? 0;
+    for (const { identity, report } of table.listAlive()) {
+      const region = figures.get(identity.region);
+      const demandPerS = report?.demandPerS[service] ?? 0;
+      if (region !== undefined) region.demand += demandPerS;
+    }
+  }
+
+  return (service) => {
+    const figures = new Map<string, RegionFigures>();
+    for (const region of parts.regions.values()) {
+      figures.set(region, { region, slots: 0, demand: PRIOR_DEMAND_PER_S });
+    }
+    addSlots(figures, service);
+    addDemand(figures, service);
+    return [...figures.values()];
+  };
+}
