--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -28,7 +28,9 @@
 import { createDemandMeter, type DemandMeter } from "../serving/demand.ts";
 import { createExchange, type Exchange } from "../serving/exchange.ts";
 import { createFlow, type Flow } from "../serving/flow.ts";
+import { createObserver } from "../serving/observing.ts";
 import { createPaceTable } from "../serving/pace.ts";
+import { createPlacer } from "../serving/placing.ts";
 import type { WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -123,11 +125,11 @@
     ratio: settings.bounds.retryRatio,
     allowance: settings.bounds.retryAllowance,
   }, vms.countServing);
-  const flow = createFlow({
+  const pace = createPaceTable();
+  const memory = createObjectMemory(clock);
+  const placer = createPlacer({
     clock,
     log,
-    random: createRandom(makeSeed(self)),
-    registry,
     ranking: createRanking(registry),
     plan,
     coldLimit: createColdLimit({
@@ -135,13 +137,22 @@
       ownId: self.id,
       listVms: vms.listServingIds,
     }),
+    pace,
+    memory,
+    getTerms,
+  });
+  const flow = createFlow({
+    clock,
+    log,
+    random: createRandom(makeSeed(self)),
+    registry,
+    placer,
+    observer: createObserver({ clock, log, pace, memory }),
     budget,
     splitter: createSplitter(),
     demand,
-    pace: createPaceTable(),
+    pace,
     exchange,
-    memory: createObjectMemory(clock),
-    getTerms,
   });
 
   return { registry, exchange, demand, flow, getRoutes: () => routes };
--- /dev/null
+++ b/src/serving/observing.ts
@@ -0,0 +1,118 @@
+/**
+ * What the end of an attempt tells: of the server, of the route's pace, of what
+ * the server remembers.
+ *
+ * @module
+ */
+import type { ObjectMemory } from "../placement/memory.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { KnownServer } from "../servers/registry.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { PaceTable } from "./pace.ts";
+import { nameObject, type Progress } from "./progress.ts";
+import {
+  type ExchangeResult,
+  FIRST_SERVER_ERROR,
+  type LossReason,
+} from "./types.ts";
+
+/** What observing needs. */
+export interface ObserverParts {
+  clock: Clock;
+  log: Log;
+  pace: PaceTable;
+  memory: ObjectMemory;
+}
+
+/** How one attempt ended. */
+export interface AttemptEnd {
+  result: ExchangeResult;
+  tookMs: number;
+  /** Load of the server when the attempt was sent. */
+  useAtStart: number;
+}
+
+/** Learns from attempts. */
+export interface Observer {
+  /** Notes the end of an attempt. */
+  note(progress: Progress, server: KnownServer, end: AttemptEnd): void;
+}
+
+/**
+ * @param parts What observing needs.
+ * @returns An observer.
+ */
+export function createObserver(parts: ObserverParts): Observer {
+  const { clock, log, pace, memory } = parts;
+
+  function note(
+    progress: Progress,
+    server: KnownServer,
+    end: AttemptEnd,
+  ): void {
+    const { result, tookMs } = end;
+    noteLoad(server, result);
+    if (result.kind === "answer") noteAnswer(progress, server, end);
+    if (result.kind === "not_run") server.health.note("shed");
+    if (result.kind === "not_sent") server.health.note("unreachable");
+    if (result.kind === "lost") noteLoss(server, result.reason, tookMs);
+    log.info(
+      {
+        requestId: progress.request.terms.requestId,
+        server: server.listed.id,
+        attempt: progress.tried.size,
+        tookMs: Math.round(tookMs),
+        ...describeResult(result),
+      },
+      "attempt ended",
+    );
+  }
+
+  function noteLoad(server: KnownServer, result: ExchangeResult): void {
+    if (result.kind !== "answer" && result.kind !== "not_run") return;
+    if (result.load !== undefined) server.load.report(result.load);
+  }
+
+  function noteAnswer(
+    progress: Progress,
+    server: KnownServer,
+    { result, tookMs, useAtStart }: AttemptEnd,
+  ): void {
+    if (result.kind !== "answer") return;
+    if (result.answer.status >= FIRST_SERVER_ERROR) {
+      return server.health.note("failed");
+    }
+    server.health.note("answered");
+    pace.note(progress.request.route, tookMs, useAtStart);
+    memory.note(server.listed.id, nameObject(progress));
+  }
+
+  /**
+   * A request that runs out of time on a server that answers others is a sign
+   * of load. Keeping such servers out moved their load to the rest, which then
+   * ran out of time as well.
+   */
+  function noteLoss(
+    server: KnownServer,
+    reason: LossReason,
+    tookMs: number,
+  ): void {
+    if (reason === "client_left") return;
+    if (reason !== "timeout") return server.health.note("failed");
+    const sentAtMs = clock.monotonicMs() - tookMs;
+    if (server.health.wasHeardSince(sentAtMs)) return;
+    server.health.note("unreachable");
+  }
+
+  return { note };
+}
+
+function describeResult(result: ExchangeResult): Record<string, unknown> {
+  if (result.kind === "answer") {
+    return { outcome: "answer", status: result.answer.status };
+  }
+  if (result.kind === "lost") {
+    return { outcome: result.reason, detail: result.detail };
+  }
+  return { outcome: result.kind, reason: result.reason };
+}
--- /dev/null
+++ b/src/serving/placing.ts
@@ -0,0 +1,105 @@
+/**
+ * Finds the backend server for an attempt of a request: the object's region
+ * first, then a server there.
+ *
+ * @module
+ */
+import { chooseServer } from "../placement/choose.ts";
+import type { ObjectMemory } from "../placement/memory.ts";
+import type { Ranking } from "../placement/ranking.ts";
+import type { RegionPlan } from "../placement/regions.ts";
+import {
+  pickRegion,
+  type RegionShare,
+  scaleToOne,
+} from "../placement/shares.ts";
+import type { ServiceTerms } from "../routing/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { hashToUnit } from "../runtime/hash.ts";
+import type { ColdLimit } from "../servers/cold_limit.ts";
+import type { KnownServer } from "../servers/registry.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { PaceTable } from "./pace.ts";
+import { nameObject, type Progress } from "./progress.ts";
+import type { RefusalReason } from "./types.ts";
+
+/** What placing needs. */
+export interface PlacerParts {
+  clock: Clock;
+  log: Log;
+  ranking: Ranking;
+  plan: RegionPlan;
+  coldLimit: ColdLimit;
+  pace: PaceTable;
+  memory: ObjectMemory;
+  /** Terms of a service in the configuration in force. */
+  getTerms: (service: string) => ServiceTerms | undefined;
+}
+
+/** Finds servers. */
+export interface Placer {
+  /**
+   * @param progress A request that is to be sent.
+   * @returns The server to send it to, or why there is none.
+   */
+  place(progress: Progress): KnownServer | RefusalReason;
+}
+
+/** Sets the choice of a region apart from that of a server. */
+const REGION_SEED = 7;
+
+/**
+ * @param parts What placing needs.
+ * @returns A placer.
+ */
+export function createPlacer(parts: PlacerParts): Placer {
+  const { clock, log, ranking, plan, pace, memory } = parts;
+
+  function place(progress: Progress): KnownServer | RefusalReason {
+    const { request, service, objectKey, tried } = progress;
+    const { route } = request;
+    const { requestId } = request.terms;
+    const shares = plan.getShares(service, route.homeRegions);
+    const region = chooseRegion(shares, service, objectKey);
+    const candidates = region === undefined
+      ? []
+      : [ranking.rank(service, region, objectKey)];
+    const placement = {
+      candidates,
+      tried,
+      maxUse: pace.getMaxUse(route),
+      coldRatePerS: parts.getTerms(service)?.coldRequestsPerS ?? 0,
+      knowsObject: (id: string) => memory.knows(id, nameObject(progress)),
+    };
+    const choice = chooseServer(placement, parts.coldLimit, clock);
+    const inputs = { requestId, service, objectKey, region };
+    if (choice.kind !== "server") {
+      log.info({ ...inputs, choice: choice.kind }, "choose");
+      return choice.kind === "full" ? "all_full" : "no_server";
+    }
+    const { server, rank, use } = choice;
+    log.info({ ...inputs, server: server.listed.id, rank, use }, "choose");
+    return server;
+  }
+
+  /**
+   * The object's region, or another one where that has no server.
+   * Sending on what finds its region full scatters objects over servers that
+   * don't know them: it gained nothing against refusing.
+   */
+  function chooseRegion(
+    shares: readonly RegionShare[],
+    service: string,
+    objectKey: string,
+  ): string | undefined {
+    const position = hashToUnit(`${service} ${objectKey}`, REGION_SEED);
+    const served = shares.filter(({ region }) =>
+      ranking.rank(service, region, objectKey).length > 0
+    );
+    const first = pickRegion(shares, position);
+    if (served.some(({ region }) => region === first)) return first;
+    return pickRegion(scaleToOne(served), position);
+  }
+
+  return { place };
+}
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -44,6 +44,9 @@
   load: LoadReport | undefined;
 }
 
+/** Answers of this status and above are failures of the server. */
+export const FIRST_SERVER_ERROR = 500;
+
 /** A whole answer of a backend server. */
 export interface ServerAnswer {
   status: number;
