Remove state that nothing reads; one check of how a VM is reached

A removed server is out of the registry's map, so the time since when it was missing said nothing; isUsable and noteCold had no caller. No decision changes.

--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -9,7 +9,8 @@
 const MAX_MEMBERS = 4_096;
 const MAX_ITEMS = 10_000;
 
-const identitySchema = z.object({
+/** Checks how a VM is reached. */
+export const identitySchema = z.object({
   id: z.string().max(128),
   incarnation: z.string().max(64),
   region: z.string().max(64),
--- a/src/servers/registry.ts
+++ b/src/servers/registry.ts
@@ -20,8 +20,6 @@
   coldUntilMs: number;
   /** Set once it answered that another server has its address. */
   isReplaced: boolean;
-  /** Since when it is missing from the list; undefined while it is listed. */
-  missingSinceMs: number | undefined;
 }
 
 /** All backend servers that this VM knows. */
@@ -35,15 +33,8 @@
   listUsable(service: string): readonly KnownServer[];
   /** @returns Every server that is listed. */
   listAll(): KnownServer[];
-  /**
-   * @param id A server's id.
-   * @returns Whether it may still be sent requests.
-   */
-  isUsable(id: string): boolean;
   /** Notes that a server's address belongs to another one now. */
   markReplaced(id: string): void;
-  /** Notes that a server said how long it stays cold. */
-  noteCold(id: string, coldLeftMs: number): void;
   /** Changes whenever `listUsable` would list other servers. */
   getRevision(): number;
   /** @returns Failure domains that are to get no requests. */
@@ -84,7 +75,6 @@
 
   function isUsableServer(server: KnownServer): boolean {
     return server.listed.state === "ready" && !server.isReplaced &&
-      server.missingSinceMs === undefined &&
       !evacuated.has(server.listed.failureDomain);
   }
 
@@ -114,7 +104,6 @@
       health: createServerHealth(clock),
       coldUntilMs: toColdUntil(listed.coldLeftMs),
       isReplaced: false,
-      missingSinceMs: undefined,
     });
     log.info(describe(listed), "server listed");
   }
@@ -129,7 +118,6 @@
       log.info(describe(listed), "server changed state");
     }
     server.listed = listed;
-    server.missingSinceMs = undefined;
     if (listed.coldLeftMs > 0) {
       server.coldUntilMs = toColdUntil(listed.coldLeftMs);
     }
@@ -147,7 +135,6 @@
     }
     if (known === undefined) return;
     servers.delete(id);
-    known.missingSinceMs = clock.monotonicMs();
     log.info({ server: id, service: known.listed.service }, "server gone");
     touch();
   }
@@ -183,10 +170,6 @@
     apply,
     listUsable,
     listAll: () => [...servers.values()],
-    isUsable(id) {
-      const server = servers.get(id);
-      return server !== undefined && isUsableServer(server);
-    },
     markReplaced(id) {
       const server = servers.get(id);
       if (server === undefined || server.isReplaced) return;
@@ -194,10 +177,6 @@
       log.warn({ server: id }, "address belongs to another server now");
       touch();
     },
-    noteCold(id, coldLeftMs) {
-      const server = servers.get(id);
-      if (server !== undefined) server.coldUntilMs = toColdUntil(coldLeftMs);
-    },
     getRevision: () => revision,
     listEvacuated: () => [...evacuated],
   };
