Try: hold requests for an object while a server learns it

Idea: requests for an object that arrive while its first request runs would take three times as long as after it; VMs of a region tell each other which server learns or knows which object, and such requests wait.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -10,7 +10,7 @@
 import type { NewsBoard } from "../news/board.ts";
 import { createDemandTrend } from "../placement/demand_trend.ts";
 import { createFiguresReader } from "../placement/figures.ts";
-import { createObjectMemory } from "../placement/memory.ts";
+import type { ObjectMemory } from "../placement/memory.ts";
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createRetryBudget } from "../retries/budget.ts";
@@ -45,6 +45,7 @@
   self: VmIdentity;
   table: MemberTable;
   vms: VmViews;
+  memory: ObjectMemory;
   board: NewsBoard;
 }
 
@@ -70,7 +71,8 @@
  * @returns A core that follows the board's facts.
  */
 export function createCore(parts: CoreParts): Core {
-  const { settings, clock, log, codec, self, table, vms, board } = parts;
+  const { settings, clock, log, codec, self, table, vms, board, memory } =
+    parts;
   let routes: RouteTable | undefined;
   const getTerms = (service: string) => routes?.getTerms(service);
   const demand = createDemandMeter(clock);
@@ -127,7 +129,6 @@
     allowance: settings.bounds.retryAllowance,
   }, vms.countServing);
   const pace = createPaceTable();
-  const memory = createObjectMemory(clock);
   const placer = createPlacer({
     clock,
     log,
@@ -153,6 +154,7 @@
     splitter: createSplitter(),
     demand,
     pace,
+    memory,
     exchange,
   });
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
   startReader,
 } from "../news/reader.ts";
 import { type FactSource, type NewsItem, TOPICS } from "../news/types.ts";
+import { createObjectMemory } from "../placement/memory.ts";
 import { formatAddress } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
@@ -74,7 +75,8 @@
   const table = createMemberTable(self.id, clock);
   const board = createNewsBoard(clock);
   const vms = createVmViews(self, table);
-  const core = createCore({ ...parts, self, table, vms, board });
+  const memory = createObjectMemory(clock);
+  const core = createCore({ ...parts, self, table, vms, memory, board });
   const metrics = createGatewayMetrics(core, board, vms.countServing);
   const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.bounds.maxTtlMs);
   let state: VmState = "starting";
@@ -102,6 +104,7 @@
     self,
     table,
     board,
+    memory,
     register: parts.register,
     clock,
     log,
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -6,6 +6,7 @@
 import type { Server } from "node:http";
 import type { NewsBoard } from "../news/board.ts";
 import { type NewsItem, TOPICS } from "../news/types.ts";
+import type { ObjectMemory } from "../placement/memory.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
 import {
@@ -26,6 +27,7 @@
   self: VmIdentity;
   table: MemberTable;
   board: NewsBoard;
+  memory: ObjectMemory;
   register: VmRegister;
   clock: Clock;
   log: Log;
@@ -47,6 +49,11 @@
 }
 
 const REPORT_MS = 800;
+/**
+ * Pause in which news of objects gather: a small part of the 150 to 500 ms in
+ * which a server learns one.
+ */
+const OBJECT_NEWS_MS = 10;
 /** How often the register is asked for VMs while this one starts. */
 const STARTING_LIST_MS = 2_000;
 /** After that time VMs learn of new ones from each other. */
@@ -65,7 +72,7 @@
  * @returns The running mesh.
  */
 export function startMesh(parts: MeshParts): Mesh {
-  const { self, table, board, register, clock, log } = parts;
+  const { self, table, board, memory, register, clock, log } = parts;
   const links = new Map<VmLink, LinkState>();
   const dialed = new Map<string, DialedLink>();
   const startedAtMs = clock.monotonicMs();
@@ -99,13 +106,18 @@
     const state = links.get(link);
     if (state === undefined) return;
     state.heardAtMs = clock.monotonicMs();
-    if (message.kind === "hello") receiveHello(state, message.identity);
+    if (message.kind === "hello") receiveHello(link, state, message.identity);
     if (message.kind === "members") receiveMembers(message.members);
     if (message.kind === "news") board.apply(message.items);
     if (message.kind === "report") receiveReport(state, message);
+    if (message.kind === "objects") memory.apply(message.objects);
   }
 
-  function receiveHello(state: LinkState, identity: VmIdentity): void {
+  function receiveHello(
+    link: VmLink,
+    state: LinkState,
+    identity: VmIdentity,
+  ): void {
     const before = table.get(identity.id)?.identity.incarnation;
     state.id = identity.id;
     table.noteHello(identity);
@@ -113,6 +125,9 @@
       const { id, region, frontAddress } = identity;
       log.info({ member: id, region, frontAddress }, "VM found");
     }
+    if (identity.region === self.region) {
+      link.send({ kind: "objects", objects: memory.listKnown() });
+    }
     dialMissing();
   }
 
@@ -139,6 +154,17 @@
     for (const link of links.keys()) link.send(message);
   }
 
+  /** Callers of other regions ask for other objects. */
+  function sendObjectNews(): void {
+    const objects = memory.takeNews();
+    if (stopped) return;
+    for (const [link, { id }] of links) {
+      const identity = id === undefined ? undefined : table.get(id)?.identity;
+      if (identity?.region !== self.region) continue;
+      link.send({ kind: "objects", objects });
+    }
+  }
+
   function listIdentities(): VmIdentity[] {
     return [self, ...table.listAlive().map((member) => member.identity)];
   }
@@ -208,6 +234,7 @@
     dialMissing();
     reportNow();
   });
+  memory.onNews(() => void clock.after(OBJECT_NEWS_MS, sendObjectNews));
   void registerSelf().then(findMembers);
   dialMissing();
 
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -4,6 +4,7 @@
 import { makeServer, makeServerNews } from "../gateway/fixture.ts";
 import { createNewsBoard } from "../news/board.ts";
 import { createSystemClock } from "../runtime/clock.ts";
+import { createObjectMemory } from "../placement/memory.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
 import { keepLink } from "../runtime/peer_link.ts";
 import { createSilentLog } from "../telemetry/log.ts";
@@ -37,10 +38,12 @@
 async function startTestMesh() {
   const http = await listen(createRouter(), "127.0.0.1:0");
   const board = createNewsBoard(clock);
+  const memory = createObjectMemory(clock);
   const mesh = startMesh({
     self: makeIdentity("self", http.address),
     table: createMemberTable("self", clock),
     board,
+    memory,
     register: new EmptyRegister(),
     clock,
     log: createSilentLog(),
@@ -52,7 +55,7 @@
     mesh.stop();
     await http.close();
   };
-  return { address: http.address, board, mesh, stop };
+  return { address: http.address, board, memory, mesh, stop };
 }
 
 /** Links to a mesh; says who it is only where an identity is given. */
@@ -110,4 +113,39 @@
   assert.equal(reached, [true, true]);
 });
 
+test("VMs of the region hear which server learns an object", async () => {
+  const { address, memory, stop } = await startTestMesh();
+  const near = await openLink(address, makeIdentity("near", "127.0.0.1:2"));
+  const far = await openLink(address, {
+    ...makeIdentity("far", "127.0.0.1:3"),
+    region: "bergen",
+  });
+  await sleep(100);
+  near.received.length = 0;
+  memory.begin("server-1", "/a 17");
+  await sleep(200);
+  const told = [near, far].map(({ received }) =>
+    received.filter(({ kind }) => kind === "objects")
+  );
+  [near, far].forEach((link) => link.close());
+  await stop();
+  const objects = [
+    { serverId: "server-1", objectName: "/a 17", state: "learning" },
+  ];
+  assert.equal(told, [[{ kind: "objects", objects }], []]);
+});
+
+test("a VM that just started hears what servers know", async () => {
+  const { address, memory, stop } = await startTestMesh();
+  memory.note("server-1", "/a 17");
+  const link = await openLink(address, makeIdentity("new", "127.0.0.1:2"));
+  await waitUntil(() =>
+    link.received.some((message) =>
+      message.kind === "objects" && message.objects.length === 1
+    )
+  );
+  link.close();
+  await stop();
+});
+
 test.run();
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -8,6 +8,7 @@
 
 const MAX_MEMBERS = 4_096;
 const MAX_ITEMS = 10_000;
+const MAX_OBJECTS = 10_000;
 
 /** Checks how a VM is reached. */
 export const identitySchema = z.object({
@@ -43,6 +44,15 @@
     kind: z.literal("news"),
     items: z.array(newsItemSchema).max(MAX_ITEMS),
   }),
+  /** What servers know, for VMs whose callers ask for the same objects. */
+  z.object({
+    kind: z.literal("objects"),
+    objects: z.array(z.object({
+      serverId: z.string().max(128),
+      objectName: z.string().max(512),
+      state: z.enum(["known", "learning", "unknown"]),
+    })).max(MAX_OBJECTS),
+  }),
 ]);
 
 /** A message between VMs. */
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -4,12 +4,14 @@
  * Load pattern: servers answer three times faster for objects they know, and
  * a few objects are asked for far more than others. So an object has a first
  * and a second server; the second takes over what the first has no room for,
- * and both stay warm. A larger circle dilutes what each server remembers.
+ * and both stay warm. A larger circle dilutes what each server remembers;
+ * further servers are asked only for what they know already.
  *
  * @module
  */
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { KnownServer } from "../servers/registry.ts";
+import type { ObjectState } from "./memory.ts";
 import type { Clock } from "../runtime/clock.ts";
 
 /** What is being placed. */
@@ -22,8 +24,8 @@
   maxUse: number;
   /** Rate that a cold server of the service bears. */
   coldRatePerS: number;
-  /** Whether a server answered for the object not long ago. */
-  knowsObject: (serverId: string) => boolean;
+  /** What a server makes of the object. */
+  getObjectState: (serverId: string) => ObjectState;
 }
 
 /** Where an attempt goes. */
@@ -40,13 +42,24 @@
  * the servers lost none knew its objects any more.
  */
 const CIRCLE = 2;
+/** Servers further down that are asked if they know the object. */
+const KNOWING_CIRCLE = 4;
 /**
- * How much fuller the first server must be, in requests a slot, before the
- * second is taken: one that knows the object, and one that does not. Running
- * an object that isn't known takes three times as long.
+ * What a server's memory is worth, in requests a slot: a server is taken while
+ * it is less full by the difference. Running an object that isn't known takes
+ * three times as long. The first server learns its objects sooner than others,
+ * so that a server that joins gets its part.
  */
-const KNOWING_PENALTY = 0.25;
-const UNKNOWING_PENALTY = 0.9;
+const FIRST_PENALTY: Record<ObjectState, number> = {
+  known: 0,
+  learning: 0.1,
+  unknown: 0.35,
+};
+const SECOND_PENALTY: Record<ObjectState, number> = {
+  known: 0.25,
+  learning: 0.6,
+  unknown: 0.9,
+};
 /** A server that failed this share of recent requests is asked last. */
 const POOR_FAILURE_SHARE = 0.35;
 
@@ -88,16 +101,18 @@
 ): Choice | undefined {
   const nowMs = clock.monotonicMs();
   const warm = alive.filter((server) => server.coldUntilMs <= nowMs);
-  const cold = findColdTurn(alive, placement, coldLimit, nowMs);
-  if (cold !== undefined) return cold;
   const sound = warm.filter((server) =>
     server.health.getFailureShare() < POOR_FAILURE_SHARE
   );
   const chosen = sound.length > 0 ? sound : warm;
-  return chooseInCircle(chosen.slice(0, CIRCLE), placement);
+  return chooseInCircle(chosen, placement) ??
+    findColdTurn(alive, placement, coldLimit, nowMs);
 }
 
-/** A cold server gets its own objects only, and only at its rate. */
+/**
+ * A cold server gets its own objects only, at its rate, and only where those
+ * that know them are full: it takes twice as long even for what it knows.
+ */
 function findColdTurn(
   alive: readonly KnownServer[],
   placement: Placement,
@@ -116,29 +131,21 @@
 }
 
 function chooseInCircle(
-  circle: readonly KnownServer[],
+  servers: readonly KnownServer[],
   placement: Placement,
 ): Choice | undefined {
   let best: Choice | undefined;
   let bestCost = Infinity;
-  circle.forEach((server, rank) => {
+  servers.slice(0, KNOWING_CIRCLE).forEach((server, rank) => {
     const use = server.load.getUse();
     if (use >= placement.maxUse) return;
-    const cost = use + getPenalty(server, rank, placement);
+    const state = placement.getObjectState(server.listed.id);
+    if (rank >= CIRCLE && state !== "known") return;
+    const penalties = rank === 0 ? FIRST_PENALTY : SECOND_PENALTY;
+    const cost = use + penalties[state];
     if (cost >= bestCost) return;
     bestCost = cost;
     best = { kind: "server", server, rank, use };
   });
   return best;
 }
-
-function getPenalty(
-  server: KnownServer,
-  rank: number,
-  placement: Placement,
-): number {
-  if (rank === 0) return 0;
-  return placement.knowsObject(server.listed.id)
-    ? KNOWING_PENALTY
-    : UNKNOWING_PENALTY;
-}
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -48,7 +48,7 @@
     tried: new Set(),
     maxUse: 2,
     coldRatePerS: 9,
-    knowsObject: () => true,
+    getObjectState: () => "known",
     ...changes,
   };
   return chooseServer(placement, coldLimit, clock);
@@ -74,15 +74,17 @@
   const { clock, servers } = startFour();
   load(servers[0], 3);
   assert.is(idOf(choose(servers, clock)), "1");
-  const knowsObject = () => false;
-  assert.is(idOf(choose(servers, clock, { knowsObject })), "0");
+  const getObjectState = (id: string) =>
+    id === "0" ? "known" as const : "unknown" as const;
+  assert.is(idOf(choose(servers, clock, { getObjectState })), "0");
 });
 
 test("what finds both servers full is refused, with others free", () => {
   const { clock, servers } = startFour();
   load(servers[0], 8);
   load(servers[1], 8);
-  assert.is(idOf(choose(servers, clock)), "full");
+  const getObjectState = () => "unknown" as const;
+  assert.is(idOf(choose(servers, clock, { getObjectState })), "full");
 });
 
 test("a server that was tried, or is kept out, makes room in the circle", () => {
@@ -116,17 +118,39 @@
   assert.is(idOf(choose(servers, clock)), "full");
 });
 
-test("a cold server gets objects of its own, at its rate", () => {
+test("a cold server gets objects of its own where the others are full", () => {
   const { clock, servers } = startFour();
   servers[0].coldUntilMs = 5_000;
   const willing: ColdLimit = { take: () => true };
+  assert.is(idOf(choose(servers, clock, {}, willing)), "1");
+  load(servers[1], 8);
+  load(servers[2], 8);
+  load(servers[3], 8);
   assert.is(idOf(choose(servers, clock, {}, willing)), "0");
-  assert.is(idOf(choose(servers, clock)), "1");
+  assert.is(idOf(choose(servers, clock)), "full");
   servers[0].coldUntilMs = 0;
   servers[1].coldUntilMs = 5_000;
   assert.is(idOf(choose(servers, clock, {}, willing)), "0");
 });
 
+test("a server further down is asked for what it knows", () => {
+  const { clock, servers } = startFour();
+  load(servers[0], 8);
+  load(servers[1], 8);
+  const getObjectState = (id: string) =>
+    id === "3" ? "known" as const : "unknown" as const;
+  assert.is(idOf(choose(servers, clock, { getObjectState })), "3");
+});
+
+test("the second keeps what it knows while the first doesn't, until busier", () => {
+  const { clock, servers } = startFour();
+  const getObjectState = (id: string) =>
+    id === "1" ? "known" as const : "unknown" as const;
+  assert.is(idOf(choose(servers, clock, { getObjectState })), "1");
+  load(servers[1], 1);
+  assert.is(idOf(choose(servers, clock, { getObjectState })), "0");
+});
+
 /** Asks any server of the region that has room, best ranked first. */
 function chooseScattering(servers: readonly KnownServer[]): Choice {
   const server = servers.find(({ load }) => load.getUse() < 2);
@@ -196,7 +220,7 @@
         ? chooseScattering(ranked)
         : choose(ranked, clock, {
           maxUse: 2,
-          knowsObject: (id) => memory.knows(id, key),
+          getObjectState: (id) => memory.getState(id, key),
         });
       asked++;
       if (choice.kind !== "server") continue;
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import type { ObjectMemory } from "../placement/memory.ts";
 import type { RetryBudget } from "../retries/budget.ts";
 import type { Splitter } from "../routing/split.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -15,10 +16,11 @@
 import type { Log } from "../telemetry/log.ts";
 import type { DemandMeter } from "./demand.ts";
 import type { Exchange } from "./exchange.ts";
+import { createHolder } from "./holding.ts";
 import type { Observer } from "./observing.ts";
 import type { PaceTable } from "./pace.ts";
 import type { Placer } from "./placing.ts";
-import type { Progress } from "./progress.ts";
+import { nameObject, type Progress } from "./progress.ts";
 import {
   type CallerRequest,
   type ExchangeResult,
@@ -40,6 +42,7 @@
   splitter: Splitter;
   demand: DemandMeter;
   pace: PaceTable;
+  memory: ObjectMemory;
   exchange: Exchange;
 }
 
@@ -63,7 +66,8 @@
  * @returns The flow of requests through this VM.
  */
 export function createFlow(parts: FlowParts): Flow {
-  const { clock, log, random, registry, exchange, budget } = parts;
+  const { clock, log, random, registry, exchange, budget, memory } = parts;
+  const holder = createHolder({ clock, log, memory });
 
   async function serve(request: CallerRequest): Promise<ServeResult> {
     const progress = begin(request);
@@ -76,6 +80,7 @@
       if (remainingMs < MIN_ATTEMPT_MS) return giveUp(progress, "too_late");
       const server = parts.placer.place(progress);
       if (typeof server === "string") return giveUp(progress, server);
+      if (await holder.hold(progress, server)) continue;
       const step = await attempt(progress, server, remainingMs);
       if (step.kind === "done") return step.result;
       if (progress.tried.size >= route.maxAttempts) {
@@ -93,6 +98,7 @@
       objectKey: terms.objectKey ?? `unkeyed ${random()}`,
       endsAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
       tried: new Set(),
+      wasHeld: false,
       fallback: undefined,
       lost: undefined,
     };
@@ -107,6 +113,7 @@
     progress.tried.add(server.listed.id);
     const startedAtMs = clock.monotonicMs();
     const useAtStart = server.load.getUse();
+    const isFirst = memory.begin(server.listed.id, nameObject(progress));
     server.load.begin();
     const running = exchange.send(server.listed, request, remainingMs);
     const leave = () => running.abort("client_left");
@@ -116,7 +123,12 @@
     timer.cancel();
     request.signal.removeEventListener("abort", leave);
     const tookMs = clock.monotonicMs() - startedAtMs;
-    parts.observer.note(progress, server, { result, tookMs, useAtStart });
+    parts.observer.note(progress, server, {
+      result,
+      tookMs,
+      useAtStart,
+      isFirst,
+    });
     server.load.end();
     return judge(progress, server, result);
   }
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -30,6 +30,8 @@
   tookMs: number;
   /** Load of the server when the attempt was sent. */
   useAtStart: number;
+  /** Whether it was the first for its object, which the server didn't know. */
+  isFirst: boolean;
 }
 
 /** Learns from attempts. */
@@ -56,6 +58,9 @@
     if (result.kind === "not_run") server.health.note("shed");
     if (result.kind === "not_sent") server.health.note("unreachable");
     if (result.kind === "lost") noteLoss(server, result.reason, tookMs);
+    if (end.isFirst && !isAnswered(result)) {
+      memory.fail(server.listed.id, nameObject(progress));
+    }
     log.info(
       {
         requestId: progress.request.terms.requestId,
@@ -107,6 +112,10 @@
   return { note };
 }
 
+function isAnswered(result: ExchangeResult): boolean {
+  return result.kind === "answer" && result.answer.status < FIRST_SERVER_ERROR;
+}
+
 function describeResult(result: ExchangeResult): Record<string, unknown> {
   if (result.kind === "answer") {
     return { outcome: "answer", status: result.answer.status };
