Tell the region's VMs what servers know, without holding requests

Cause of the revert of holding: a server knows an object from the start of its first run. What stays: VMs of a region tell each other which server was asked for which object, the second server is chosen by what any of them asked; a third and fourth are asked only for what they know; a cold server only where those that know the object are full.

--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -50,8 +50,8 @@
 
 const REPORT_MS = 800;
 /**
- * Pause in which news of objects gather: a small part of the 150 to 500 ms in
- * which a server learns one.
+ * Pause in which news of objects gather. Requests for one object come half a
+ * second apart, so that few are placed without the news.
  */
 const OBJECT_NEWS_MS = 10;
 /** How often the register is asked for VMs while this one starts. */
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -113,7 +113,7 @@
   assert.equal(reached, [true, true]);
 });
 
-test("VMs of the region hear which server learns an object", async () => {
+test("VMs of the region hear which server was asked for an object", async () => {
   const { address, memory, stop } = await startTestMesh();
   const near = await openLink(address, makeIdentity("near", "127.0.0.1:2"));
   const far = await openLink(address, {
@@ -122,7 +122,7 @@
   });
   await sleep(100);
   near.received.length = 0;
-  memory.begin("server-1", "/a 17");
+  memory.note("server-1", "/a 17");
   await sleep(200);
   const told = [near, far].map(({ received }) =>
     received.filter(({ kind }) => kind === "objects")
@@ -130,7 +130,7 @@
   [near, far].forEach((link) => link.close());
   await stop();
   const objects = [
-    { serverId: "server-1", objectName: "/a 17", state: "learning" },
+    { serverId: "server-1", objectName: "/a 17", isKnown: true },
   ];
   assert.equal(told, [[{ kind: "objects", objects }], []]);
 });
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -50,7 +50,7 @@
     objects: z.array(z.object({
       serverId: z.string().max(128),
       objectName: z.string().max(512),
-      state: z.enum(["known", "learning", "unknown"]),
+      isKnown: z.boolean(),
     })).max(MAX_OBJECTS),
   }),
 ]);
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -11,7 +11,6 @@
  */
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { KnownServer } from "../servers/registry.ts";
-import type { ObjectState } from "./memory.ts";
 import type { Clock } from "../runtime/clock.ts";
 
 /** What is being placed. */
@@ -24,8 +23,8 @@
   maxUse: number;
   /** Rate that a cold server of the service bears. */
   coldRatePerS: number;
-  /** What a server makes of the object. */
-  getObjectState: (serverId: string) => ObjectState;
+  /** Whether a server was asked for the object not long ago. */
+  knowsObject: (serverId: string) => boolean;
 }
 
 /** Where an attempt goes. */
@@ -50,16 +49,9 @@
  * three times as long. The first server learns its objects sooner than others,
  * so that a server that joins gets its part.
  */
-const FIRST_PENALTY: Record<ObjectState, number> = {
-  known: 0,
-  learning: 0.1,
-  unknown: 0.35,
-};
-const SECOND_PENALTY: Record<ObjectState, number> = {
-  known: 0.25,
-  learning: 0.6,
-  unknown: 0.9,
-};
+const FIRST_UNKNOWING_PENALTY = 0.35;
+const KNOWING_PENALTY = 0.25;
+const UNKNOWING_PENALTY = 0.9;
 /** A server that failed this share of recent requests is asked last. */
 const POOR_FAILURE_SHARE = 0.35;
 
@@ -139,13 +131,17 @@
   servers.slice(0, KNOWING_CIRCLE).forEach((server, rank) => {
     const use = server.load.getUse();
     if (use >= placement.maxUse) return;
-    const state = placement.getObjectState(server.listed.id);
-    if (rank >= CIRCLE && state !== "known") return;
-    const penalties = rank === 0 ? FIRST_PENALTY : SECOND_PENALTY;
-    const cost = use + penalties[state];
+    const isKnown = placement.knowsObject(server.listed.id);
+    if (rank >= CIRCLE && !isKnown) return;
+    const cost = use + getPenalty(rank, isKnown);
     if (cost >= bestCost) return;
     bestCost = cost;
     best = { kind: "server", server, rank, use };
   });
   return best;
 }
+
+function getPenalty(rank: number, isKnown: boolean): number {
+  if (rank === 0) return isKnown ? 0 : FIRST_UNKNOWING_PENALTY;
+  return isKnown ? KNOWING_PENALTY : UNKNOWING_PENALTY;
+}
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -48,7 +48,7 @@
     tried: new Set(),
     maxUse: 2,
     coldRatePerS: 9,
-    getObjectState: () => "known",
+    knowsObject: () => true,
     ...changes,
   };
   return chooseServer(placement, coldLimit, clock);
@@ -74,17 +74,16 @@
   const { clock, servers } = startFour();
   load(servers[0], 3);
   assert.is(idOf(choose(servers, clock)), "1");
-  const getObjectState = (id: string) =>
-    id === "0" ? "known" as const : "unknown" as const;
-  assert.is(idOf(choose(servers, clock, { getObjectState })), "0");
+  const knowsObject = (id: string) => id === "0";
+  assert.is(idOf(choose(servers, clock, { knowsObject })), "0");
 });
 
 test("what finds both servers full is refused, with others free", () => {
   const { clock, servers } = startFour();
   load(servers[0], 8);
   load(servers[1], 8);
-  const getObjectState = () => "unknown" as const;
-  assert.is(idOf(choose(servers, clock, { getObjectState })), "full");
+  const knowsObject = () => false;
+  assert.is(idOf(choose(servers, clock, { knowsObject })), "full");
 });
 
 test("a server that was tried, or is kept out, makes room in the circle", () => {
@@ -137,18 +136,16 @@
   const { clock, servers } = startFour();
   load(servers[0], 8);
   load(servers[1], 8);
-  const getObjectState = (id: string) =>
-    id === "3" ? "known" as const : "unknown" as const;
-  assert.is(idOf(choose(servers, clock, { getObjectState })), "3");
+  const knowsObject = (id: string) => id === "3";
+  assert.is(idOf(choose(servers, clock, { knowsObject })), "3");
 });
 
 test("the second keeps what it knows while the first doesn't, until busier", () => {
   const { clock, servers } = startFour();
-  const getObjectState = (id: string) =>
-    id === "1" ? "known" as const : "unknown" as const;
-  assert.is(idOf(choose(servers, clock, { getObjectState })), "1");
+  const knowsObject = (id: string) => id === "1";
+  assert.is(idOf(choose(servers, clock, { knowsObject })), "1");
   load(servers[1], 1);
-  assert.is(idOf(choose(servers, clock, { getObjectState })), "0");
+  assert.is(idOf(choose(servers, clock, { knowsObject })), "0");
 });
 
 /** Asks any server of the region that has room, best ranked first. */
@@ -220,7 +217,7 @@
         ? chooseScattering(ranked)
         : choose(ranked, clock, {
           maxUse: 2,
-          getObjectState: (id) => memory.getState(id, key),
+          knowsObject: (id) => memory.knows(id, key),
         });
       asked++;
       if (choice.kind !== "server") continue;
--- a/src/placement/memory.ts
+++ b/src/placement/memory.ts
@@ -1,29 +1,20 @@
 /**
- * Which backend servers know which objects, and which are learning one now:
- * what this VM saw, and what the VMs of its region told.
+ * Which backend servers know which objects: what this VM saw, and what the VMs
+ * of its region told.
  *
- * A server runs the first request for an object three times as long as those
- * after it. Requests for the object that arrive meanwhile would all be first
- * requests, so they wait for the one that runs.
+ * A server knows an object from the start of its first request; that request
+ * takes three times as long as those after it.
  *
  * @module
  */
-import type { Clock, Timer } from "../runtime/clock.ts";
-
-/** What a server makes of an object. */
-export type ObjectState =
-  /** It answered for the object not long ago. */
-  | "known"
-  /** A request for the object that it doesn't know runs there. */
-  | "learning"
-  /** Neither; as news: such a request failed. */
-  | "unknown";
+import type { Clock } from "../runtime/clock.ts";
 
 /** One server and one object. */
 export interface ObjectNews {
   serverId: string;
   objectName: string;
-  state: ObjectState;
+  /** False where a first request failed that was told of before. */
+  isKnown: boolean;
 }
 
 /** What is known of servers' memories. */
@@ -33,30 +24,18 @@
    *
    * @returns Whether it is the first for its object.
    */
-  begin(serverId: string, objectName: string): boolean;
-  /** Notes that a server answered for an object. */
-  note(serverId: string, objectName: string): void;
-  /** Notes that the first request for an object was not answered. */
-  fail(serverId: string, objectName: string): void;
-  getState(serverId: string, objectName: string): ObjectState;
-  /**
-   * Waits while a server learns an object.
-   *
-   * @param maxMs Longest wait.
-   * @returns Resolves when it knows the object, or failed to, or in time.
-   */
-  waitWhileLearning(
-    serverId: string,
-    objectName: string,
-    maxMs: number,
-  ): Promise<void>;
+  note(serverId: string, objectName: string): boolean;
+  /** Notes that the first request for an object failed. */
+  forget(serverId: string, objectName: string): void;
+  /** @returns Whether a server was asked for an object not long ago. */
+  knows(serverId: string, objectName: string): boolean;
   /** Takes in what another VM told. */
   apply(news: readonly ObjectNews[]): void;
   /** Registers who is called when there is news to take. */
   onNews(listener: () => void): void;
   /** @returns What changed here since the last call, to tell other VMs. */
   takeNews(): ObjectNews[];
-  /** @returns What servers know, newest first, for a VM that just started. */
+  /** @returns What servers know, for a VM that just started. */
   listKnown(): ObjectNews[];
 }
 
@@ -64,20 +43,16 @@
 const FORGET_MS = 20_000;
 /** What is still known is told again before others forget it. */
 const RETELL_MS = 8_000;
-/** Longest route's time; learning ends by then, whatever was heard. */
-const MAX_LEARNING_MS = 3_000;
 /** Pairs kept; the oldest go first. A pair takes about 150 bytes. */
 const MAX_PAIRS = 20_000;
 /** Most pairs that are told at once, about 60 bytes each. */
-export const MAX_TOLD_PAIRS = 2_000;
+const MAX_TOLD_PAIRS = 2_000;
 
 interface Pair {
   serverId: string;
   objectName: string;
-  state: "known" | "learning";
-  sinceMs: number;
+  askedAtMs: number;
   toldAtMs: number;
-  waiting: Set<() => void>;
 }
 
 /**
@@ -93,122 +68,54 @@
     return `${serverId} ${objectName}`;
   }
 
-  function isCurrent({ state, sinceMs }: Pair): boolean {
-    const limitMs = state === "known" ? FORGET_MS : MAX_LEARNING_MS;
-    return clock.monotonicMs() - sinceMs < limitMs;
+  function isCurrent(pair: Pair | undefined): boolean {
+    return pair !== undefined &&
+      clock.monotonicMs() - pair.askedAtMs < FORGET_MS;
   }
 
-  function find(serverId: string, objectName: string): Pair | undefined {
-    const pair = pairs.get(keyOf(serverId, objectName));
-    return pair !== undefined && isCurrent(pair) ? pair : undefined;
+  function knows(serverId: string, objectName: string): boolean {
+    return isCurrent(pairs.get(keyOf(serverId, objectName)));
   }
 
-  function release(pair: Pair): void {
-    for (const resolve of pair.waiting) resolve();
-    pair.waiting.clear();
-  }
-
-  function put(
-    serverId: string,
-    objectName: string,
-    state: Pair["state"],
-  ): Pair {
+  function put(serverId: string, objectName: string): Pair {
     const key = keyOf(serverId, objectName);
-    const before = pairs.get(key);
-    const pair: Pair = {
-      serverId,
-      objectName,
-      state,
-      sinceMs: clock.monotonicMs(),
-      toldAtMs: before?.toldAtMs ?? -Infinity,
-      waiting: before?.waiting ?? new Set(),
-    };
+    const nowMs = clock.monotonicMs();
+    const pair = pairs.get(key) ??
+      { serverId, objectName, askedAtMs: nowMs, toldAtMs: -Infinity };
+    pair.askedAtMs = nowMs;
     pairs.delete(key);
     pairs.set(key, pair);
-    if (state === "known") release(pair);
-    dropOldest();
+    if (pairs.size > MAX_PAIRS) pairs.delete(pairs.keys().next().value!);
     return pair;
   }
 
-  function dropOldest(): void {
-    if (pairs.size <= MAX_PAIRS) return;
-    const [key, pair] = pairs.entries().next().value!;
-    pairs.delete(key);
-    release(pair);
-  }
-
-  function drop(serverId: string, objectName: string): void {
-    const key = keyOf(serverId, objectName);
-    const pair = pairs.get(key);
-    if (pair?.state !== "learning") return;
-    pairs.delete(key);
-    release(pair);
-  }
-
-  function tell(serverId: string, objectName: string, state: ObjectState) {
+  function tell(item: ObjectNews): void {
     if (news.length >= MAX_TOLD_PAIRS) return;
-    news.push({ serverId, objectName, state });
+    news.push(item);
     if (news.length === 1) announce();
   }
 
-  function begin(serverId: string, objectName: string): boolean {
-    if (find(serverId, objectName) !== undefined) return false;
-    put(serverId, objectName, "learning");
-    tell(serverId, objectName, "learning");
-    return true;
-  }
-
-  function note(serverId: string, objectName: string): void {
-    const wasKnown = find(serverId, objectName)?.state === "known";
-    const pair = put(serverId, objectName, "known");
-    const nowMs = clock.monotonicMs();
-    if (wasKnown && nowMs - pair.toldAtMs < RETELL_MS) return;
-    pair.toldAtMs = nowMs;
-    tell(serverId, objectName, "known");
-  }
-
-  function fail(serverId: string, objectName: string): void {
-    drop(serverId, objectName);
-    tell(serverId, objectName, "unknown");
-  }
-
-  function waitWhileLearning(
-    serverId: string,
-    objectName: string,
-    maxMs: number,
-  ): Promise<void> {
-    const pair = find(serverId, objectName);
-    if (pair?.state !== "learning") return Promise.resolve();
-    return new Promise((resolve) => {
-      let timer: Timer | undefined = undefined;
-      const end = () => {
-        timer?.cancel();
-        pair.waiting.delete(end);
-        resolve();
-      };
-      timer = clock.after(maxMs, end);
-      pair.waiting.add(end);
-    });
-  }
-
-  function apply(told: readonly ObjectNews[]): void {
-    for (const { serverId, objectName, state } of told) {
-      if (state === "unknown") drop(serverId, objectName);
-      else if (state === "known") put(serverId, objectName, state);
-      else if (find(serverId, objectName) === undefined) {
-        put(serverId, objectName, state);
-      }
-    }
-  }
-
   return {
-    begin,
-    note,
-    fail,
-    getState: (serverId, objectName) =>
-      find(serverId, objectName)?.state ?? "unknown",
-    waitWhileLearning,
-    apply,
+    note(serverId, objectName) {
+      const isFirst = !knows(serverId, objectName);
+      const pair = put(serverId, objectName);
+      if (isFirst || pair.askedAtMs - pair.toldAtMs > RETELL_MS) {
+        pair.toldAtMs = pair.askedAtMs;
+        tell({ serverId, objectName, isKnown: true });
+      }
+      return isFirst;
+    },
+    forget(serverId, objectName) {
+      if (!pairs.delete(keyOf(serverId, objectName))) return;
+      tell({ serverId, objectName, isKnown: false });
+    },
+    knows,
+    apply(told) {
+      for (const { serverId, objectName, isKnown } of told) {
+        if (isKnown) put(serverId, objectName);
+        else pairs.delete(keyOf(serverId, objectName));
+      }
+    },
     onNews: (listener) => void (announce = listener),
     takeNews() {
       const taken = news;
@@ -216,13 +123,8 @@
       return taken;
     },
     listKnown: () =>
-      [...pairs.values()]
-        .filter((pair) => pair.state === "known" && isCurrent(pair))
-        .slice(-MAX_TOLD_PAIRS)
-        .map(({ serverId, objectName }) => ({
-          serverId,
-          objectName,
-          state: "known" as const,
-        })),
+      [...pairs.values()].filter(isCurrent).slice(-MAX_TOLD_PAIRS).map(
+        ({ serverId, objectName }) => ({ serverId, objectName, isKnown: true }),
+      ),
   };
 }
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -16,7 +16,6 @@
 import type { Log } from "../telemetry/log.ts";
 import type { DemandMeter } from "./demand.ts";
 import type { Exchange } from "./exchange.ts";
-import { createHolder } from "./holding.ts";
 import type { Observer } from "./observing.ts";
 import type { PaceTable } from "./pace.ts";
 import type { Placer } from "./placing.ts";
@@ -67,7 +66,6 @@
  */
 export function createFlow(parts: FlowParts): Flow {
   const { clock, log, random, registry, exchange, budget, memory } = parts;
-  const holder = createHolder({ clock, log, memory });
 
   async function serve(request: CallerRequest): Promise<ServeResult> {
     const progress = begin(request);
@@ -80,7 +78,6 @@
       if (remainingMs < MIN_ATTEMPT_MS) return giveUp(progress, "too_late");
       const server = parts.placer.place(progress);
       if (typeof server === "string") return giveUp(progress, server);
-      if (await holder.hold(progress, server)) continue;
       const step = await attempt(progress, server, remainingMs);
       if (step.kind === "done") return step.result;
       if (progress.tried.size >= route.maxAttempts) {
@@ -98,7 +95,6 @@
       objectKey: terms.objectKey ?? `unkeyed ${random()}`,
       endsAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
       tried: new Set(),
-      wasHeld: false,
       fallback: undefined,
       lost: undefined,
     };
@@ -113,7 +109,7 @@
     progress.tried.add(server.listed.id);
     const startedAtMs = clock.monotonicMs();
     const useAtStart = server.load.getUse();
-    const isFirst = memory.begin(server.listed.id, nameObject(progress));
+    const isFirst = memory.note(server.listed.id, nameObject(progress));
     server.load.begin();
     const running = exchange.send(server.listed, request, remainingMs);
     const leave = () => running.abort("client_left");
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -59,7 +59,7 @@
     if (result.kind === "not_sent") server.health.note("unreachable");
     if (result.kind === "lost") noteLoss(server, result.reason, tookMs);
     if (end.isFirst && !isAnswered(result)) {
-      memory.fail(server.listed.id, nameObject(progress));
+      memory.forget(server.listed.id, nameObject(progress));
     }
     log.info(
       {
@@ -89,7 +89,6 @@
     }
     server.health.note("answered");
     pace.note(progress.request.route, tookMs, useAtStart);
-    memory.note(server.listed.id, nameObject(progress));
   }
 
   /**
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -69,7 +69,7 @@
       tried,
       maxUse: pace.getMaxUse(route),
       coldRatePerS: parts.getTerms(service)?.coldRequestsPerS ?? 0,
-      getObjectState: (id: string) => memory.getState(id, nameObject(progress)),
+      knowsObject: (id: string) => memory.knows(id, nameObject(progress)),
     };
     const choice = chooseServer(placement, parts.coldLimit, clock);
     const inputs = { requestId, service, objectKey, region };
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -14,8 +14,6 @@
   endsAtMs: number;
   /** Servers that it was sent to. */
   tried: Set<string>;
-  /** Whether it waited for a server to learn its object. */
-  wasHeld: boolean;
   /** An answer that a retry was hoped to better. */
   fallback: ServerAnswer | undefined;
   /** Why the last attempt that may have run has no answer. */
