Move at once only what lost servers served; pace shares by how chance swings

Servers that can't be reached stay in the register for 4.5 s, so their loss was seen late or not at all. Change: at once moves no more than the part of the requests whose servers were lost; losses of 2 s add up; servers that are down by this VM's own view don't count as slots; the planned pace leaves room for 2.5 swings by chance at the present number of requests (0.045 to 0.09 of 0.15 in 2 s, before 0.045).

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -110,18 +110,20 @@
     }
   });
 
+  const figures = createFiguresReader({
+    ownRegion: self.region,
+    regions: settings.regions,
+    registry,
+    table,
+    trend: createDemandTrend(clock),
+    getOwnDemand: demand.getRates,
+  });
   const plan = createRegionPlan({
     clock,
     log,
     ownRegion: self.region,
-    getFigures: createFiguresReader({
-      ownRegion: self.region,
-      regions: settings.regions,
-      registry,
-      table,
-      trend: createDemandTrend(clock),
-      getOwnDemand: demand.getRates,
-    }),
+    getFigures: figures.read,
+    getRequestsPerS: figures.getRequestsPerS,
     maxShift: settings.bounds.maxShift,
   });
   const budget = createRetryBudget({
--- a/src/placement/figures.ts
+++ b/src/placement/figures.ts
@@ -11,7 +11,8 @@
 
 /**
  * What figures are made from. Slots of cold servers count: a server stays cold
- * for 3 s, and shares that moved away from it took 20 s to come back.
+ * for 3 s, and shares that moved away from it took 20 s to come back. Servers
+ * that can't be reached don't: the register lists them for another 4.5 s.
  */
 export interface FiguresParts {
   ownRegion: string;
@@ -30,13 +31,21 @@
  */
 const PRIOR_DEMAND_PER_S = 10;
 
+/** Works figures out. */
+export interface FiguresReader {
+  /** @returns Figures of every region for one service. */
+  read(service: string): RegionFigures[];
+  /** @returns Requests a second from the own region's callers. */
+  getRequestsPerS(): number;
+}
+
 /**
  * @param parts What figures are made from.
- * @returns A function that gives the figures of one service.
+ * @returns A reader of figures.
  */
 export function createFiguresReader(
   parts: FiguresParts,
-): (service: string) => RegionFigures[] {
+): FiguresReader {
   const { registry, table, trend } = parts;
 
   function addSlots(
@@ -45,7 +54,8 @@
   ): void {
     for (const server of registry.listUsable(service)) {
       const region = figures.get(server.region);
-      if (region !== undefined) region.slots += server.listed.slots;
+      if (region === undefined || server.health.isDown()) continue;
+      region.slots += server.listed.slots;
     }
   }
 
@@ -76,7 +86,7 @@
     }
   }
 
-  return (service) => {
+  function read(service: string): RegionFigures[] {
     const figures = new Map<string, RegionFigures>();
     for (const region of parts.regions.values()) {
       figures.set(region, { region, slots: 0, demand: PRIOR_DEMAND_PER_S });
@@ -85,5 +95,17 @@
     addDemand(figures, service);
     planDemand(figures, service);
     return [...figures.values()];
-  };
+  }
+
+  function getRequestsPerS(): number {
+    const rates = [parts.getOwnDemand()];
+    for (const { identity, report } of table.listAlive()) {
+      const isNear = identity.region === parts.ownRegion;
+      if (isNear && report !== undefined) rates.push(report.demandPerS);
+    }
+    return rates.flatMap((rate) => Object.values(rate))
+      .reduce((total, ratePerS) => total + ratePerS, 0);
+  }
+
+  return { read, getRequestsPerS };
 }
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -71,6 +71,7 @@
     log: createSilentLog(),
     ownRegion: "oslo",
     getFigures,
+    getRequestsPerS: () => 100,
     maxShift: 0.15,
   });
 }
@@ -89,6 +90,69 @@
   assert.ok(shareOf(shares, "trondheim") > shareOf(shares, "bergen"));
 });
 
+test("a loss elsewhere calls no more home than its servers served", () => {
+  const clock = createFakeClock();
+  const bergen = { region: "bergen", slots: 16, demand: 60 };
+  let oslo = { region: "oslo", slots: 48, demand: 60 };
+  const plan = createRegionPlan({
+    clock,
+    log: createSilentLog(),
+    ownRegion: "bergen",
+    getFigures: () => [bergen, oslo],
+    getRequestsPerS: () => 100,
+    maxShift: 0.15,
+  });
+  const before = shareOf(plan.getShares("s", []), "oslo");
+  oslo = { ...oslo, slots: 12 };
+  clock.advance(250);
+  const after = shareOf(plan.getShares("s", []), "oslo");
+  assert.ok(before - after > 0.01, `${before} -> ${after}`);
+  assert.ok(before - after <= before * 0.75 + 1e-9, `${before} -> ${after}`);
+});
+
+test("servers that lapse one by one count as lost together", () => {
+  const clock = createFakeClock();
+  let slots = 48;
+  const plan = startPlan(
+    clock,
+    () =>
+      NORDVERN.map((region) =>
+        region.region === "oslo" ? { ...region, slots } : region
+      ),
+  );
+  plan.getShares("s", []);
+  for (slots = 40; slots > 0; slots -= 8) {
+    clock.advance(250);
+    plan.getShares("s", []);
+  }
+  clock.advance(250);
+  assert.ok(shareOf(plan.getShares("s", []), "oslo") < 1e-9);
+});
+
+test("shares move faster where many requests make chance small", () => {
+  const moved = [50, 400].map((requestsPerS) => {
+    const clock = createFakeClock();
+    let demand = 86;
+    const plan = createRegionPlan({
+      clock,
+      log: createSilentLog(),
+      ownRegion: "oslo",
+      getFigures: () =>
+        NORDVERN.map((region) =>
+          region.region === "oslo" ? { ...region, demand } : region
+        ),
+      getRequestsPerS: () => requestsPerS,
+      maxShift: 0.15,
+    });
+    plan.getShares("s", []);
+    demand = 800;
+    clock.advance(250);
+    return 1 - shareOf(plan.getShares("s", []), "oslo");
+  });
+  assert.ok(Math.abs(moved[0] - 0.045 / 8) < 1e-9);
+  assert.ok(Math.abs(moved[1] - 0.0875 / 8) < 1e-3, `${moved[1]}`);
+});
+
 test("shares follow a shift of demand by less than the cap in any 2 s", () => {
   const clock = createFakeClock();
   let figures = NORDVERN;
--- a/src/placement/regions.ts
+++ b/src/placement/regions.ts
@@ -9,6 +9,7 @@
 import {
   computeDistance,
   computeShares,
+  getShare,
   type RegionFigures,
   type RegionShare,
   stepShares,
@@ -31,6 +32,8 @@
   ownRegion: string;
   /** Slots and demand of every region, for one service. */
   getFigures: (service: string) => RegionFigures[];
+  /** Requests a second from the own region's callers, for all services. */
+  getRequestsPerS: () => number;
   /** Largest share that may change region from one 2 s window to the next. */
   maxShift: number;
 }
@@ -40,25 +43,36 @@
 /** How often a plan is brought up to date. */
 const STEP_MS = 250;
 /**
- * Part of the allowed shift that is planned. Requests arrive by chance: with
- * 300 in a window, a share of a half swings by 4 in 100 unplanned, and two
- * such swings have to fit as well.
+ * Requests arrive by chance, so a share of a half swings from window to window
+ * without being moved: by 0.05 for 200 requests, by 0.03 for 700. What is
+ * planned leaves room for this many such swings.
  */
-const PLANNED_PART = 0.3;
+const CHANCE_SWINGS = 2.5;
+/** Least and largest part of the allowed shift that is planned. */
+const MIN_PLANNED_PART = 0.3;
+const MAX_PLANNED_PART = 0.6;
 /** Target moves below this are not followed; figures swing by chance. */
 const MIN_MOVE = 0.03;
 /**
- * A region that has less than this part of the slots that its shares were made
- * for has lost servers: its requests go elsewhere at once. At the usual pace
- * the servers that are left would be overwhelmed for ten seconds.
+ * A region that has less than this part of the slots that it had not long ago
+ * has lost servers: what they served goes elsewhere at once. At the usual pace
+ * the servers that are left would be overwhelmed for ten seconds. No more than
+ * that moves at once, since the way back is paced.
  */
 const LOST_SLOTS_PART = 0.75;
+/** Time in which losses add up: servers of a lost domain lapse one by one. */
+const LOSS_WINDOW_MS = 2_000;
 
 interface Entry {
   shares: RegionShare[];
   steppedAtMs: number;
-  /** Slots of each region when shares were last brought up to date. */
-  slots: Map<string, number>;
+  /** Most slots that each region had not long ago. */
+  slots: Map<string, SeenSlots>;
+}
+
+interface SeenSlots {
+  slots: number;
+  atMs: number;
 }
 
 /**
@@ -68,7 +82,6 @@
 export function createRegionPlan(parts: RegionPlanParts): RegionPlan {
   const { clock, log, ownRegion, maxShift } = parts;
   const entries = new Map<string, Entry>();
-  const maxStep = maxShift * PLANNED_PART * STEP_MS / SHIFT_WINDOW_MS;
 
   function listFigures(service: string, allowed: readonly string[]) {
     return parts.getFigures(service).filter((region) =>
@@ -76,27 +89,54 @@
     );
   }
 
-  function hasLostSlots(entry: Entry, figures: readonly RegionFigures[]) {
-    return figures.some(({ region, slots }) =>
-      slots < LOST_SLOTS_PART * (entry.slots.get(region) ?? 0)
+  /** @returns Part of the requests whose servers were lost. */
+  function takeLoss(entry: Entry, figures: readonly RegionFigures[]): number {
+    const nowMs = clock.monotonicMs();
+    let loss = 0;
+    for (const { region, slots } of figures) {
+      const seen = entry.slots.get(region) ?? { slots, atMs: nowMs };
+      const isLost = slots < LOST_SLOTS_PART * seen.slots;
+      if (isLost) {
+        loss += getShare(entry.shares, region) * (1 - slots / seen.slots);
+      }
+      const isOutdated = nowMs - seen.atMs > LOSS_WINDOW_MS;
+      if (isLost || isOutdated || slots >= seen.slots) {
+        entry.slots.set(region, { slots, atMs: nowMs });
+      }
+    }
+    return loss;
+  }
+
+  function getMaxStep(elapsedMs: number): number {
+    const requests = Math.max(1, parts.getRequestsPerS()) * SHIFT_WINDOW_MS /
+      1_000;
+    const swing = Math.sqrt(0.5 / requests);
+    const planned = Math.min(
+      MAX_PLANNED_PART * maxShift,
+      Math.max(MIN_PLANNED_PART * maxShift, maxShift - CHANCE_SWINGS * swing),
     );
+    return planned * Math.min(2 * STEP_MS, elapsedMs) / SHIFT_WINDOW_MS;
   }
 
   function step(
+    service: string,
     entry: Entry,
     figures: readonly RegionFigures[],
     elapsedMs: number,
   ): void {
     const target = computeShares(ownRegion, figures);
-    const isLoss = hasLostSlots(entry, figures);
-    const steps = Math.min(2, Math.floor(elapsedMs / STEP_MS));
+    const loss = takeLoss(entry, figures);
     const distance = computeDistance(entry.shares, target);
     entry.steppedAtMs = clock.monotonicMs();
-    entry.slots = mapSlots(figures);
     if (target.length === 0 || distance < MIN_MOVE) return;
-    const limit = isLoss ? 1 : maxStep * steps;
+    const limit = Math.max(loss, getMaxStep(elapsedMs));
     entry.shares = stepShares(entry.shares, target, limit);
-    if (isLoss) log.info({ target, distance }, "servers lost, shares moved");
+    if (loss > 0) {
+      log.info(
+        { service, target, loss, shares: entry.shares },
+        "servers lost, shares moved",
+      );
+    }
   }
 
   return {
@@ -107,20 +147,18 @@
       if (entry === undefined || entry.shares.length === 0) {
         const figures = listFigures(service, allowed);
         const shares = computeShares(ownRegion, figures);
-        const slots = mapSlots(figures);
+        const slots = new Map(
+          figures.map(({ region, slots }) => [region, { slots, atMs: nowMs }]),
+        );
         entries.set(key, { shares, steppedAtMs: nowMs, slots });
         log.info({ service, allowed, shares }, "region shares");
         return shares;
       }
       const elapsedMs = nowMs - entry.steppedAtMs;
       if (elapsedMs >= STEP_MS) {
-        step(entry, listFigures(service, allowed), elapsedMs);
+        step(service, entry, listFigures(service, allowed), elapsedMs);
       }
       return entry.shares;
     },
   };
 }
-
-function mapSlots(figures: readonly RegionFigures[]): Map<string, number> {
-  return new Map(figures.map(({ region, slots }) => [region, slots]));
-}
--- a/src/placement/shares.ts
+++ b/src/placement/shares.ts
@@ -12,7 +12,7 @@
 /** What a region can do and has to do for one service. */
 export interface RegionFigures {
   region: string;
-  /** Slots of its usable servers. */
+  /** Slots of its servers that can be reached. */
   slots: number;
   /** Demand of its callers; any unit, the same for all. */
   demand: number;
@@ -161,7 +161,15 @@
   return shares.map(({ region }) => ({ region, share: 1 / shares.length }));
 }
 
-function getShare(shares: readonly RegionShare[], region: string): number {
+/**
+ * @param shares Shares by region.
+ * @param region A region.
+ * @returns Its share.
+ */
+export function getShare(
+  shares: readonly RegionShare[],
+  region: string,
+): number {
   return shares.find((share) => share.region === region)?.share ?? 0;
 }
 
--- a/src/servers/health.ts
+++ b/src/servers/health.ts
@@ -28,6 +28,8 @@
   wasHeardSince(sinceMs: number): boolean;
   /** @returns Whether it is kept out of the choice for now. */
   isEjected(): boolean;
+  /** @returns Whether it was kept out and has not answered since. */
+  isDown(): boolean;
   /** @returns Share of recent requests that failed, 0 to 1. */
   getFailureShare(): number;
 }
@@ -75,6 +77,7 @@
     note,
     wasHeardSince: (sinceMs) => heardAtMs >= sinceMs,
     isEjected: () => clock.monotonicMs() < ejectedUntilMs,
+    isDown: () => ejections > 0,
     getFailureShare: () => failureShare,
   };
 }
