Send links between VMs in one self-contained form; tell objects by server

Readers' links being lost, the other VMs read the store for themselves. Change: links between VMs use one form; objects are told by server, and only for routes that keep to objects; reports leave out what hardly changed; readers tell of each read, so that nobody's facts grow stale between two reports.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,9 +22,10 @@
 import {
   DEFAULT_READER_TIMES,
   type Reader,
+  type ReaderParts,
   startReader,
 } from "../news/reader.ts";
-import { type FactSource, type NewsItem, TOPICS } from "../news/types.ts";
+import { type FactSource, TOPICS } from "../news/types.ts";
 import { createObjectMemory } from "../placement/memory.ts";
 import { formatAddress } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -99,6 +100,7 @@
   const readers = startReaders(parts, board, {
     hasDuty: vms.hasReadDuty,
     onNews: (items) => mesh.passOn(items),
+    onRead: (topic) => mesh.noteRead(topic),
   });
   const mesh = startMesh({
     self,
@@ -113,7 +115,6 @@
     makeReport: (): VmReport => ({
       state: updateState(),
       demandPerS: core.demand.getRates(),
-      factAgesMs: listReadAges(readers),
       digests: {
         operations: board.getDigest("operations"),
         servers: board.getDigest("servers"),
@@ -173,7 +174,7 @@
 function startReaders(
   { source, clock, log }: GatewayParts,
   board: NewsBoard,
-  duty: { hasDuty: () => boolean; onNews: (items: NewsItem[]) => void },
+  duty: Pick<ReaderParts, "hasDuty" | "onNews" | "onRead">,
 ): Reader[] {
   const times = DEFAULT_READER_TIMES;
   return TOPICS.map((topic) =>
@@ -181,15 +182,6 @@
   );
 }
 
-function listReadAges(readers: readonly Reader[]): VmReport["factAgesMs"] {
-  const ages: VmReport["factAgesMs"] = {};
-  TOPICS.forEach((topic, index) => {
-    const ageMs = readers[index].getAgeMs();
-    if (ageMs !== undefined) ages[topic] = ageMs;
-  });
-  return ages;
-}
-
 function createGatewayMetrics(
   core: Core,
   board: NewsBoard,
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -5,7 +5,12 @@
  */
 import type { Server } from "node:http";
 import type { NewsBoard } from "../news/board.ts";
-import { type NewsItem, type Topic, TOPICS } from "../news/types.ts";
+import {
+  type NewsItem,
+  type Topic,
+  type TopicDigest,
+  TOPICS,
+} from "../news/types.ts";
 import type { ObjectMemory } from "../placement/memory.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
@@ -18,6 +23,11 @@
 } from "../runtime/peer_link.ts";
 import type { Log } from "../telemetry/log.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
+import {
+  mergeParts,
+  pickChangedParts,
+  type ReportParts,
+} from "./report_parts.ts";
 import { type MemberTable, SILENCE_LIMIT_MS } from "./table.ts";
 import type { VmIdentity, VmRegister, VmReport } from "./types.ts";
 
@@ -44,12 +54,16 @@
 export interface Mesh {
   /** Passes facts on to every VM that is linked. */
   passOn(items: NewsItem[]): void;
+  /** Tells every VM that this one read a topic from its source. */
+  noteRead(topic: Topic): void;
   /** Tells every VM how this one is, now. */
   reportNow(): void;
   stop(): void;
 }
 
 const REPORT_MS = 800;
+/** Least pause between two messages that a topic is current. */
+const READ_NEWS_MS = 250;
 /** One VM is asked for facts at a time; an answer takes a round trip. */
 const ASK_AGAIN_MS = 500;
 /**
@@ -69,7 +83,7 @@
   /** The VM at the other end, once it said so. */
   id: string | undefined;
   heardAtMs: number;
-  /** Topics whose facts differed by the last report. */
+  /** Topics whose facts differed when last compared. */
   different: Set<Topic>;
 }
 
@@ -83,11 +97,15 @@
   const dialed = new Map<string, DialedLink>();
   const startedAtMs = clock.monotonicMs();
   const askedAtMs = new Map<Topic, number>();
+  const toldReadAtMs = new Map<Topic, number>();
+  /** What every linked VM was told of this one. */
+  let told: VmReport | undefined;
   let stopped = false;
 
   const options = {
     schema: vmMessageSchema,
     clock,
+    isSelfContained: true,
     events: { onOpen, onMessage, onClose },
   };
 
@@ -118,7 +136,8 @@
     if (message.kind === "news") board.apply(message.items);
     if (message.kind === "want") sendTopic(link, message.topic);
     if (message.kind === "report") receiveReport(link, state, message);
-    if (message.kind === "objects") memory.apply(message.objects);
+    if (message.kind === "read") receiveRead(link, state, message);
+    if (message.kind === "objects") memory.apply(message);
   }
 
   function receiveHello(
@@ -140,7 +159,7 @@
       link.send({ kind: "members", members: listIdentities() });
     }
     if (identity.region === self.region) {
-      link.send({ kind: "objects", objects: memory.listKnown() });
+      link.send({ kind: "objects", ...memory.listKnown() });
     }
     dialMissing();
   }
@@ -153,26 +172,40 @@
   function receiveReport(
     link: VmLink,
     state: LinkState,
-    report: VmReport,
+    parts: ReportParts,
   ): void {
     if (state.id === undefined) return;
-    table.noteReport(state.id, report);
-    for (const topic of TOPICS) compareTopic(link, state, report, topic);
+    table.noteReport(state.id, parts);
+    const report = table.get(state.id)?.report;
+    if (report === undefined) return;
+    for (const topic of TOPICS) {
+      compareTopic(link, state, topic, report.digests[topic]);
+    }
+  }
+
+  function receiveRead(
+    link: VmLink,
+    state: LinkState,
+    { topic, digest }: Extract<VmMessage, { kind: "read" }>,
+  ): void {
+    const isLacking = compareTopic(link, state, topic, digest);
+    if (!isLacking) board.noteCurrent(topic, 0);
   }
 
   /**
    * Finds out what this VM missed: facts that passed while it had no link to
    * the VM that passed them on. News on their way show as a difference too, but
-   * not in two reports in a row.
+   * not twice in a row.
+   *
+   * @returns Whether this VM lacks facts.
    */
   function compareTopic(
     link: VmLink,
     state: LinkState,
-    report: VmReport,
     topic: Topic,
-  ): void {
+    other: TopicDigest,
+  ): boolean {
     const own = board.getDigest(topic);
-    const other = report.digests[topic];
     const isSame = own.facts === other.facts &&
       own.versionSum === other.versionSum;
     const wasDifferent = state.different.has(topic);
@@ -180,8 +213,7 @@
     else state.different.add(topic);
     const isLacking = !isSame && (wasDifferent || own.facts === 0);
     if (isLacking && other.facts > 0) askFor(link, topic);
-    const ageMs = report.factAgesMs[topic];
-    if (ageMs !== undefined && !isLacking) board.noteCurrent(topic, ageMs);
+    return isLacking;
   }
 
   function askFor(link: VmLink, topic: Topic): void {
@@ -208,9 +240,9 @@
 
   /** Callers of other regions ask for other objects. */
   function sendObjectNews(): void {
-    const objects = memory.takeNews();
+    const news = memory.takeNews();
     if (stopped) return;
-    const frame = encodeBroadcast({ kind: "objects", objects });
+    const frame = encodeBroadcast({ kind: "objects", ...news });
     for (const [link, { id }] of links) {
       const identity = id === undefined ? undefined : table.get(id)?.identity;
       if (identity?.region !== self.region) continue;
@@ -250,7 +282,17 @@
   }
 
   function reportNow(): void {
-    send({ kind: "report", ...parts.makeReport() });
+    const changed = pickChangedParts(told, parts.makeReport());
+    send({ kind: "report", ...changed });
+    told = mergeParts(told, changed);
+  }
+
+  /** Tells that facts are current, though nothing changed. */
+  function noteRead(topic: Topic): void {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - (toldReadAtMs.get(topic) ?? -Infinity) < READ_NEWS_MS) return;
+    toldReadAtMs.set(topic, nowMs);
+    send({ kind: "read", topic, digest: board.getDigest(topic) });
   }
 
   function closeSilentLinks(): void {
@@ -296,6 +338,7 @@
 
   return {
     passOn: (items) => send({ kind: "news", items }),
+    noteRead,
     reportNow,
     stop() {
       stopped = true;
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -53,7 +53,6 @@
     makeReport: () => ({
       state: "serving",
       demandPerS: {},
-      factAgesMs: {},
       digests: {
         operations: board.getDigest("operations"),
         servers: board.getDigest("servers"),
@@ -74,6 +73,7 @@
   const dialed = keepLink(address, {
     schema: vmMessageSchema,
     clock,
+    isSelfContained: true,
     events: {
       onOpen(opened) {
         link = opened;
@@ -141,10 +141,12 @@
   );
   [near, far].forEach((link) => link.close());
   await stop();
-  const objects = [
-    { serverId: "server-1", objectName: "/a 17", isKnown: true },
-  ];
-  assert.equal(told, [[{ kind: "objects", objects }], []]);
+  const news = {
+    kind: "objects",
+    known: { "server-1": ["/a 17"] },
+    forgotten: {},
+  };
+  assert.equal(told, [[news], []]);
 });
 
 function makeReport(digest: TopicDigest): VmMessage {
@@ -152,7 +154,6 @@
     kind: "report",
     state: "serving",
     demandPerS: {},
-    factAgesMs: { servers: 0 },
     digests: { operations: { facts: 0, versionSum: 0 }, servers: digest },
   };
 }
@@ -199,13 +200,33 @@
   await stop();
 });
 
+test("reports with any small number reach a link whole", async () => {
+  const { address, board, mesh, stop } = await startTestMesh();
+  const link = await openLink(address, makeIdentity("other", "127.0.0.1:2"));
+  for (let count = 0; count < 140; count++) {
+    board.apply([makeServerNews(makeServer(`${count}`), 1)]);
+    mesh.reportNow();
+  }
+  const listFacts = () =>
+    link.received.flatMap((message) =>
+      message.kind === "report" && message.digests !== undefined
+        ? [message.digests.servers.facts]
+        : []
+    );
+  await waitUntil(() => listFacts().includes(140));
+  const expected = Array.from({ length: 140 }, (_, index) => index + 1);
+  assert.equal(listFacts(), expected);
+  link.close();
+  await stop();
+});
+
 test("a VM that just started hears what servers know", async () => {
   const { address, memory, stop } = await startTestMesh();
   memory.note("server-1", "/a 17");
   const link = await openLink(address, makeIdentity("new", "127.0.0.1:2"));
   await waitUntil(() =>
     link.received.some((message) =>
-      message.kind === "objects" && message.objects.length === 1
+      message.kind === "objects" && message.known["server-1"]?.length === 1
     )
   );
   link.close();
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -20,6 +20,13 @@
   peerAddress: z.string().max(64),
 });
 
+const objectsSchema = z.record(
+  z.string().max(128),
+  z.array(z.string().max(512)).max(MAX_OBJECTS),
+);
+
+const topicSchema = z.enum(["operations", "servers"]);
+
 const digestSchema = z.object({
   facts: z.number().int().nonnegative(),
   versionSum: z.number(),
@@ -34,16 +41,20 @@
     /** How many VMs the sender knows. */
     members: z.number().int().nonnegative(),
   }),
-  /** How the sender is; sent again and again. */
+  /** How the sender is, sent again and again; what is absent is as before. */
   z.object({
     kind: z.literal("report"),
-    state: z.enum(["starting", "serving", "leaving"]),
-    demandPerS: z.record(z.string().max(200), z.number().nonnegative()),
-    factAgesMs: z.object({
-      operations: z.number().nonnegative().optional(),
-      servers: z.number().nonnegative().optional(),
-    }),
-    digests: z.object({ operations: digestSchema, servers: digestSchema }),
+    state: z.enum(["starting", "serving", "leaving"]).optional(),
+    demandPerS: z.record(z.string().max(200), z.number().nonnegative())
+      .optional(),
+    digests: z.object({ operations: digestSchema, servers: digestSchema })
+      .optional(),
+  }),
+  /** The sender read a topic from its source just now. */
+  z.object({
+    kind: z.literal("read"),
+    topic: topicSchema,
+    digest: digestSchema,
   }),
   /** VMs that the sender knows, for one that knows fewer. */
   z.object({
@@ -53,7 +64,7 @@
   /** Asks for all facts of a topic. */
   z.object({
     kind: z.literal("want"),
-    topic: z.enum(["operations", "servers"]),
+    topic: topicSchema,
   }),
   /** Facts that the receiver may not know. */
   z.object({
@@ -63,11 +74,9 @@
   /** What servers know, for VMs whose callers ask for the same objects. */
   z.object({
     kind: z.literal("objects"),
-    objects: z.array(z.object({
-      serverId: z.string().max(128),
-      objectName: z.string().max(512),
-      isKnown: z.boolean(),
-    })).max(MAX_OBJECTS),
+    /** Names of objects by server; a first request may have failed since. */
+    known: objectsSchema,
+    forgotten: objectsSchema,
   }),
 ]);
 
--- /dev/null
+++ b/src/members/report_parts_test.ts
@@ -0,0 +1,51 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { mergeParts, pickChangedParts } from "./report_parts.ts";
+import type { VmReport } from "./types.ts";
+
+function makeReport(changes: Partial<VmReport> = {}): VmReport {
+  const digest = { facts: 1, versionSum: 5 };
+  return {
+    state: "serving",
+    demandPerS: { s: 20 },
+    digests: { operations: digest, servers: digest },
+    ...changes,
+  };
+}
+
+test("a receiver that knows nothing is told all", () => {
+  assert.equal(pickChangedParts(undefined, makeReport()), makeReport());
+});
+
+test("what hardly changed is left out", () => {
+  const now = makeReport({ demandPerS: { s: 21 } });
+  assert.equal(pickChangedParts(makeReport(), now), {});
+});
+
+const CHANGES: Partial<VmReport>[] = [
+  { state: "leaving" },
+  { demandPerS: { s: 30 } },
+  { demandPerS: { s: 20, t: 2 } },
+  { demandPerS: {} },
+  {
+    digests: {
+      operations: { facts: 1, versionSum: 5 },
+      servers: { facts: 1, versionSum: 6 },
+    },
+  },
+];
+
+for (const change of CHANGES) {
+  test(`${JSON.stringify(change)} is told and merged`, () => {
+    const now = makeReport(change);
+    const parts = pickChangedParts(makeReport(), now);
+    assert.equal(parts, change);
+    assert.equal(mergeParts(makeReport(), parts), now);
+  });
+}
+
+test("parts of a report whose rest never came give none", () => {
+  assert.is(mergeParts(undefined, { state: "serving" }), undefined);
+});
+
+test.run();
--- a/src/members/table.ts
+++ b/src/members/table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "../runtime/clock.ts";
+import { mergeParts, type ReportParts } from "./report_parts.ts";
 import type { VmIdentity, VmReport } from "./types.ts";
 
 /** A VM and when it was last heard. */
@@ -20,7 +21,7 @@
   noteHeardOf(identity: VmIdentity): boolean;
   /** Notes a VM that speaks to this one. */
   noteHello(identity: VmIdentity): void;
-  noteReport(id: string, report: VmReport): void;
+  noteReport(id: string, parts: ReportParts): void;
   /** Notes that the link to a VM broke. */
   noteSilent(id: string): void;
   get(id: string): Member | undefined;
@@ -74,10 +75,10 @@
     noteHello(identity) {
       if (identity.id !== ownId) put(identity, clock.monotonicMs());
     },
-    noteReport(id, report) {
+    noteReport(id, parts) {
       const member = members.get(id);
       if (member === undefined) return;
-      member.report = report;
+      member.report = mergeParts(member.report, parts);
       member.heardAtMs = clock.monotonicMs();
     },
     noteSilent(id) {
--- a/src/members/types.ts
+++ b/src/members/types.ts
@@ -28,11 +28,6 @@
   state: VmState;
   /** Requests a second that its clients make, by service. */
   demandPerS: Record<string, number>;
-  /**
-   * How long ago it read a topic from the source itself; absent where it did
-   * not. Facts that another VM passed on to it may not have reached the rest.
-   */
-  factAgesMs: Partial<Record<Topic, number>>;
   /** What it knows of each topic. */
   digests: Record<Topic, TopicDigest>;
 }
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -54,12 +54,12 @@
   hasDuty: () => boolean;
   /** Told of facts that were new, to pass them on. */
   onNews: (items: NewsItem[]) => void;
+  /** Told of each answer of the source. */
+  onRead: (topic: Topic) => void;
 }
 
 /** A running reader. */
 export interface Reader {
-  /** @returns How long ago it read the topic itself; undefined before that. */
-  getAgeMs(): number | undefined;
   stop(): void;
 }
 
@@ -73,7 +73,6 @@
   let stopped = false;
   let position: number | undefined;
   let failures = 0;
-  let readAtMs: number | undefined;
 
   async function readOnce(): Promise<void> {
     if (position === undefined) {
@@ -93,9 +92,9 @@
   }
 
   function publish(items: NewsItem[]): void {
-    readAtMs = clock.monotonicMs();
     board.noteCurrent(topic, 0);
     if (items.length > 0) parts.onNews(items);
+    parts.onRead(topic);
   }
 
   function noteSuccess(): void {
@@ -131,9 +130,5 @@
   }
 
   void run();
-  return {
-    getAgeMs: () =>
-      readAtMs === undefined ? undefined : clock.monotonicMs() - readAtMs,
-    stop: () => void (stopped = true),
-  };
+  return { stop: () => void (stopped = true) };
 }
--- a/src/placement/memory.ts
+++ b/src/placement/memory.ts
@@ -9,12 +9,14 @@
  */
 import type { Clock } from "../runtime/clock.ts";
 
-/** One server and one object. */
+/** Names of objects, by the server that was asked for them. */
+export type ObjectsByServer = Record<string, string[]>;
+
+/** What changed in servers' memories. */
 export interface ObjectNews {
-  serverId: string;
-  objectName: string;
-  /** False where a first request failed that was told of before. */
-  isKnown: boolean;
+  known: ObjectsByServer;
+  /** First requests failed that were told of before. */
+  forgotten: ObjectsByServer;
 }
 
 /** What is known of servers' memories. */
@@ -30,22 +32,22 @@
   /** @returns Whether a server was asked for an object not long ago. */
   knows(serverId: string, objectName: string): boolean;
   /** Takes in what another VM told. */
-  apply(news: readonly ObjectNews[]): void;
+  apply(news: ObjectNews): void;
   /** Registers who is called when there is news to take. */
   onNews(listener: () => void): void;
   /** @returns What changed here since the last call, to tell other VMs. */
-  takeNews(): ObjectNews[];
+  takeNews(): ObjectNews;
   /** @returns What servers know, for a VM that just started. */
-  listKnown(): ObjectNews[];
+  listKnown(): ObjectNews;
 }
 
 /** A server may have forgotten an object that it was not asked for so long. */
-const FORGET_MS = 20_000;
+const FORGET_MS = 30_000;
 /** What is still known is told again before others forget it. */
-const RETELL_MS = 8_000;
+const RETELL_MS = 15_000;
 /** Pairs kept; the oldest go first. A pair takes about 150 bytes. */
 const MAX_PAIRS = 20_000;
-/** Most pairs that are told at once, about 60 bytes each. */
+/** Most pairs that are told at once, about 15 bytes each. */
 const MAX_TOLD_PAIRS = 2_000;
 
 interface Pair {
@@ -61,7 +63,8 @@
  */
 export function createObjectMemory(clock: Clock): ObjectMemory {
   const pairs = new Map<string, Pair>();
-  let news: ObjectNews[] = [];
+  let news = makeNews();
+  let newsPairs = 0;
   let announce = () => {};
 
   function keyOf(serverId: string, objectName: string): string {
@@ -89,10 +92,19 @@
     return pair;
   }
 
-  function tell(item: ObjectNews): void {
-    if (news.length >= MAX_TOLD_PAIRS) return;
-    news.push(item);
-    if (news.length === 1) announce();
+  function tell(
+    objects: ObjectsByServer,
+    serverId: string,
+    objectName: string,
+  ): void {
+    if (newsPairs >= MAX_TOLD_PAIRS) return;
+    addObject(objects, serverId, objectName);
+    newsPairs++;
+    if (newsPairs === 1) announce();
+  }
+
+  function learn(serverId: string, objectName: string): void {
+    put(serverId, objectName).toldAtMs = clock.monotonicMs();
   }
 
   return {
@@ -101,30 +113,57 @@
       const pair = put(serverId, objectName);
       if (isFirst || pair.askedAtMs - pair.toldAtMs > RETELL_MS) {
         pair.toldAtMs = pair.askedAtMs;
-        tell({ serverId, objectName, isKnown: true });
+        tell(news.known, serverId, objectName);
       }
       return isFirst;
     },
     forget(serverId, objectName) {
       if (!pairs.delete(keyOf(serverId, objectName))) return;
-      tell({ serverId, objectName, isKnown: false });
+      tell(news.forgotten, serverId, objectName);
     },
     knows,
-    apply(told) {
-      for (const { serverId, objectName, isKnown } of told) {
-        if (isKnown) put(serverId, objectName).toldAtMs = clock.monotonicMs();
-        else pairs.delete(keyOf(serverId, objectName));
-      }
+    apply({ known, forgotten }) {
+      forEachObject(known, learn);
+      forEachObject(forgotten, (serverId, objectName) => {
+        pairs.delete(keyOf(serverId, objectName));
+      });
     },
     onNews: (listener) => void (announce = listener),
     takeNews() {
       const taken = news;
-      news = [];
+      news = makeNews();
+      newsPairs = 0;
       return taken;
     },
-    listKnown: () =>
-      [...pairs.values()].filter(isCurrent).slice(-MAX_TOLD_PAIRS).map(
-        ({ serverId, objectName }) => ({ serverId, objectName, isKnown: true }),
-      ),
+    listKnown() {
+      const all = makeNews();
+      const current = [...pairs.values()].filter(isCurrent);
+      for (const { serverId, objectName } of current.slice(-MAX_TOLD_PAIRS)) {
+        addObject(all.known, serverId, objectName);
+      }
+      return all;
+    },
   };
 }
+
+function makeNews(): ObjectNews {
+  return { known: {}, forgotten: {} };
+}
+
+function addObject(
+  objects: ObjectsByServer,
+  serverId: string,
+  objectName: string,
+): void {
+  objects[serverId] ??= [];
+  objects[serverId].push(objectName);
+}
+
+function forEachObject(
+  objects: ObjectsByServer,
+  visit: (serverId: string, objectName: string) => void,
+): void {
+  for (const [serverId, names] of Object.entries(objects)) {
+    for (const name of names) visit(serverId, name);
+  }
+}
--- a/src/runtime/peer_link.ts
+++ b/src/runtime/peer_link.ts
@@ -42,10 +42,11 @@
   close(): void;
 }
 
-const broadcastPackr = new Packr({ useRecords: false, variableMapSize: true });
+const SELF_CONTAINED = { useRecords: false, variableMapSize: true };
+const broadcastPackr = new Packr(SELF_CONTAINED);
 
 /**
- * Encodes a message once for all links, in a form that depends on no link.
+ * Encodes a message once for all self-contained links.
  *
  * @param message The message.
  * @returns Its frame.
@@ -72,6 +73,12 @@
   key?: string;
   schema: MessageSchema<M>;
   events: LinkEvents<M>;
+  /**
+   * Whether each frame can be read without those before it, as frames have to
+   * be that are encoded once for many links. The two forms can't be mixed: one
+   * uses numbers from 64 to 127 for names of fields.
+   */
+  isSelfContained?: boolean;
 }
 
 /** Bytes that passed over this process's links. */
@@ -107,13 +114,16 @@
  * codec belongs to one link and frames must arrive in order.
  *
  * @param schema Checks received messages.
+ * @param isSelfContained Whether names travel with each frame instead.
  * @returns A codec for a new link.
  */
 export function createLinkCodec<M extends LinkMessage>(
   schema: MessageSchema<M>,
+  isSelfContained = false,
 ): LinkCodec<M> {
-  const packr = new Packr({ sequential: true });
-  const unpackr = new Unpackr({ sequential: true, mapsAsObjects: true });
+  const form = isSelfContained ? SELF_CONTAINED : { sequential: true };
+  const packr = new Packr(form);
+  const unpackr = new Unpackr(form);
   return {
     encode: (message) => packr.pack(message),
     decode(frame) {
@@ -130,9 +140,9 @@
 function wrapSocket<M extends LinkMessage>(
   socket: WebSocket,
   peer: string,
-  { schema, events }: LinkOptions<M>,
+  { schema, events, isSelfContained }: LinkOptions<M>,
 ): PeerLink<M> {
-  const codec = createLinkCodec(schema);
+  const codec = createLinkCodec(schema, isSelfContained);
 
   function canSend(): boolean {
     return socket.readyState === WebSocket.OPEN &&
@@ -220,7 +230,7 @@
   address: string,
   options: DialOptions<M>,
 ): DialedLink {
-  const { key, clock, schema, events } = options;
+  const { key, clock, schema, events, isSelfContained } = options;
   let closed = false;
   let socket: WebSocket | undefined;
   let retry: Timer | undefined;
@@ -235,6 +245,7 @@
     socket = dialed;
     const link = wrapSocket(dialed, address, {
       schema,
+      isSelfContained,
       events: {
         ...events,
         onClose(closedLink) {
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -93,6 +93,7 @@
       request,
       service: parts.splitter.pickService(route),
       objectKey: terms.objectKey ?? `unkeyed ${random()}`,
+      hasObject: terms.objectKey !== undefined && route.isSticky,
       endsAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
       tried: new Set(),
       fallback: undefined,
@@ -109,7 +110,8 @@
     progress.tried.add(server.listed.id);
     const startedAtMs = clock.monotonicMs();
     const useAtStart = server.load.getUse();
-    const isFirst = memory.note(server.listed.id, nameObject(progress));
+    const isFirst = progress.hasObject &&
+      memory.note(server.listed.id, nameObject(progress));
     server.load.begin();
     const running = exchange.send(server.listed, request, remainingMs);
     const leave = () => running.abort("client_left");
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -10,6 +10,8 @@
   request: CallerRequest;
   service: string;
   objectKey: string;
+  /** Whether servers run it faster for having run the object before. */
+  hasObject: boolean;
   /** When its time is over, on the monotonic clock. */
   endsAtMs: number;
   /** Servers that it was sent to. */
