Give each side of a link's codec options of its own

Cause: msgpackr keeps the names that it saw in the options object; both sides of the product's own links shared one, so every frame was malformed (whole path of steer and entry, look-up by the command line; both tests fail before, pass now).

--- a/src/runtime/peer_link.ts
+++ b/src/runtime/peer_link.ts
@@ -43,7 +43,7 @@
 }
 
 const SELF_CONTAINED = { useRecords: false, variableMapSize: true };
-const broadcastPackr = new Packr(SELF_CONTAINED);
+const broadcastPackr = new Packr({ ...SELF_CONTAINED });
 
 /**
  * Encodes a message once for all self-contained links.
@@ -122,8 +122,9 @@
   isSelfContained = false,
 ): LinkCodec<M> {
   const form = isSelfContained ? SELF_CONTAINED : { sequential: true };
-  const packr = new Packr(form);
-  const unpackr = new Unpackr(form);
+  // Copies: both would keep the names that they saw in one options object.
+  const packr = new Packr({ ...form });
+  const unpackr = new Unpackr({ ...form });
   return {
     encode: (message) => packr.pack(message),
     decode(frame) {
