--- a/src/members/report_parts.ts
+++ b/src/members/report_parts.ts
@@ -2,7 +2,7 @@
  * What a VM's report leaves out because it hardly changed.
  *
  * Reports go to all VMs of all regions again and again, mostly to show that the
- * VM is there. Whole ones took 0.6 of all bytes between VMs on a calm day.
+ * VM is there.
  *
  * @module
  */
--- /dev/null
+++ b/src/placement/figures_test.ts
@@ -0,0 +1,73 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import {
+  makeServer,
+  makeServerNews,
+  TEST_REGIONS,
+} from "../gateway/fixture.ts";
+import { createMemberTable } from "../members/table.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createServerRegistry } from "../servers/registry.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createDemandTrend } from "./demand_trend.ts";
+import { createFiguresReader } from "./figures.ts";
+
+const DIGEST = { facts: 0, versionSum: 0 };
+
+function startFigures() {
+  const clock = createFakeClock();
+  const table = createMemberTable("self", clock);
+  const registry = createServerRegistry({
+    clock,
+    log: createSilentLog(),
+    regions: TEST_REGIONS,
+    getColdDurationMs: () => 3_000,
+  });
+  const reader = createFiguresReader({
+    ownRegion: "oslo",
+    regions: TEST_REGIONS,
+    registry,
+    table,
+    trend: createDemandTrend(clock),
+    getOwnDemand: () => ({ s: 20, t: 5 }),
+  });
+  const getSlots = () =>
+    reader.read("s").find(({ region }) => region === "oslo")?.slots;
+  return { table, registry, reader, getSlots };
+}
+
+test("slots of cold servers count, those of unreachable ones don't", () => {
+  const { registry, getSlots } = startFigures();
+  registry.apply(makeServerNews(makeServer("1"), 1));
+  registry.apply(makeServerNews(makeServer("2", { coldLeftMs: 3_000 }), 2));
+  assert.is(getSlots(), 8);
+  const [{ health }] = registry.listUsable("s");
+  health.note("unreachable");
+  assert.is(getSlots(), 8);
+  health.note("unreachable");
+  assert.is(getSlots(), 4);
+  health.note("answered");
+  assert.is(getSlots(), 8);
+});
+
+test("requests of the region are counted over its VMs and services", () => {
+  const { table, reader } = startFigures();
+  for (const [id, region] of [["near", "oslo"], ["far", "bergen"]]) {
+    table.noteHello({
+      id,
+      incarnation: "1",
+      region,
+      failureDomain: `${region}-a`,
+      frontAddress: "127.0.0.1:1",
+      peerAddress: "127.0.0.1:2",
+    });
+    table.noteReport(id, {
+      state: "serving",
+      demandPerS: { s: 10 },
+      digests: { operations: DIGEST, servers: DIGEST },
+    });
+  }
+  assert.is(reader.getRequestsPerS(), 35);
+});
+
+test.run();
