--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -5,12 +5,7 @@
  */
 import type { Server } from "node:http";
 import type { NewsBoard } from "../news/board.ts";
-import {
-  type NewsItem,
-  type Topic,
-  type TopicDigest,
-  TOPICS,
-} from "../news/types.ts";
+import { type NewsItem, type Topic, TOPICS } from "../news/types.ts";
 import type { ObjectMemory } from "../placement/memory.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
@@ -23,6 +18,7 @@
 } from "../runtime/peer_link.ts";
 import type { Log } from "../telemetry/log.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
+import { createFactRepair, type FactPeer } from "./repair.ts";
 import {
   mergeParts,
   pickChangedParts,
@@ -64,8 +60,6 @@
 const REPORT_MS = 800;
 /** Least pause between two messages that a topic is current. */
 const READ_NEWS_MS = 250;
-/** One VM is asked for facts at a time; an answer takes a round trip. */
-const ASK_AGAIN_MS = 500;
 /**
  * Pause in which news of objects gather. Requests for one object come half a
  * second apart; with 40 VMs and a pause of 10 ms the news took 0.4 of the
@@ -83,8 +77,8 @@
   /** The VM at the other end, once it said so. */
   id: string | undefined;
   heardAtMs: number;
-  /** Topics whose facts differed when last compared. */
-  different: Set<Topic>;
+  /** The VM as one to compare facts with. */
+  facts: FactPeer;
 }
 
 /**
@@ -96,7 +90,7 @@
   const links = new Map<VmLink, LinkState>();
   const dialed = new Map<string, DialedLink>();
   const startedAtMs = clock.monotonicMs();
-  const askedAtMs = new Map<Topic, number>();
+  const repair = createFactRepair(parts);
   const toldReadAtMs = new Map<Topic, number>();
   /** What every linked VM was told of this one. */
   let told: VmReport | undefined;
@@ -111,20 +105,24 @@
 
   function onOpen(link: VmLink): void {
     const heardAtMs = clock.monotonicMs();
-    links.set(link, { id: undefined, heardAtMs, different: new Set() });
+    const facts: FactPeer = {
+      peer: link.peer,
+      ask: (topic) => link.send({ kind: "want", topic }),
+    };
+    links.set(link, { id: undefined, heardAtMs, facts });
     const members = table.listKnown().length;
     link.send({ kind: "hello", identity: self, members });
     link.send({ kind: "report", ...parts.makeReport() });
   }
 
-  function onClose(link: VmLink): void {
+  function onClose(link: VmLink, reason: string): void {
     const state = links.get(link);
     links.delete(link);
     if (state?.id === undefined) return;
     const isLinked = [...links.values()].some(({ id }) => id === state.id);
     if (isLinked) return;
     table.noteSilent(state.id);
-    log.info({ member: state.id, peer: link.peer }, "VM lost");
+    log.info({ member: state.id, peer: link.peer, reason }, "VM lost");
   }
 
   function onMessage(link: VmLink, message: VmMessage): void {
@@ -135,8 +133,8 @@
     if (message.kind === "members") receiveMembers(message.members);
     if (message.kind === "news") board.apply(message.items);
     if (message.kind === "want") sendTopic(link, message.topic);
-    if (message.kind === "report") receiveReport(link, state, message);
-    if (message.kind === "read") receiveRead(link, state, message);
+    if (message.kind === "report") receiveReport(state, message);
+    if (message.kind === "read") receiveRead(state, message);
     if (message.kind === "objects") memory.apply(message);
   }
 
@@ -169,61 +167,24 @@
     if (found.length > 0) dialMissing();
   }
 
-  function receiveReport(
-    link: VmLink,
-    state: LinkState,
-    parts: ReportParts,
-  ): void {
+  function receiveReport(state: LinkState, parts: ReportParts): void {
     if (state.id === undefined) return;
     table.noteReport(state.id, parts);
     const report = table.get(state.id)?.report;
     if (report === undefined) return;
     for (const topic of TOPICS) {
-      compareTopic(link, state, topic, report.digests[topic]);
+      repair.compare(state.facts, topic, report.digests[topic]);
     }
   }
 
   function receiveRead(
-    link: VmLink,
     state: LinkState,
     { topic, digest }: Extract<VmMessage, { kind: "read" }>,
   ): void {
-    const isLacking = compareTopic(link, state, topic, digest);
+    const isLacking = repair.compare(state.facts, topic, digest);
     if (!isLacking) board.noteCurrent(topic, 0);
   }
 
-  /**
-   * Finds out what this VM missed: facts that passed while it had no link to
-   * the VM that passed them on. News on their way show as a difference too, but
-   * not twice in a row.
-   *
-   * @returns Whether this VM lacks facts.
-   */
-  function compareTopic(
-    link: VmLink,
-    state: LinkState,
-    topic: Topic,
-    other: TopicDigest,
-  ): boolean {
-    const own = board.getDigest(topic);
-    const isSame = own.facts === other.facts &&
-      own.versionSum === other.versionSum;
-    const wasDifferent = state.different.has(topic);
-    if (isSame) state.different.delete(topic);
-    else state.different.add(topic);
-    const isLacking = !isSame && (wasDifferent || own.facts === 0);
-    if (isLacking && other.facts > 0) askFor(link, topic);
-    return isLacking;
-  }
-
-  function askFor(link: VmLink, topic: Topic): void {
-    const nowMs = clock.monotonicMs();
-    if (nowMs - (askedAtMs.get(topic) ?? -Infinity) < ASK_AGAIN_MS) return;
-    askedAtMs.set(topic, nowMs);
-    log.info({ peer: link.peer, topic }, "facts differ, asking");
-    link.send({ kind: "want", topic });
-  }
-
   function sendTopic(link: VmLink, topic: Topic): void {
     link.send({ kind: "news", items: board.listTopic(topic) });
   }
--- a/src/runtime/peer_link.ts
+++ b/src/runtime/peer_link.ts
@@ -61,7 +61,8 @@
 export interface LinkEvents<M extends LinkMessage> {
   onOpen(link: PeerLink<M>): void;
   onMessage(link: PeerLink<M>, message: M): void;
-  onClose(link: PeerLink<M>): void;
+  /** @param reason Why, for logs. */
+  onClose(link: PeerLink<M>, reason: string): void;
 }
 
 /** What both sides of a link need. */
@@ -144,6 +145,7 @@
   { schema, events, isSelfContained }: LinkOptions<M>,
 ): PeerLink<M> {
   const codec = createLinkCodec(schema, isSelfContained);
+  let reason = "closed by the other side";
 
   function canSend(): boolean {
     return socket.readyState === WebSocket.OPEN &&
@@ -163,7 +165,10 @@
     sendFrame(kind, frame) {
       if (canSend()) write(kind, frame);
     },
-    close: () => socket.terminate(),
+    close() {
+      reason = "closed here";
+      socket.terminate();
+    },
   };
   socket.on("message", (data: RawData) => {
     const frame = data instanceof Buffer ? data : Buffer.from(data as Buffer);
@@ -171,10 +176,12 @@
     const message = codec.decode(frame);
     if (message !== undefined) return events.onMessage(link, message);
     log.warn("Malformed message; link closed", { step: "peer.receive", peer });
+    reason = "malformed message";
     socket.terminate();
   });
-  socket.on("close", () => events.onClose(link));
+  socket.on("close", () => events.onClose(link, reason));
   socket.on("error", (cause) => {
+    reason = describeError(cause);
     log.debug(describeError(cause), { step: "peer.link", peer });
   });
   return link;
@@ -249,8 +256,8 @@
       isSelfContained,
       events: {
         ...events,
-        onClose(closedLink) {
-          events.onClose(closedLink);
+        onClose(closedLink, reason) {
+          events.onClose(closedLink, reason);
           if (!closed) retry = clock.after(RECONNECT_MS, dial);
         },
       },
