--- a/src/placement/regions.ts
+++ b/src/placement/regions.ts
@@ -107,10 +107,12 @@
     return loss;
   }
 
+  /** @returns Largest part that may be moved by plan after a time. */
   function getMaxStep(elapsedMs: number): number {
-    const requests = Math.max(1, parts.getRequestsPerS()) * SHIFT_WINDOW_MS /
-      1_000;
-    const swing = Math.sqrt(0.5 / requests);
+    const requestsPerS = Math.max(1, parts.getRequestsPerS());
+    const requestsInWindow = requestsPerS * SHIFT_WINDOW_MS / 1_000;
+    // Standard deviation of the change of a share of a half.
+    const swing = Math.sqrt(0.5 / requestsInWindow);
     const planned = Math.min(
       MAX_PLANNED_PART * maxShift,
       Math.max(MIN_PLANNED_PART * maxShift, maxShift - CHANCE_SWINGS * swing),
