--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { Member } from "../members/table.ts";
 import type { VmIdentity, VmState } from "../members/types.ts";
 
 /** An answer to a client that asks where to connect. */
@@ -18,8 +17,8 @@
 export interface DirectoryView {
   self: VmIdentity;
   ownState: VmState;
-  /** Other VMs that speak to this one. */
-  alive: readonly Member[];
+  /** Other VMs that serve clients. */
+  othersServing: readonly VmIdentity[];
   ttlMs: number;
 }
 
@@ -38,9 +37,7 @@
   view: DirectoryView,
   region: string,
 ): DirectoryAnswer | undefined {
-  const serving = view.alive
-    .filter((member) => member.report?.state === "serving")
-    .map((member) => member.identity);
+  const serving = [...view.othersServing];
   if (view.ownState === "serving") serving.push(view.self);
   const near = serving.filter((identity) => identity.region === region);
   const chosen = near.length > 0 ? near : serving;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -115,10 +115,7 @@
     makeReport: (): VmReport => ({
       state: updateState(),
       demandPerS: core.demand.getRates(),
-      digests: {
-        operations: board.getDigest("operations"),
-        servers: board.getDigest("servers"),
-      },
+      digests: board.getDigests(),
     }),
   });
   const front = await startFront({
@@ -138,7 +135,7 @@
     getDirectoryView: () => ({
       self,
       ownState: updateState(),
-      alive: table.listAlive(),
+      othersServing: table.listServing(),
       ttlMs,
     }),
     dumpState: () =>
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -53,10 +53,7 @@
     makeReport: () => ({
       state: "serving",
       demandPerS: {},
-      digests: {
-        operations: board.getDigest("operations"),
-        servers: board.getDigest("servers"),
-      },
+      digests: board.getDigests(),
     }),
   });
   const stop = async () => {
--- a/src/members/repair.ts
+++ b/src/members/repair.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import type { NewsBoard } from "../news/board.ts";
-import type { Topic, TopicDigest } from "../news/types.ts";
+import { isSameDigest, type Topic, type TopicDigest } from "../news/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Log } from "../telemetry/log.ts";
 
@@ -75,9 +75,7 @@
     compare(other, topic, digest) {
       const own = board.getDigest(topic);
       const since = getSince(other);
-      const isSame = own.facts === digest.facts &&
-        own.versionSum === digest.versionSum;
-      if (isSame) {
+      if (isSameDigest(own, digest)) {
         since.delete(topic);
         return false;
       }
--- a/src/members/report_parts.ts
+++ b/src/members/report_parts.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { TOPICS } from "../news/types.ts";
+import { isSameDigest, TOPICS } from "../news/types.ts";
 import type { VmReport } from "./types.ts";
 
 /** The parts of a report that a receiver doesn't know yet. */
@@ -32,8 +32,7 @@
     parts.demandPerS = now.demandPerS;
   }
   const isSame = TOPICS.every((topic) =>
-    told.digests[topic].facts === now.digests[topic].facts &&
-    told.digests[topic].versionSum === now.digests[topic].versionSum
+    isSameDigest(told.digests[topic], now.digests[topic])
   );
   if (!isSame) parts.digests = now.digests;
   return parts;
--- a/src/members/table.ts
+++ b/src/members/table.ts
@@ -29,6 +29,8 @@
   listKnown(): Member[];
   /** @returns VMs that speak to this one now, this one not included. */
   listAlive(): Member[];
+  /** @returns Those of them that serve clients. */
+  listServing(): VmIdentity[];
   /** Forgets VMs that nobody heard for long. */
   prune(): void;
 }
@@ -61,6 +63,10 @@
     });
   }
 
+  function listAlive(): Member[] {
+    return [...members.values()].filter(isAlive);
+  }
+
   return {
     noteHeardOf(identity) {
       if (identity.id === ownId) return false;
@@ -87,7 +93,11 @@
     },
     get: (id) => members.get(id),
     listKnown: () => [...members.values()],
-    listAlive: () => [...members.values()].filter(isAlive),
+    listAlive,
+    listServing: () =>
+      listAlive()
+        .filter((member) => member.report?.state === "serving")
+        .map((member) => member.identity),
     prune() {
       const limitMs = clock.monotonicMs() - FORGET_MS;
       for (const [id, member] of members) {
--- a/src/members/views.ts
+++ b/src/members/views.ts
@@ -33,10 +33,7 @@
  */
 export function createVmViews(self: VmIdentity, table: MemberTable): VmViews {
   function listServing(): VmIdentity[] {
-    const others = table.listAlive()
-      .filter((member) => member.report?.state === "serving")
-      .map((member) => member.identity);
-    return [self, ...others];
+    return [self, ...table.listServing()];
   }
 
   return {
--- a/src/news/board.ts
+++ b/src/news/board.ts
@@ -37,6 +37,8 @@
   listTopic(topic: Topic): NewsItem[];
   /** @returns What tells this board's facts of a topic from another's. */
   getDigest(topic: Topic): TopicDigest;
+  /** @returns The digests of all topics. */
+  getDigests(): Record<Topic, TopicDigest>;
   /**
    * Notes that the facts of a topic were complete some time ago.
    *
@@ -133,6 +135,10 @@
       [...known.values()].map(({ item }) => item)
         .filter((item) => item.topic === topic),
     getDigest,
+    getDigests: () => ({
+      operations: getDigest("operations"),
+      servers: getDigest("servers"),
+    }),
     noteCurrent(topic, ageMs) {
       const atMs = clock.monotonicMs() - ageMs;
       const before = currentAtMs.get(topic) ?? -Infinity;
--- a/src/news/types.ts
+++ b/src/news/types.ts
@@ -48,6 +48,15 @@
   versionSum: number;
 }
 
+/**
+ * @param a A digest.
+ * @param b Another.
+ * @returns Whether their boards know the same facts of the topic.
+ */
+export function isSameDigest(a: TopicDigest, b: TopicDigest): boolean {
+  return a.facts === b.facts && a.versionSum === b.versionSum;
+}
+
 /** What following a topic brought. */
 export type FollowResult =
   | { kind: "changes"; batch: NewsBatch }
--- a/src/placement/figures.ts
+++ b/src/placement/figures.ts
@@ -31,6 +31,11 @@
  */
 const PRIOR_DEMAND_PER_S = 10;
 
+interface VmDemand {
+  region: string;
+  demandPerS: Record<string, number>;
+}
+
 /** Works figures out. */
 export interface FiguresReader {
   /** @returns Figures of every region for one service. */
@@ -59,16 +64,23 @@
     }
   }
 
+  /** @returns What the clients of each VM ask for, this one's included. */
+  function listDemands(): VmDemand[] {
+    const own = { region: parts.ownRegion, demandPerS: parts.getOwnDemand() };
+    const others = table.listAlive().map(({ identity, report }) => ({
+      region: identity.region,
+      demandPerS: report?.demandPerS ?? {},
+    }));
+    return [own, ...others];
+  }
+
   function addDemand(
     figures: Map<string, RegionFigures>,
     service: string,
   ): void {
-    const own = figures.get(parts.ownRegion);
-    if (own !== undefined) own.demand += parts.getOwnDemand()[service] ?? 0;
-    for (const { identity, report } of table.listAlive()) {
-      const region = figures.get(identity.region);
-      const demandPerS = report?.demandPerS[service] ?? 0;
-      if (region !== undefined) region.demand += demandPerS;
+    for (const { region, demandPerS } of listDemands()) {
+      const figure = figures.get(region);
+      if (figure !== undefined) figure.demand += demandPerS[service] ?? 0;
     }
   }
 
@@ -98,12 +110,9 @@
   }
 
   function getRequestsPerS(): number {
-    const rates = [parts.getOwnDemand()];
-    for (const { identity, report } of table.listAlive()) {
-      const isNear = identity.region === parts.ownRegion;
-      if (isNear && report !== undefined) rates.push(report.demandPerS);
-    }
-    return rates.flatMap((rate) => Object.values(rate))
+    return listDemands()
+      .filter(({ region }) => region === parts.ownRegion)
+      .flatMap(({ demandPerS }) => Object.values(demandPerS))
       .reduce((total, ratePerS) => total + ratePerS, 0);
   }
 
