Keep requests in the regions that may serve them, whatever their servers do

With all servers of the allowed regions cold or kept out, the shares of the rest were scaled up, and the own region got all. Such a region used to be reached only where the allowed ones had no listed server at all; since regions with cold servers only are passed over, it is reached more often. Change: shares list only the regions that they were asked for; both ways to spread what is not kept are one. Two tests fail before and pass after: shares without the own region, and a request bound to bergen while its server is cold (placed on oslo before, refused now).

--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -42,6 +42,17 @@
   assert.is(shareOf(shares, "bergen"), 0);
 });
 
+test("a region that may not serve has no share, not even of none", () => {
+  const allowed = NORDVERN.filter(({ region }) => region !== "oslo");
+  for (const slots of [16, 0]) {
+    const figures = allowed.map((figure) =>
+      figure.region === "bergen" ? { ...figure, slots } : figure
+    );
+    const regions = computeShares("oslo", figures).map(({ region }) => region);
+    assert.equal(regions.sort(), ["bergen", "trondheim"]);
+  }
+});
+
 test("no slots anywhere gives no shares", () => {
   const figures = NORDVERN.map((region) => ({ ...region, slots: 0 }));
   assert.equal(computeShares("bergen", figures), []);
--- a/src/placement/shares.ts
+++ b/src/placement/shares.ts
@@ -33,8 +33,8 @@
  *
  * @param from The callers' region.
  * @param figures All regions that may serve them.
- * @returns Shares by region, the callers' own first; empty where no region
- *   has slots.
+ * @returns Shares by region, the callers' own first if it may serve; empty where
+ *   no region has slots.
  */
 export function computeShares(
   from: string,
@@ -50,41 +50,27 @@
     return Math.min(1, use * slots / demand);
   }
 
+  function getOwnShare(region: RegionFigures): number {
+    return totalRoom > 0 ? getKept(region) : 1;
+  }
+
   const own = figures.find((region) => region.region === from);
-  const kept = own === undefined ? 0 : getKept(own);
-  const spare = figures
-    .filter((region) => region.region !== from)
-    .map((region) => ({
-      region: region.region,
-      slots: Math.max(
-        0,
-        region.slots - (use > 0 ? getKept(region) * region.demand / use : 0),
-      ),
-    }));
-  const totalSpare = sum(spare.map((region) => region.slots));
-  if (totalSpare <= 0) return shareBySlots(from, kept, figures);
-  const away = spare.map(({ region, slots }) => ({
+  const others = figures.filter((region) => region !== own);
+  const spare = others.map((region) =>
+    Math.max(
+      0,
+      region.slots - (use > 0 ? getKept(region) * region.demand / use : 0),
+    )
+  );
+  const room = sum(spare) > 0 ? spare : others.map(({ slots }) => slots);
+  const totalRoom = sum(room);
+  const kept = own === undefined ? 0 : getOwnShare(own);
+  const away = others.map(({ region }, index) => ({
     region,
-    share: (1 - kept) * slots / totalSpare,
+    share: totalRoom > 0 ? (1 - kept) * room[index] / totalRoom : 0,
   }));
-  return [{ region: from, share: kept }, ...away];
-}
-
-function shareBySlots(
-  from: string,
-  kept: number,
-  figures: readonly RegionFigures[],
-): RegionShare[] {
-  const others = figures.filter((region) => region.region !== from);
-  const slots = sum(others.map((region) => region.slots));
-  if (slots <= 0) return [{ region: from, share: 1 }];
-  return [
-    { region: from, share: kept },
-    ...others.map((region) => ({
-      region: region.region,
-      share: (1 - kept) * region.slots / slots,
-    })),
-  ];
+  // A region that is not among the figures may not serve, whatever happens.
+  return own === undefined ? away : [{ region: from, share: kept }, ...away];
 }
 
 /**
--- /dev/null
+++ b/src/serving/placing_test.ts
@@ -0,0 +1,97 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import {
+  makeRoute,
+  makeServer,
+  makeServerNews,
+  TEST_REGIONS,
+} from "../gateway/fixture.ts";
+import { createObjectMemory } from "../placement/memory.ts";
+import { createRanking } from "../placement/ranking.ts";
+import { createRegionPlan } from "../placement/regions.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createServerRegistry } from "../servers/registry.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createPaceTable } from "./pace.ts";
+import { createPlacer } from "./placing.ts";
+import type { Progress } from "./progress.ts";
+
+/** A VM in oslo, one server in oslo and one in bergen. */
+function startPlacer(bergenColdMs: number) {
+  const clock = createFakeClock();
+  const log = createSilentLog();
+  const registry = createServerRegistry({
+    clock,
+    log,
+    regions: TEST_REGIONS,
+    getColdDurationMs: () => 3_000,
+  });
+  registry.apply(makeServerNews(makeServer("oslo-1"), 1));
+  const bergen = makeServer("bergen-1", {
+    failureDomain: "bergen-a",
+    coldLeftMs: bergenColdMs,
+  });
+  registry.apply(makeServerNews(bergen, 2));
+  const plan = createRegionPlan({
+    clock,
+    log,
+    ownRegion: "oslo",
+    getFigures: () => [
+      { region: "oslo", slots: 4, demand: 1 },
+      { region: "bergen", slots: 4, demand: 1 },
+    ],
+    getRequestsPerS: () => 100,
+    maxShift: 0.15,
+  });
+  return createPlacer({
+    clock,
+    log,
+    ranking: createRanking(registry),
+    plan,
+    coldLimit: { take: () => false },
+    pace: createPaceTable(),
+    memory: createObjectMemory(clock),
+    getTerms: () => undefined,
+  });
+}
+
+function makeProgress(homeRegions: string[]): Progress {
+  return {
+    request: {
+      method: "GET",
+      path: "/a",
+      headers: {},
+      body: new Uint8Array() as Progress["request"]["body"],
+      terms: { requestId: "q", deadlineMs: undefined, objectKey: "17" },
+      route: makeRoute({ homeRegions }),
+      arrivedAtMs: 0,
+      signal: new AbortController().signal,
+    },
+    service: "s",
+    objectKey: "17",
+    hasObject: true,
+    endsAtMs: 1_000,
+    tried: new Set(),
+    fallback: undefined,
+    lost: undefined,
+  };
+}
+
+function placeIn(bergenColdMs: number, homeRegions: string[]): string {
+  const placed = startPlacer(bergenColdMs).place(makeProgress(homeRegions));
+  return typeof placed === "string" ? placed : placed.listed.id;
+}
+
+test("a request stays in the regions that may serve it", () => {
+  assert.is(placeIn(0, ["bergen"]), "bergen-1");
+});
+
+test("it does so also while all servers there are cold", () => {
+  assert.is(placeIn(2_000, ["bergen"]), "all_full");
+});
+
+test("another region that may serve it takes over", () => {
+  assert.is(placeIn(2_000, ["bergen", "oslo"]), "oslo-1");
+});
+
+test.run();
