Tell starts of a backend server apart; rows that make no sense name no server

Cause: a server may start again under its name. Load, health, memory of objects and cold limit were kept under the name, connections under the name with the address of the first start, so requests went to a dead address. A row of another writer left what was known under its key in force. Ruled out: the order of facts; the table's version is used, never the server's own sequence, so a sequence that begins anew changes nothing. Change: a start's id is the name and the moment of its start; the name alone is what the server is asked for by and what objects are dealt by.

--- /dev/null
+++ b/bench/gateway_cost.ts
@@ -0,0 +1,222 @@
+/**
+ * Processor time of a gateway for each request: the real program, stand-ins of
+ * the table and of backend servers, clients that keep some connections and open
+ * others anew.
+ *
+ * `tsx bench/gateway_cost.ts [--vms 3] [--rate 100] [--duration-s 20]
+ * [--profile DIR]`; build the program first with `sh scripts/bundle.sh`.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { parseArgs } from "node:util";
+import { Agent, request } from "undici";
+import {
+  type StandinServer,
+  startStandinServer,
+} from "../platform/standin/server.ts";
+import {
+  type StandinStore,
+  startStandinStore,
+} from "../platform/standin/store.ts";
+
+const { values } = parseArgs({
+  options: {
+    vms: { type: "string", default: "3" },
+    rate: { type: "string", default: "100" },
+    "duration-s": { type: "string", default: "20" },
+    profile: { type: "string" },
+    "log-level": { type: "string", default: "info" },
+    "node-flags": { type: "string", default: "" },
+  },
+});
+const vmCount = Number(values.vms);
+/** Requests a second at each VM. */
+const ratePerS = Number(values.rate);
+const durationMs = Number(values["duration-s"]) * 1_000;
+
+const SERVERS = 12;
+const OBJECTS = 150;
+const RUN_MS = 90;
+/** Time for VMs to find each other. */
+const SETTLE_MS = 3_000;
+/** Part of the requests that come on a connection of their own. */
+const FRESH_PART = 0.2;
+/** Clock ticks of /proc a second, fixed on Linux. */
+const TICKS_PER_S = 100;
+const HOST_PREFIX = `127.77.${process.pid % 250}`;
+
+interface RunningVm {
+  child: ChildProcess;
+  host: string;
+}
+
+function putFacts(store: StandinStore, servers: StandinServer[]): void {
+  store.put("op", "config", {
+    version: "r1",
+    services: [{ name: "s", max_conns: 390, cold_s: 3, cold_per_s: 17 }],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+    virtual_hosts: [{
+      host: "a.example",
+      path_rules: [{
+        name: "r",
+        prefix: "/read/",
+        kind: "idempotent",
+        timeout_ms: 1_500,
+        target_latency_ms: 300,
+        priority: 1,
+        service: "s",
+        max_attempts: 2,
+        sticky: true,
+      }],
+    }],
+  });
+  servers.forEach((server, index) =>
+    store.put("servers", `i-${index}`, {
+      address: server.address,
+      info: { service: "s", version: "v1", zone: "oslo-a", slots: 9 },
+      status: { state: "ready", sequence: 1, cold_left_ms: 0 },
+    })
+  );
+}
+
+function startVm(index: number, store: StandinStore, dir: string): RunningVm {
+  const host = `${HOST_PREFIX}.${index + 1}`;
+  const settings = {
+    self: {
+      node_name: `vm-${index}`,
+      ip: host,
+      zone: "oslo-a",
+      region: "oslo",
+    },
+    network: {
+      listen: {
+        front: `${host}:8381`,
+        ready: `${host}:8388`,
+        control: `${host}:8382`,
+        directory: `${host}:8383`,
+      },
+      internal_ports: [7200, 7215],
+      seeds: [`${HOST_PREFIX}.1:8382`],
+      zones: { "oslo-a": "oslo" },
+    },
+    platform: { platform: { address: store.address } },
+    terms: {
+      bounds: {
+        grace_s: 6,
+        retry_budget_ratio: 0.2,
+        budget_slack: 62,
+        max_shift: 0.15,
+        ttl_max_s: 5,
+      },
+    },
+  };
+  const path = join(dir, `vm-${index}.json`);
+  writeFileSync(path, JSON.stringify(settings));
+  const flags = values["node-flags"].split(" ").filter((flag) => flag !== "");
+  if (values.profile !== undefined) {
+    flags.push("--cpu-prof", `--cpu-prof-dir=${values.profile}`);
+  }
+  const child = spawn(process.execPath, [...flags, "target/gateway.mjs"], {
+    env: {
+      ...process.env,
+      HAWTHORNGW_BOOT: path,
+      HAWTHORNGW_LOG_LEVEL: values["log-level"],
+    },
+    stdio: ["ignore", "ignore", "inherit"],
+  });
+  return { child, host };
+}
+
+/** @returns Processor time of a process so far, in ms. */
+function readCpuMs({ child }: RunningVm): number {
+  const stat = readFileSync(`/proc/${child.pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  return (Number(fields[11]) + Number(fields[12])) * 1_000 / TICKS_PER_S;
+}
+
+async function sendOne(host: string, agent: Agent, count: number) {
+  const isFresh = Math.random() < FRESH_PART;
+  const { body, statusCode } = await request(`http://${host}:8381/read/x`, {
+    dispatcher: agent,
+    reset: isFresh,
+    headers: {
+      host: "a.example",
+      "x-request-id": `q${host}${count}`,
+      "x-deadline-ms": "2000",
+      cookie: `X-Affinity-Key=${Math.floor(Math.random() * OBJECTS)}`,
+    },
+  });
+  await body.dump();
+  return statusCode;
+}
+
+async function load(vms: RunningVm[]): Promise<Map<number, number>> {
+  const agents = vms.map(() => new Agent({ connections: 64 }));
+  const statuses = new Map<number, number>();
+  const pending = new Set<Promise<void>>();
+  const startedAtMs = performance.now();
+  let sent = 0;
+  while (performance.now() - startedAtMs < durationMs) {
+    const due = (performance.now() - startedAtMs) / 1_000 * ratePerS;
+    for (; sent < due; sent++) {
+      vms.forEach(({ host }, index) => {
+        const one = sendOne(host, agents[index], sent).then((status) => {
+          statuses.set(status, (statuses.get(status) ?? 0) + 1);
+        });
+        pending.add(one);
+        one.finally(() => pending.delete(one));
+      });
+    }
+    await sleep(1);
+  }
+  await Promise.all(pending);
+  await Promise.all(agents.map((agent) => agent.destroy()));
+  return statuses;
+}
+
+const store = await startStandinStore();
+const servers = await Promise.all(
+  Array.from({ length: SERVERS }, () => startStandinServer()),
+);
+servers.forEach((server) => server.setDelayMs(RUN_MS));
+putFacts(store, servers);
+const dir = mkdtempSync(join(tmpdir(), "gateway-cost-"));
+const vms = Array.from(
+  { length: vmCount },
+  (_, index) => startVm(index, store, dir),
+);
+await sleep(SETTLE_MS);
+const startMs = vms.map(readCpuMs);
+await sleep(SETTLE_MS);
+const idleMs = vms.map(readCpuMs);
+const statuses = await load(vms);
+const endMs = vms.map(readCpuMs);
+const requests = ratePerS * durationMs / 1_000;
+const idleShare = idleMs.map((ms, index) => (ms - startMs[index]) / SETTLE_MS);
+const perRequestMs = endMs.map((ms, index) =>
+  (ms - idleMs[index] - idleShare[index] * durationMs) / requests
+);
+const round = (value: number) => Number(value.toFixed(3));
+console.log(JSON.stringify({
+  startMs,
+  idleShare: idleShare.map(round),
+  perRequestMs: perRequestMs.map(round),
+  statuses: Object.fromEntries(statuses),
+}));
+for (const { child } of vms) child.kill("SIGTERM");
+await Promise.all(
+  vms.map(({ child }) => new Promise((done) => child.once("exit", done))),
+);
+await Promise.all(servers.map((server) => server.close()));
+await store.close();
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -8,6 +8,7 @@
 import type { VmIdentity } from "../members/types.ts";
 import type { VmViews } from "../members/views.ts";
 import type { NewsBoard } from "../news/board.ts";
+import type { NewsItem } from "../news/types.ts";
 import { createDemandTrend } from "../placement/demand_trend.ts";
 import { createFiguresReader } from "../placement/figures.ts";
 import type { ObjectMemory } from "../placement/memory.ts";
@@ -105,7 +106,7 @@
       takeConfiguration(item.fact.configuration);
     }
     registry.apply(item);
-    if (previous?.kind === "server" && item.fact === undefined) {
+    if (previous?.kind === "server" && !isSameStart(previous.server, item)) {
       exchange.forget(previous.server.id);
     }
   });
@@ -163,6 +164,11 @@
   return { registry, exchange, demand, flow, getRoutes: () => routes };
 }
 
+/** Whether news of a server are of the start that was listed before. */
+function isSameStart(before: ListedServer, { fact }: NewsItem): boolean {
+  return fact?.kind === "server" && fact.server.id === before.id;
+}
+
 /** VMs that start at the same moment must not draw the same numbers. */
 function makeSeed({ id, incarnation }: VmIdentity): number {
   return Math.floor(hashToUnit(`${id} ${incarnation}`) * MAX_RANDOM_SEED);
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -66,6 +66,7 @@
 ): ListedServer {
   return {
     id,
+    registeredName: id,
     service: "s",
     address: "127.0.0.1:1",
     failureDomain: "oslo-a",
@@ -87,7 +88,7 @@
 ): NewsItem {
   return {
     topic: "servers",
-    key: `server/${server.id}`,
+    key: `server/${server.registeredName}`,
     version,
     fact: { kind: "server", server },
   };
--- a/src/news/schema.ts
+++ b/src/news/schema.ts
@@ -45,8 +45,9 @@
 /** Checks a listed backend server. */
 export const listedServerSchema = z.object({
   id: name,
+  registeredName: name,
   service: name,
-  address: name,
+  address: z.string().regex(/^[\w.-]+:\d{1,5}$/, "host:port"),
   failureDomain: name,
   slots: z.number().int().positive(),
   state: z.enum(["ready", "draining"]),
--- a/src/placement/ranking.ts
+++ b/src/placement/ranking.ts
@@ -60,9 +60,9 @@
 /**
  * Weighted rendezvous hashing by slots (Schindelhauer and Schomaker, "Weighted
  * distributed hash tables", 2005): a server that comes or goes moves only its
- * own objects.
+ * own objects, and one that starts again under its name keeps them.
  */
 function scoreOf(server: KnownServer, objectKey: string): number {
-  const { id, slots } = server.listed;
-  return -slots / Math.log(hashToUnit(`${objectKey}\u0000${id}`));
+  const { registeredName, slots } = server.listed;
+  return -slots / Math.log(hashToUnit(`${objectKey}\u0000${registeredName}`));
 }
--- a/src/servers/registry.ts
+++ b/src/servers/registry.ts
@@ -63,6 +63,7 @@
  */
 export function createServerRegistry(parts: RegistryParts): ServerRegistry {
   const { clock, log, regions } = parts;
+  /** By the name in the register. */
   const servers = new Map<string, KnownServer>();
   const evacuated = new Set<string>();
   const usableByService = new Map<string, KnownServer[]>();
@@ -97,7 +98,7 @@
       );
       return;
     }
-    servers.set(listed.id, {
+    servers.set(listed.registeredName, {
       listed,
       region,
       load: createServerLoad(listed.slots, clock),
@@ -124,18 +125,23 @@
     if (wasUsable !== isUsableServer(server)) touch();
   }
 
-  function applyServer(item: NewsItem, id: string): void {
-    const known = servers.get(id);
-    if (item.fact?.kind === "server") {
-      if (known === undefined) {
-        add(item.fact.server);
-        touch();
-      } else update(known, item.fact.server);
+  function remove({ listed }: KnownServer): void {
+    servers.delete(listed.registeredName);
+    log.info({ server: listed.id, service: listed.service }, "server gone");
+    touch();
+  }
+
+  /** Nothing that is known of a start holds for the next one of its name. */
+  function applyServer(item: NewsItem, registeredName: string): void {
+    const known = servers.get(registeredName);
+    if (item.fact?.kind !== "server") {
+      if (known !== undefined) remove(known);
       return;
     }
-    if (known === undefined) return;
-    servers.delete(id);
-    log.info({ server: id, service: known.listed.service }, "server gone");
+    const { server } = item.fact;
+    if (known?.listed.id === server.id) return update(known, server);
+    if (known !== undefined) remove(known);
+    add(server);
     touch();
   }
 
@@ -171,7 +177,9 @@
     listUsable,
     listAll: () => [...servers.values()],
     markReplaced(id) {
-      const server = servers.get(id);
+      const server = [...servers.values()].find(({ listed }) =>
+        listed.id === id
+      );
       if (server === undefined || server.isReplaced) return;
       server.isReplaced = true;
       log.warn({ server: id }, "address belongs to another server now");
--- a/src/servers/servers_test.ts
+++ b/src/servers/servers_test.ts
@@ -45,6 +45,28 @@
   assert.equal(listIds(registry), []);
 });
 
+test("nothing of a server's former start holds after it started again", () => {
+  const clock = createFakeClock();
+  const registry = makeRegistry(clock);
+  const former = makeServer("i-1@1", { registeredName: "i-1" });
+  registry.apply(makeServerNews(former, 1));
+  const [before] = registry.listUsable("s");
+  before.load.begin();
+  before.health.note("unreachable");
+  before.health.note("unreachable");
+  registry.markReplaced("i-1@1");
+  const next = { ...former, id: "i-1@2", coldLeftMs: 3_000 };
+  registry.apply(makeServerNews(next, 2));
+  const [after] = registry.listUsable("s");
+  assert.is(registry.listAll().length, 1);
+  assert.is(after.listed.id, "i-1@2");
+  assert.is(after.load.getOwn(), 0);
+  assert.is(after.health.isEjected(), false);
+  assert.is(after.coldUntilMs, clock.monotonicMs() + 3_000);
+  registry.markReplaced("i-1@1");
+  assert.is(registry.listUsable("s").length, 1);
+});
+
 test("an evacuated domain gets nothing, and is cold when taken back", () => {
   const clock = createFakeClock();
   const registry = makeRegistry(clock);
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -108,7 +108,7 @@
   return {
     send(server, request, remainingMs) {
       const headers = codec.encodeRequest(copyEndToEnd(request.headers), {
-        serverId: server.id,
+        serverName: server.registeredName,
         remainingMs: Math.max(1, Math.floor(remainingMs)),
       });
       return startAttempt(getPool(server), request, headers, {
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -111,7 +111,7 @@
    */
   abstract encodeRequest(
     headers: IncomingHttpHeaders,
-    terms: { serverId: string; remainingMs: number },
+    terms: { serverName: string; remainingMs: number },
   ): Record<string, string | string[]>;
   /**
    * @param status Status of an answer.
