--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -6,7 +6,7 @@
 import {
   computeDistance,
   computeShares,
-  pickRegion,
+  rankRegions,
   type RegionFigures,
   stepShares,
 } from "./shares.ts";
@@ -58,15 +58,39 @@
   assert.equal(computeShares("bergen", figures), []);
 });
 
-test("objects are dealt to regions by their position", () => {
+const OBJECTS = Array.from({ length: 10_000 }, (_, index) => `object ${index}`);
+
+function dealObjects(oslo: number, bergen: number, trondheim: number) {
   const shares = [
-    { region: "bergen", share: 0.5 },
-    { region: "oslo", share: 0.5 },
-    { region: "trondheim", share: 0 },
+    { region: "oslo", share: oslo },
+    { region: "bergen", share: bergen },
+    { region: "trondheim", share: trondheim },
   ];
-  assert.is(pickRegion(shares, 0.49), "bergen");
-  assert.is(pickRegion(shares, 0.51), "oslo");
-  assert.is(pickRegion(shares, 0.999999), "oslo");
+  return OBJECTS.map((object) => rankRegions(shares, object));
+}
+
+test("objects are dealt to regions by their shares", () => {
+  const first = dealObjects(0.5, 0.3, 0.2).map(([region]) => region);
+  const countOf = (name: string) =>
+    first.filter((region) => region === name).length / OBJECTS.length;
+  assert.ok(Math.abs(countOf("oslo") - 0.5) < 0.02);
+  assert.ok(Math.abs(countOf("bergen") - 0.3) < 0.02);
+});
+
+test("a region without a share comes after all that have one", () => {
+  for (const regions of dealObjects(0, 0.5, 0.5)) {
+    assert.is(regions[2], "oslo");
+  }
+});
+
+test("a change of shares moves no objects between others", () => {
+  const before = dealObjects(0.5, 0.3, 0.2);
+  const after = dealObjects(0.6, 0.24, 0.16);
+  const moved = OBJECTS.map((_, index) => index)
+    .filter((index) => before[index][0] !== after[index][0]);
+  assert.ok(moved.length > 0.08 * OBJECTS.length);
+  assert.ok(moved.length < 0.12 * OBJECTS.length);
+  assert.ok(moved.every((index) => after[index][0] === "oslo"));
 });
 
 test("a step moves no more than it may", () => {
--- a/src/placement/shares.ts
+++ b/src/placement/shares.ts
@@ -9,6 +9,8 @@
  * @module
  */
 
+import { rankByRendezvous } from "../runtime/hash.ts";
+
 /** What a region can do and has to do for one service. */
 export interface RegionFigures {
   region: string;
@@ -115,36 +117,27 @@
   return sum(gains);
 }
 
-/**
- * @param shares Shares by region, the callers' own first.
- * @param position The object's place in [0, 1).
- * @returns The region where the object runs.
- */
-export function pickRegion(
-  shares: readonly RegionShare[],
-  position: number,
-): string | undefined {
-  let end = 0;
-  for (const { region, share } of shares) {
-    end += share;
-    if (position < end) return region;
-  }
-  return shares.findLast(({ share }) => share > 0)?.region;
-}
+/** Ranks regions without a share behind all that have one. */
+const LEAST_WEIGHT = 1e-9;
 
 /**
- * @param shares Some of the shares of a whole.
- * @returns The same regions with shares that add up to 1.
+ * Deals an object to a region. A change of shares moves only objects of the
+ * regions that lose; with shares laid end to end, a region between two others
+ * exchanged objects with both, and servers forgot twice as many as moved.
+ *
+ * @param shares Shares by region.
+ * @param objectKey The object.
+ * @returns Regions in which the object may run, its own first.
  */
-export function scaleToOne(shares: readonly RegionShare[]): RegionShare[] {
-  const total = sum(shares.map(({ share }) => share));
-  if (total > 0) {
-    return shares.map(({ region, share }) => ({
-      region,
-      share: share / total,
-    }));
-  }
-  return shares.map(({ region }) => ({ region, share: 1 / shares.length }));
+export function rankRegions(
+  shares: readonly RegionShare[],
+  objectKey: string,
+): string[] {
+  const candidates = shares.map(({ region, share }) => ({
+    id: region,
+    weight: Math.max(share, LEAST_WEIGHT),
+  }));
+  return rankByRendezvous(objectKey, candidates).map(({ id }) => id);
 }
 
 /**
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -8,14 +8,9 @@
 import type { ObjectMemory } from "../placement/memory.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
-import {
-  pickRegion,
-  type RegionShare,
-  scaleToOne,
-} from "../placement/shares.ts";
+import { rankRegions, type RegionShare } from "../placement/shares.ts";
 import type { ServiceTerms } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
-import { hashToUnit } from "../runtime/hash.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { KnownServer } from "../servers/registry.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -45,9 +40,6 @@
   place(progress: Progress): KnownServer | RefusalReason;
 }
 
-/** Sets the choice of a region apart from that of a server. */
-const REGION_SEED = 7;
-
 /**
  * @param parts What placing needs.
  * @returns A placer.
@@ -104,15 +96,9 @@
     service: string,
     objectKey: string,
   ): string | undefined {
-    const position = hashToUnit(`${service} ${objectKey}`, REGION_SEED);
-    const first = pickRegion(shares, position);
-    if (first !== undefined && canServe(first, service, objectKey)) {
-      return first;
-    }
-    const served = shares.filter(({ region }) =>
-      canServe(region, service, objectKey)
-    );
-    return pickRegion(scaleToOne(served), position) ?? first;
+    const regions = rankRegions(shares, `${service} ${objectKey}`);
+    return regions.find((region) => canServe(region, service, objectKey)) ??
+      regions[0];
   }
 
   return { place };
