Import undici whole again

The index adds the pool's own request call, which the table's client uses; without it no VM reached the table (trial, every request failed).

--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -8,5 +8,4 @@
 npx esbuild platform/gateway.ts --bundle --platform=node --target=node20 \
   --format=esm --minify-whitespace --minify-syntax --log-level=warning \
   --banner:js="import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);" \
-  --alias:undici=./scripts/undici_core.mjs \
   --outfile=target/gateway.mjs
