Tell from gateways' log lines why requests were late, refused or lost

hawthorngw-explain reads the lines of any run and counts requests by 2 s window, region and service: late by cause (loaded, first run, forgotten, slow server, sent again), refused with room elsewhere or with all full, refused by servers, lost; and the largest planned move of shares.

--- /dev/null
+++ b/src/bin/hawthorngw_explain.ts
@@ -0,0 +1,72 @@
+#!/usr/bin/env node
+/**
+ * Tells from gateways' log lines why requests were late, refused or lost.
+ *
+ * @module
+ */
+import { createReadStream } from "node:fs";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import { parseArgs } from "node:util";
+import { gatherLines } from "../explain/lines.ts";
+import { renderMoves, renderTable } from "../explain/report.ts";
+import { EXIT_CODES } from "../runtime/process.ts";
+
+const USAGE = `hawthorngw-explain FILE... [--request ID] [--max-shift SHARE]
+
+Reads log lines of gateways and prints what became of requests: by 2 s window,
+by region, by service, and the largest moves of shares.
+
+  --request ID        all lines of one request instead, in order
+  --max-shift SHARE   bound on shifts to show beside the moves (0.15)
+`;
+/** The bound of deployments so far. */
+const DEFAULT_MAX_SHIFT = "0.15";
+
+function readArguments() {
+  try {
+    return parseArgs({
+      allowPositionals: true,
+      options: {
+        request: { type: "string" },
+        "max-shift": { type: "string", default: DEFAULT_MAX_SHIFT },
+        help: { type: "boolean", short: "h", default: false },
+      },
+    });
+  } catch (cause) {
+    process.stderr.write(`${(cause as Error).message}\n\n${USAGE}`);
+    process.exit(EXIT_CODES.usage);
+  }
+}
+
+async function readLines(paths: readonly string[]): Promise<string[]> {
+  const lines: string[] = [];
+  for (const path of paths) {
+    const input = createReadStream(path);
+    for await (const line of createInterface({ input })) lines.push(line);
+  }
+  return lines;
+}
+
+const { values, positionals } = readArguments();
+if (values.help || positionals.length === 0) {
+  process.stdout.write(USAGE);
+  process.exit(values.help ? EXIT_CODES.ok : EXIT_CODES.usage);
+}
+const lines = await readLines(positionals);
+if (values.request !== undefined) {
+  const wanted = `"${values.request}"`;
+  const own = lines.filter((line) => line.includes(wanted));
+  process.stdout.write(`${own.join("\n")}\n`);
+} else {
+  const content = gatherLines(lines);
+  let firstMs = Infinity;
+  for (const { end } of content.requests.values()) {
+    if (end !== undefined) firstMs = Math.min(firstMs, end.time - end.tookMs);
+  }
+  const tables = (["window", "region", "service"] as const).map((kind) =>
+    renderTable(content, kind, firstMs)
+  );
+  const moves = renderMoves(content.moves, Number(values["max-shift"]));
+  process.stdout.write(`${[...tables, moves].join("\n\n")}\n`);
+}
--- /dev/null
+++ b/src/explain/causes_test.ts
@@ -0,0 +1,91 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { type Cause, findCause } from "./causes.ts";
+import { gatherLines, type LogContent } from "./lines.ts";
+import { renderMoves, renderTable } from "./report.ts";
+
+const USUAL = { ofService: () => 100, ofServer: () => 100 };
+const BASE = { time: 10_000, vm: "vm-1", requestId: "q" };
+
+type Fields = Record<string, unknown>;
+
+function gather(...lines: Fields[]): LogContent {
+  return gatherLines(
+    lines.map((line) => `0.5 vm-1 ${JSON.stringify({ ...BASE, ...line })}`),
+  );
+}
+
+function makeLines(choice: Fields, attempt: Fields, end: Fields): Fields[] {
+  return [
+    { msg: "choose", service: "s", region: "oslo", server: "1", ...choice },
+    { msg: "attempt ended", server: "1", outcome: "answer", ...attempt },
+    { msg: "request ended", targetMs: 200, outcome: "answer", ...end },
+  ];
+}
+
+const refused = { outcome: "refused", reason: "all_full", tookMs: 1 };
+const answered: [Cause, Fields, Fields, Fields][] = [
+  ["in time", { use: 0 }, { tookMs: 90 }, { tookMs: 91 }],
+  ["late, loaded", { use: 1.5 }, { tookMs: 290 }, { tookMs: 291 }],
+  ["late, first run", { use: 0.5 }, { tookMs: 290, isFirst: true }, {
+    tookMs: 291,
+  }],
+  ["late, forgotten", { use: 0.5 }, { tookMs: 290 }, { tookMs: 291 }],
+  ["late, other", { use: 0.5 }, { tookMs: 190 }, { tookMs: 201 }],
+  ["lost", { use: 0.5 }, { tookMs: 90 }, { outcome: "failed" }],
+  ["refused by servers", { use: 0.5 }, { tookMs: 2 }, {
+    outcome: "refused",
+    reason: "not_run_anywhere",
+  }],
+  ["client left", { use: 0.5 }, { tookMs: 90 }, { outcome: "client_left" }],
+];
+
+for (const [cause, choice, attempt, end] of answered) {
+  test(`a request is told to be ${cause}`, () => {
+    const { requests } = gather(...makeLines(choice, attempt, end));
+    assert.is(findCause(requests.get("q")!, USUAL), cause);
+  });
+}
+
+const refusals: [Cause, Record<string, number>][] = [
+  ["refused, room elsewhere", { oslo: 2, bergen: 0.4 }],
+  ["refused, all full", { oslo: 2, bergen: 1.4 }],
+];
+
+for (const [cause, uses] of refusals) {
+  test(`a refusal with regions at ${Object.values(uses)} is ${cause}`, () => {
+    const { requests } = gather(
+      { msg: "choose", service: "s", region: "oslo", choice: "full", uses },
+      { msg: "request ended", targetMs: 200, ...refused },
+    );
+    assert.is(findCause(requests.get("q")!, USUAL), cause);
+  });
+}
+
+test("a server that answers all slowly is told from one that forgot", () => {
+  const slow = { ...USUAL, ofServer: () => 900 };
+  const { requests } = gather(
+    ...makeLines({ use: 0.5 }, { tookMs: 950 }, { tookMs: 951 }),
+  );
+  assert.is(findCause(requests.get("q")!, slow), "late, slow server");
+});
+
+test("tables count by window and service; foreign lines are skipped", () => {
+  const content = gather(
+    ...makeLines({ use: 0 }, { tookMs: 90 }, { tookMs: 91 }),
+  );
+  gatherLines(["no line of ours", "{cut", '{"msg":"choose"}']);
+  assert.match(renderTable(content, "service", 9_000), /in time\ns +1$/);
+  assert.match(renderTable(content, "window", 5_000), /\n4 +1$/);
+});
+
+test("moves of one window add up, but for those after a loss", () => {
+  const { moves } = gather(
+    { msg: "region shares moved", service: "s", moved: 0.05, loss: 0 },
+    { msg: "region shares moved", service: "s", moved: 0.06, loss: 0 },
+    { msg: "region shares moved", service: "s", moved: 0.5, loss: 0.5 },
+  );
+  assert.match(renderMoves(moves, 0.15), /s +0\.110 +0\.15/);
+});
+
+test.run();
--- /dev/null
+++ b/src/explain/report.ts
@@ -0,0 +1,132 @@
+/**
+ * Tables of what became of requests, by moment, region and service.
+ *
+ * @module
+ */
+import { type Cause, CAUSES, findCause, type UsualTimes } from "./causes.ts";
+import type { LogContent, MoveLine, RequestLines } from "./lines.ts";
+
+/** Width of a window, as the bounds on shifts count. */
+const WINDOW_MS = 2_000;
+
+/** What requests are counted by. */
+export type GroupKind = "window" | "service" | "region";
+
+type Counts = Map<Cause, number>;
+
+/**
+ * @param content What a log tells.
+ * @param kind What to count by.
+ * @param firstMs Time of the first window.
+ * @returns A table: a line for each group, a column for each cause that came.
+ */
+export function renderTable(
+  content: LogContent,
+  kind: GroupKind,
+  firstMs: number,
+): string {
+  const usual = createUsualTimes(content);
+  const groups = new Map<string, Counts>();
+  for (const request of content.requests.values()) {
+    if (request.end === undefined) continue;
+    const group = nameGroup(request, kind, firstMs);
+    const counts = groups.get(group) ?? new Map();
+    const cause = findCause(request, usual);
+    counts.set(cause, (counts.get(cause) ?? 0) + 1);
+    groups.set(group, counts);
+  }
+  const seen = CAUSES.filter((cause) =>
+    [...groups.values()].some((counts) => counts.has(cause))
+  );
+  const names = [...groups.keys()].sort((a, b) =>
+    a.localeCompare(b, "en", { numeric: true })
+  );
+  const rows = names.map((name) => [
+    name,
+    ...seen.map((cause) => String(groups.get(name)?.get(cause) ?? 0)),
+  ]);
+  return renderRows([[kind, ...seen], ...rows]);
+}
+
+/**
+ * @param moves Moves of shares.
+ * @param maxShift Largest share that may change region between windows.
+ * @returns By service, the largest move of a VM's shares in a window.
+ */
+export function renderMoves(
+  moves: readonly MoveLine[],
+  maxShift: number,
+): string {
+  const totals = new Map<string, number>();
+  for (const { service, vm, time, moved, loss } of moves) {
+    if (loss > 0) continue;
+    const key = `${service} ${vm} ${Math.floor(time / WINDOW_MS)}`;
+    totals.set(key, (totals.get(key) ?? 0) + moved);
+  }
+  const largest = new Map<string, number>();
+  for (const [key, moved] of totals) {
+    const [service] = key.split(" ");
+    largest.set(service, Math.max(moved, largest.get(service) ?? 0));
+  }
+  const rows = [...largest].sort().map((
+    [service, moved],
+  ) => [service, moved.toFixed(3), String(maxShift)]);
+  return renderRows([
+    ["service", "largest planned move in 2 s", "bound"],
+    ...rows,
+  ]);
+}
+
+function nameGroup(
+  { end, choices }: RequestLines,
+  kind: GroupKind,
+  firstMs: number,
+): string {
+  if (kind === "service") return choices[0]?.service ?? "none";
+  if (kind === "region") return choices[0]?.region ?? "none";
+  const startMs = (end?.time ?? firstMs) - (end?.tookMs ?? 0) - firstMs;
+  return String(Math.floor(startMs / WINDOW_MS) * WINDOW_MS / 1_000);
+}
+
+/** Medians of answered attempts that were not the first for their object. */
+function createUsualTimes({ requests }: LogContent): UsualTimes {
+  const byService = new Map<string, number[]>();
+  const byServer = new Map<string, number[]>();
+  const add = (map: Map<string, number[]>, key: string, tookMs: number) => {
+    const times = map.get(key);
+    if (times === undefined) map.set(key, [tookMs]);
+    else times.push(tookMs);
+  };
+  for (const { choices, attempts } of requests.values()) {
+    for (const { outcome, isFirst, server, tookMs, time } of attempts) {
+      if (outcome !== "answer" || isFirst) continue;
+      add(byService, choices[0]?.service ?? "none", tookMs);
+      add(byServer, nameMoment(server, time), tookMs);
+    }
+  }
+  return {
+    ofService: (service) => getMedian(byService.get(service) ?? []),
+    ofServer: (server, time) =>
+      getMedian(byServer.get(nameMoment(server, time)) ?? []),
+  };
+}
+
+function nameMoment(server: string, time: number): string {
+  return `${server} ${Math.floor(time / 1_000)}`;
+}
+
+function getMedian(values: number[]): number {
+  values.sort((a, b) => a - b);
+  return values[Math.floor(values.length / 2)] ?? 0;
+}
+
+function renderRows(rows: readonly string[][]): string {
+  const widths = rows[0].map((_, column) =>
+    Math.max(...rows.map((row) => row[column].length))
+  );
+  return rows.map((row) =>
+    row.map((cell, column) =>
+      column === 0 ? cell.padEnd(widths[0]) : cell.padStart(widths[column])
+    ).join("  ")
+  ).join("\n");
+}
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -138,6 +138,7 @@
   const placer = createPlacer({
     clock,
     log,
+    registry,
     ranking: createRanking(registry),
     plan,
     coldLimit: createColdLimit({
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -29,7 +29,13 @@
 
 /** Where an attempt goes. */
 export type Choice =
-  | { kind: "server"; server: KnownServer; rank: number; use: number }
+  | {
+    kind: "server";
+    server: KnownServer;
+    rank: number;
+    use: number;
+    isKnown: boolean;
+  }
   /** Every server that could take it is full. */
   | { kind: "full" }
   /** There is no server that could take it. */
@@ -80,7 +86,8 @@
     !tried.has(server.listed.id) && server.coldUntilMs <= clock.monotonicMs()
   );
   if (!isAnyAlive && anyone !== undefined) {
-    return { kind: "server", server: anyone, rank: 0, use: 0 };
+    const isKnown = placement.knowsObject(anyone.listed.id);
+    return { kind: "server", server: anyone, rank: 0, use: 0, isKnown };
   }
   return { kind: isAnyAlive ? "full" : "none" };
 }
@@ -119,7 +126,8 @@
   if (!coldLimit.take(id, placement.coldRatePerS, first.region)) {
     return undefined;
   }
-  return { kind: "server", server: first, rank: 0, use };
+  const isKnown = placement.knowsObject(id);
+  return { kind: "server", server: first, rank: 0, use, isKnown };
 }
 
 function chooseInCircle(
@@ -136,7 +144,7 @@
     const cost = use + getPenalty(rank, isKnown);
     if (cost >= bestCost) return;
     bestCost = cost;
-    best = { kind: "server", server, rank, use };
+    best = { kind: "server", server, rank, use, isKnown };
   });
   return best;
 }
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -142,7 +142,8 @@
 function chooseScattering(servers: readonly KnownServer[]): Choice {
   const server = servers.find(({ load }) => load.getUse() < 2);
   if (server === undefined) return { kind: "full" };
-  return { kind: "server", server, rank: 0, use: server.load.getUse() };
+  const use = server.load.getUse();
+  return { kind: "server", server, rank: 0, use, isKnown: false };
 }
 
 interface Run {
--- a/src/placement/regions.ts
+++ b/src/placement/regions.ts
@@ -60,6 +60,8 @@
  * that moves at once, since the way back is paced.
  */
 const LOST_SLOTS_PART = 0.75;
+/** Shares that moved by this much are told of in a log line. */
+const LOGGED_MOVE = 0.05;
 /** Time in which losses add up: servers of a lost domain lapse one by one. */
 const LOSS_WINDOW_MS = 2_000;
 
@@ -68,6 +70,8 @@
   steppedAtMs: number;
   /** Most slots that each region had not long ago. */
   slots: Map<string, SeenSlots>;
+  /** The shares that were last told of in a log line. */
+  logged: RegionShare[];
 }
 
 interface SeenSlots {
@@ -133,12 +137,11 @@
     if (target.length === 0 || distance < MIN_MOVE) return;
     const limit = Math.max(loss, getMaxStep(elapsedMs));
     entry.shares = stepShares(entry.shares, target, limit);
-    if (loss > 0) {
-      log.info(
-        { service, target, loss, shares: entry.shares },
-        "servers lost, shares moved",
-      );
-    }
+    const moved = computeDistance(entry.logged, entry.shares);
+    if (loss === 0 && moved < LOGGED_MOVE) return;
+    entry.logged = entry.shares;
+    const { shares } = entry;
+    log.info({ service, target, loss, moved, shares }, "region shares moved");
   }
 
   return {
@@ -152,7 +155,12 @@
         const slots = new Map(
           figures.map(({ region, slots }) => [region, { slots, atMs: nowMs }]),
         );
-        entries.set(key, { shares, steppedAtMs: nowMs, slots });
+        entries.set(key, {
+          shares,
+          steppedAtMs: nowMs,
+          slots,
+          logged: shares,
+        });
         log.info({ service, allowed, shares }, "region shares");
         return shares;
       }
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -140,6 +140,7 @@
       route: route.name,
       version,
       tookMs: Math.round(tookMs),
+      targetMs: route.targetLatencyMs,
     });
   }
 
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -67,6 +67,7 @@
         server: server.listed.id,
         attempt: progress.tried.size,
         tookMs: Math.round(tookMs),
+        isFirst: end.isFirst,
         ...describeResult(result),
       },
       "attempt ended",
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -12,7 +12,7 @@
 import type { ServiceTerms } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
-import type { KnownServer } from "../servers/registry.ts";
+import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { PaceTable } from "./pace.ts";
 import { nameObject, type Progress } from "./progress.ts";
@@ -22,6 +22,7 @@
 export interface PlacerParts {
   clock: Clock;
   log: Log;
+  registry: ServerRegistry;
   ranking: Ranking;
   plan: RegionPlan;
   coldLimit: ColdLimit;
@@ -45,7 +46,7 @@
  * @returns A placer.
  */
 export function createPlacer(parts: PlacerParts): Placer {
-  const { clock, log, ranking, plan, pace, memory } = parts;
+  const { clock, log, registry, ranking, plan, pace, memory } = parts;
 
   function place(progress: Progress): KnownServer | RefusalReason {
     const { request, service, objectKey, tried } = progress;
@@ -66,14 +67,35 @@
     const choice = chooseServer(placement, parts.coldLimit, clock);
     const inputs = { requestId, service, objectKey, region };
     if (choice.kind !== "server") {
-      log.info({ ...inputs, choice: choice.kind }, "choose");
+      const uses = readUses(service);
+      const { maxUse } = placement;
+      log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
       return choice.kind === "full" ? "all_full" : "no_server";
     }
-    const { server, rank, use } = choice;
-    log.info({ ...inputs, server: server.listed.id, rank, use }, "choose");
+    const { server, rank, use, isKnown } = choice;
+    log.info(
+      { ...inputs, server: server.listed.id, rank, use, isKnown },
+      "choose",
+    );
     return server;
   }
 
+  /** @returns How full each region's servers are, in requests a slot. */
+  function readUses(service: string): Record<string, number> {
+    const totals = new Map<string, { requests: number; slots: number }>();
+    for (const { region, listed, load } of registry.listUsable(service)) {
+      const total = totals.get(region) ?? { requests: 0, slots: 0 };
+      total.requests += load.getTotal();
+      total.slots += listed.slots;
+      totals.set(region, total);
+    }
+    return Object.fromEntries(
+      [...totals].map((
+        [region, { requests, slots }],
+      ) => [region, requests / slots]),
+    );
+  }
+
   /** Whether a region has a server that can take any request. */
   function canServe(
     region: string,
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -40,6 +40,7 @@
   return createPlacer({
     clock,
     log,
+    registry,
     ranking: createRanking(registry),
     plan,
     coldLimit: { take: () => false },
