--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,11 +7,12 @@
 import process from "node:process";
 import { startMesh } from "../members/mesh.ts";
 import { createMemberTable } from "../members/table.ts";
-import type {
-  VmIdentity,
-  VmRegister,
-  VmReport,
-  VmState,
+import {
+  isServing,
+  type VmIdentity,
+  type VmRegister,
+  type VmReport,
+  type VmState,
 } from "../members/types.ts";
 import { createVmViews } from "../members/views.ts";
 import {
@@ -31,6 +32,7 @@
 import { formatAddress } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
+import { watchOverload } from "../runtime/overload.ts";
 import type { Stoppable } from "../runtime/process.ts";
 import { startFront } from "../serving/front.ts";
 import type { WireCodec } from "../serving/types.ts";
@@ -100,9 +102,16 @@
       state = "serving";
       log.info({ version }, "serving");
     }
-    return state;
+    return state === "serving" && overload.isOverloaded()
+      ? "overloaded"
+      : state;
   }
 
+  const overload = watchOverload(clock, (isOverloaded, delayMs) => {
+    log.warn({ isOverloaded, delayMs: Math.round(delayMs) }, "processor time");
+    mesh.reportNow();
+  });
+
   const peers = await listen(
     createRouter(),
     formatAddress(settings.peerAddress),
@@ -143,11 +152,15 @@
     settings,
     paths: parts.paths,
     metrics,
-    isReady: () => updateState() === "serving",
+    isReady: () => isServing(updateState()),
     getDirectoryView: () => ({
-      self,
-      ownState: updateState(),
-      othersServing: table.listServing(),
+      vms: [
+        { identity: self, state: updateState() },
+        ...table.listAlive().map(({ identity, report }) => ({
+          identity,
+          state: report?.state,
+        })),
+      ],
       ttlMs,
     }),
     dumpState: () =>
@@ -165,6 +178,7 @@
   return {
     stop() {
       state = "leaving";
+      overload.stop();
       return leave({
         clock,
         log,
