--- a/src/placement/regions.ts
+++ b/src/placement/regions.ts
@@ -141,7 +141,10 @@
     if (loss === 0 && moved < LOGGED_MOVE) return;
     entry.logged = entry.shares;
     const { shares } = entry;
-    log.info({ service, target, loss, moved, shares }, "region shares moved");
+    log.info(
+      { service, figures, target, loss, moved, shares },
+      "region shares moved",
+    );
   }
 
   return {
