--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -22,7 +22,6 @@
 import { hashToUnit } from "../runtime/hash.ts";
 import { createRandom } from "../runtime/random.ts";
 import { createColdLimit } from "../servers/cold_limit.ts";
-import type { PeerRequests } from "../servers/peer_requests.ts";
 import {
   createServerRegistry,
   type ServerRegistry,
@@ -48,7 +47,6 @@
   table: MemberTable;
   vms: VmViews;
   memory: ObjectMemory;
-  peerRequests: PeerRequests;
   board: NewsBoard;
 }
 
@@ -84,7 +82,6 @@
     log,
     regions: settings.regions,
     getColdDurationMs: (service) => getTerms(service)?.coldDurationMs ?? 0,
-    peerRequests: parts.peerRequests,
   });
   const exchange = createExchange(codec, getConnectionLimit);
 
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -5,17 +5,7 @@
  */
 import type { NewsItem } from "../news/types.ts";
 import type { Configuration, Route } from "../routing/types.ts";
-import type { Clock } from "../runtime/clock.ts";
-import {
-  createPeerRequests,
-  type PeerRequests,
-} from "../servers/peer_requests.ts";
-import {
-  createServerRegistry,
-  type ServerRegistry,
-} from "../servers/registry.ts";
 import type { ListedServer } from "../servers/types.ts";
-import { createSilentLog } from "../telemetry/log.ts";
 
 /**
  * @param changes Fields that differ from a plain idempotent route.
@@ -104,24 +94,6 @@
   };
 }
 
-/**
- * @param clock The clock.
- * @param peerRequests What other VMs tell of their requests.
- * @returns A registry with no servers, whose servers stay cold for 3 s.
- */
-export function makeRegistry(
-  clock: Clock,
-  peerRequests: PeerRequests = createPeerRequests(clock),
-): ServerRegistry {
-  return createServerRegistry({
-    clock,
-    log: createSilentLog(),
-    regions: TEST_REGIONS,
-    getColdDurationMs: () => 3_000,
-    peerRequests,
-  });
-}
-
 /** Regions of the failure domains in tests. */
 export const TEST_REGIONS: ReadonlyMap<string, string> = new Map([
   ["oslo-a", "oslo"],
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,7 +28,6 @@
 } from "../news/reader.ts";
 import { type FactSource, TOPICS } from "../news/types.ts";
 import { createObjectMemory } from "../placement/memory.ts";
-import { createPeerRequests } from "../servers/peer_requests.ts";
 import { formatAddress } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
@@ -80,16 +79,7 @@
   const board = createNewsBoard(clock);
   const vms = createVmViews(self, table);
   const memory = createObjectMemory(clock);
-  const peerRequests = createPeerRequests(clock);
-  const core = createCore({
-    ...parts,
-    self,
-    table,
-    vms,
-    memory,
-    peerRequests,
-    board,
-  });
+  const core = createCore({ ...parts, self, table, vms, memory, board });
   const metrics = createGatewayMetrics(core, board, vms.countServing);
   const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.bounds.maxTtlMs);
   let state: VmState = "starting";
@@ -126,8 +116,6 @@
     table,
     board,
     memory,
-    peerRequests,
-    getOwnRequests: core.registry.getOwnRequests,
     register: parts.register,
     clock,
     log,
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -16,10 +16,6 @@
   keepLink,
   type PeerLink,
 } from "../runtime/peer_link.ts";
-import type {
-  PeerRequests,
-  RequestsByServer,
-} from "../servers/peer_requests.ts";
 import type { Log } from "../telemetry/log.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
 import { createFactRepair, type FactPeer } from "./repair.ts";
@@ -39,9 +35,6 @@
   table: MemberTable;
   board: NewsBoard;
   memory: ObjectMemory;
-  peerRequests: PeerRequests;
-  /** Requests that this VM has at backend servers. */
-  getOwnRequests: () => RequestsByServer;
   register: VmRegister;
   clock: Clock;
   log: Log;
@@ -73,13 +66,6 @@
  * processor time of the requests themselves.
  */
 const OBJECT_NEWS_MS = 50;
-/**
- * Pause between two messages of the requests that this VM has. Requests last
- * 90 ms and more; each VM of the region adds to the pause so that all messages
- * together stay below 60 a second.
- */
-const MIN_REQUESTS_MS = 40;
-const REQUESTS_MS_PER_VM = 17;
 /** How often the register is asked for VMs while this one starts. */
 const STARTING_LIST_MS = 2_000;
 /** After that time VMs learn of new ones from each other. */
@@ -109,8 +95,6 @@
   /** What every linked VM was told of this one. */
   let told: VmReport | undefined;
   let stopped = false;
-  /** Whether the VMs of the region were last told of no requests. */
-  let wasIdle = true;
 
   const options = {
     schema: vmMessageSchema,
@@ -152,9 +136,6 @@
     if (message.kind === "report") receiveReport(state, message);
     if (message.kind === "read") receiveRead(state, message);
     if (message.kind === "objects") memory.apply(message);
-    if (message.kind === "requests" && state.id !== undefined) {
-      parts.peerRequests.apply(state.id, message.requests);
-    }
   }
 
   function receiveHello(
@@ -218,36 +199,16 @@
     for (const link of links.keys()) link.sendFrame(message.kind, frame);
   }
 
-  /** @returns How many VMs it was sent to. */
-  function sendInRegion(message: VmMessage): number {
-    const frame = encodeBroadcast(message);
-    let sent = 0;
-    for (const [link, { id }] of links) {
-      const identity = id === undefined ? undefined : table.get(id)?.identity;
-      if (identity?.region !== self.region) continue;
-      link.sendFrame(message.kind, frame);
-      sent++;
-    }
-    return sent;
-  }
-
   /** Callers of other regions ask for other objects. */
   function sendObjectNews(): void {
     const news = memory.takeNews();
-    if (!stopped) sendInRegion({ kind: "objects", ...news });
-  }
-
-  /** Most requests at a region's servers come from the region's own VMs. */
-  function tellRequests(): void {
     if (stopped) return;
-    const requests = parts.getOwnRequests();
-    const isIdle = Object.keys(requests).length === 0;
-    const told = isIdle && wasIdle
-      ? 0
-      : sendInRegion({ kind: "requests", requests });
-    wasIdle = isIdle;
-    const pauseMs = Math.max(MIN_REQUESTS_MS, told * REQUESTS_MS_PER_VM);
-    clock.after(pauseMs, tellRequests);
+    const frame = encodeBroadcast({ kind: "objects", ...news });
+    for (const [link, { id }] of links) {
+      const identity = id === undefined ? undefined : table.get(id)?.identity;
+      if (identity?.region !== self.region) continue;
+      link.sendFrame("objects", frame);
+    }
   }
 
   function listIdentities(): VmIdentity[] {
@@ -332,7 +293,6 @@
     dialMissing();
     reportNow();
   });
-  tellRequests();
   memory.onNews(() => void clock.after(OBJECT_NEWS_MS, sendObjectNews));
   void registerSelf().then(findMembers);
   dialMissing();
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -7,10 +7,6 @@
 import { createObjectMemory } from "../placement/memory.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
 import { keepLink, type PeerLink } from "../runtime/peer_link.ts";
-import {
-  createPeerRequests,
-  type RequestsByServer,
-} from "../servers/peer_requests.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { startMesh } from "./mesh.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
@@ -44,15 +40,11 @@
   const http = await listen(createRouter(), "127.0.0.1:0");
   const board = createNewsBoard(clock);
   const memory = createObjectMemory(clock);
-  const peerRequests = createPeerRequests(clock);
-  const ownRequests: RequestsByServer = {};
   const mesh = startMesh({
     self: makeIdentity("self", http.address),
     table: createMemberTable("self", clock),
     board,
     memory,
-    peerRequests,
-    getOwnRequests: () => ownRequests,
     register: new EmptyRegister(),
     clock,
     log: createSilentLog(),
@@ -68,8 +60,7 @@
     mesh.stop();
     await http.close();
   };
-  const { address } = http;
-  return { address, board, memory, peerRequests, ownRequests, mesh, stop };
+  return { address: http.address, board, memory, mesh, stop };
 }
 
 /** Links to a mesh; says who it is only where an identity is given. */
@@ -240,25 +231,4 @@
   await stop();
 });
 
-test("VMs of a region tell each other of their requests, others not", async () => {
-  const { address, peerRequests, ownRequests, stop } = await startTestMesh();
-  const near = makeIdentity("near", "127.0.0.1:2");
-  const far = { ...makeIdentity("far", "127.0.0.1:3"), region: "bergen" };
-  const nearLink = await openLink(address, near);
-  const farLink = await openLink(address, far);
-  ownRequests["1"] = 2;
-  const isTold = () =>
-    nearLink.received.some((message) =>
-      message.kind === "requests" && message.requests["1"] === 2
-    );
-  await waitUntil(isTold);
-  nearLink.send({ kind: "requests", requests: { "1": 3 } });
-  await waitUntil(() => peerRequests.getTotal("1") === 3);
-  const isFarTold = farLink.received.some(({ kind }) => kind === "requests");
-  nearLink.close();
-  farLink.close();
-  await stop();
-  assert.not(isFarTold);
-});
-
 test.run();
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -71,11 +71,6 @@
     kind: z.literal("news"),
     items: z.array(newsItemSchema).max(MAX_ITEMS),
   }),
-  /** All requests that the sender has at servers, by server. */
-  z.object({
-    kind: z.literal("requests"),
-    requests: z.record(z.string().max(256), z.number().int().nonnegative()),
-  }),
   /** What servers know, for VMs whose callers ask for the same objects. */
   z.object({
     kind: z.literal("objects"),
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -1,22 +1,32 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import {
-  makeRegistry,
   makeServer,
   makeServerNews,
+  TEST_REGIONS,
 } from "../gateway/fixture.ts";
 import { createFakeClock, type FakeClock } from "../runtime/clock.ts";
 import { createRandom, drawExponential } from "../runtime/random.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
-import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import {
+  createServerRegistry,
+  type KnownServer,
+  type ServerRegistry,
+} from "../servers/registry.ts";
+import { createSilentLog } from "../telemetry/log.ts";
 import { type Choice, chooseServer, type Placement } from "./choose.ts";
 import { createObjectMemory } from "./memory.ts";
 import { createRanking } from "./ranking.ts";
 
 const NO_COLD: ColdLimit = { take: () => false };
 
-function listServers(clock: FakeClock, count: number): ServerRegistry {
-  const registry = makeRegistry(clock);
+function makeRegistry(clock: FakeClock, count: number): ServerRegistry {
+  const registry = createServerRegistry({
+    clock,
+    log: createSilentLog(),
+    regions: TEST_REGIONS,
+    getColdDurationMs: () => 3_000,
+  });
   for (let index = 0; index < count; index++) {
     registry.apply(makeServerNews(makeServer(`${index}`), index + 1));
   }
@@ -50,7 +60,7 @@
 
 function startFour() {
   const clock = createFakeClock();
-  const servers = [...listServers(clock, 4).listUsable("s")];
+  const servers = [...makeRegistry(clock, 4).listUsable("s")];
   return { clock, servers };
 }
 
@@ -161,7 +171,7 @@
  */
 function replayLoss(policy: "circle" | "scatter"): number {
   const clock = createFakeClock();
-  const registry = listServers(clock, 6);
+  const registry = makeRegistry(clock, 6);
   const ranking = createRanking(registry);
   const memory = createObjectMemory(clock);
   const random = createRandom(20261202);
--- a/src/servers/load.ts
+++ b/src/servers/load.ts
@@ -1,6 +1,6 @@
 /**
- * How busy a backend server is: this VM's own requests there, exactly, those
- * that other VMs tell of, and the rest from what the server last told.
+ * How busy a backend server is: this VM's own requests there, exactly, and
+ * those of other VMs from what the server last told.
  *
  * @module
  */
@@ -37,27 +37,24 @@
 /**
  * @param listedSlots Slots that the register lists.
  * @param clock The clock.
- * @param getTold Requests there that other VMs tell of.
  * @returns The load of a server without requests.
  */
 export function createServerLoad(
   listedSlots: number,
   clock: Clock,
-  getTold: () => number,
 ): ServerLoad {
   let slots = Math.max(1, listedSlots);
   let own = 0;
-  /** Requests of VMs that don't tell of theirs. */
-  let untold = 0;
+  let others = 0;
   let reportedAtMs = 0;
 
-  function getUntold(): number {
+  function getOthers(): number {
     const ageMs = clock.monotonicMs() - reportedAtMs;
-    return untold * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
+    return others * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
   }
 
   function getTotal(): number {
-    return own + getTold() + getUntold();
+    return own + getOthers();
   }
 
   return {
@@ -65,9 +62,8 @@
     end: () => void own--,
     report(report) {
       if (report.slots > 0) slots = report.slots;
-      const total = report.running + report.waiting;
-      const seen = Math.max(0, total - own - getTold());
-      untold = getUntold() * (1 - REPORT_WEIGHT) + seen * REPORT_WEIGHT;
+      const seen = Math.max(0, report.running + report.waiting - own);
+      others = getOthers() * (1 - REPORT_WEIGHT) + seen * REPORT_WEIGHT;
       reportedAtMs = clock.monotonicMs();
     },
     getOwn: () => own,
--- a/src/servers/registry.ts
+++ b/src/servers/registry.ts
@@ -8,7 +8,6 @@
 import type { Log } from "../telemetry/log.ts";
 import { createServerHealth, type ServerHealth } from "./health.ts";
 import { createServerLoad, type ServerLoad } from "./load.ts";
-import type { PeerRequests, RequestsByServer } from "./peer_requests.ts";
 import type { ListedServer } from "./types.ts";
 
 /** A backend server and this VM's view of it. */
@@ -34,8 +33,6 @@
   listUsable(service: string): readonly KnownServer[];
   /** @returns Every server that is listed. */
   listAll(): KnownServer[];
-  /** @returns Requests that this VM has at servers, to tell other VMs. */
-  getOwnRequests(): RequestsByServer;
   /** Notes that a server's address belongs to another one now. */
   markReplaced(id: string): void;
   /** Changes whenever `listUsable` would list other servers. */
@@ -52,8 +49,6 @@
   regions: ReadonlyMap<string, string>;
   /** How long a server of a service stays cold after a start. */
   getColdDurationMs: (service: string) => number;
-  /** Requests that other VMs tell of. */
-  peerRequests: PeerRequests;
 }
 
 /**
@@ -106,11 +101,7 @@
     servers.set(listed.registeredName, {
       listed,
       region,
-      load: createServerLoad(
-        listed.slots,
-        clock,
-        () => parts.peerRequests.getTotal(listed.id),
-      ),
+      load: createServerLoad(listed.slots, clock),
       health: createServerHealth(clock),
       coldUntilMs: toColdUntil(listed.coldLeftMs),
       isReplaced: false,
@@ -185,13 +176,6 @@
     apply,
     listUsable,
     listAll: () => [...servers.values()],
-    getOwnRequests() {
-      const requests: RequestsByServer = {};
-      for (const { listed, load } of servers.values()) {
-        if (load.getOwn() > 0) requests[listed.id] = load.getOwn();
-      }
-      return requests;
-    },
     markReplaced(id) {
       const server = [...servers.values()].find(({ listed }) =>
         listed.id === id
--- a/src/servers/servers_test.ts
+++ b/src/servers/servers_test.ts
@@ -1,15 +1,25 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import {
-  makeRegistry,
   makeServer,
   makeServerNews,
+  TEST_REGIONS,
 } from "../gateway/fixture.ts";
-import { createFakeClock } from "../runtime/clock.ts";
+import { createFakeClock, type FakeClock } from "../runtime/clock.ts";
+import { createSilentLog } from "../telemetry/log.ts";
 import { createColdLimit } from "./cold_limit.ts";
 import { createServerHealth } from "./health.ts";
 import { createServerLoad } from "./load.ts";
-import { createPeerRequests } from "./peer_requests.ts";
+import { createServerRegistry } from "./registry.ts";
+
+function makeRegistry(clock: FakeClock) {
+  return createServerRegistry({
+    clock,
+    log: createSilentLog(),
+    regions: TEST_REGIONS,
+    getColdDurationMs: () => 3_000,
+  });
+}
 
 function listIds(registry: ReturnType<typeof makeRegistry>): string[] {
   return registry.listUsable("s").map(({ listed }) => listed.id);
@@ -112,7 +122,7 @@
 
 test("load adds this VM's requests to those that others were seen to have", () => {
   const clock = createFakeClock();
-  const load = createServerLoad(4, clock, () => 0);
+  const load = createServerLoad(4, clock);
   load.begin();
   load.begin();
   load.report({ running: 4, waiting: 2, slots: 4 });
@@ -123,30 +133,6 @@
   assert.is(load.getTotal(), 2);
 });
 
-test("requests that other VMs tell of count at once, and once", () => {
-  const clock = createFakeClock();
-  const peerRequests = createPeerRequests(clock);
-  const load = createServerLoad(4, clock, () => peerRequests.getTotal("1"));
-  load.begin();
-  peerRequests.apply("vm-2", { "1": 3 });
-  peerRequests.apply("vm-3", { "2": 3 });
-  assert.is(load.getTotal(), 4);
-  load.report({ running: 4, waiting: 0, slots: 4 });
-  assert.is(load.getTotal(), 4);
-  load.report({ running: 4, waiting: 2, slots: 4 });
-  assert.is(load.getTotal(), 5);
-  peerRequests.apply("vm-2", {});
-  assert.is(load.getTotal(), 2);
-});
-
-test("what a VM told that fell silent holds no more", () => {
-  const clock = createFakeClock();
-  const peerRequests = createPeerRequests(clock);
-  peerRequests.apply("vm-2", { "1": 3 });
-  clock.advance(1_501);
-  assert.is(peerRequests.getTotal("1"), 0);
-});
-
 test("a server that can't be reached twice is kept out for a while", () => {
   const clock = createFakeClock();
   const health = createServerHealth(clock);
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -1,15 +1,16 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import {
-  makeRegistry,
   makeRoute,
   makeServer,
   makeServerNews,
+  TEST_REGIONS,
 } from "../gateway/fixture.ts";
 import { createObjectMemory } from "../placement/memory.ts";
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createFakeClock } from "../runtime/clock.ts";
+import { createServerRegistry } from "../servers/registry.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { createPaceTable } from "./pace.ts";
 import { createPlacer } from "./placing.ts";
@@ -19,7 +20,12 @@
 function startPlacer(bergenColdMs: number) {
   const clock = createFakeClock();
   const log = createSilentLog();
-  const registry = makeRegistry(clock);
+  const registry = createServerRegistry({
+    clock,
+    log,
+    regions: TEST_REGIONS,
+    getColdDurationMs: () => 3_000,
+  });
   registry.apply(makeServerNews(makeServer("oslo-1"), 1));
   const bergen = makeServer("bergen-1", {
     failureDomain: "bergen-a",
