--- a/src/gateway/control_routes.ts
+++ b/src/gateway/control_routes.ts
@@ -26,6 +26,8 @@
   directory: string;
   /** Query parameter of the directory call that names the client's region. */
   regionParameter: string;
+  /** The one that names the host that the client wants to reach. */
+  hostParameter: string;
   /** @returns The body of a directory answer. */
   encodeDirectory: (answer: DirectoryAnswer) => unknown;
 }
@@ -36,7 +38,7 @@
   paths: ControlPaths;
   metrics: ServingMetrics;
   isReady: () => boolean;
-  getDirectoryView: () => DirectoryView;
+  getDirectoryView: (host: string) => DirectoryView;
   dumpState: () => unknown;
 }
 
@@ -59,7 +61,8 @@
   directory.get(paths.directory, (request, response) => {
     const region = getQuery(request, paths.regionParameter) ??
       settings.region;
-    const answer = answerDirectory(parts.getDirectoryView(), region);
+    const host = getQuery(request, paths.hostParameter) ?? "";
+    const answer = answerDirectory(parts.getDirectoryView(host), region);
     if (answer === undefined) return endEmpty(response, 503);
     sendJson(response, paths.encodeDirectory(answer));
   });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -97,8 +97,8 @@
       : state;
   }
 
-  const overload = watchOverload(clock, (isOverloaded, delayMs) => {
-    log.warn({ isOverloaded, delayMs: Math.round(delayMs) }, "processor time");
+  const overload = watchOverload(clock, (isOverloaded, use) => {
+    log.warn({ isOverloaded, use }, "processor time");
     mesh.reportNow();
   });
 
@@ -134,6 +134,7 @@
     clock,
     log,
     metrics,
+    isOverloaded: overload.isOverloaded,
     getTable: core.getRoutes,
   });
   const control = await serveControl({
@@ -141,7 +142,7 @@
     paths: parts.paths,
     metrics,
     isReady: () => isServing(updateState()),
-    getDirectoryView: () => ({
+    getDirectoryView: (host) => ({
       vms: [
         { identity: self, state: updateState() },
         ...table.listAlive().map(({ identity, report }) => ({
@@ -149,6 +150,7 @@
           state: report?.state,
         })),
       ],
+      isBoundToRegions: core.getRoutes()?.isBoundToRegions(host) ?? true,
       ttlMs,
     }),
     dumpState: () =>
--- a/src/runtime/overload.ts
+++ b/src/runtime/overload.ts
@@ -3,59 +3,65 @@
  *
  * @module
  */
-import type { Clock, Timer } from "./clock.ts";
+import { performance } from "node:perf_hooks";
+import type { Clock } from "./clock.ts";
 
-/** Watches how late the loop runs. */
+/** Watches how much of its time the loop is busy. */
 export interface OverloadWatch {
   /** @returns Whether the process falls behind. */
   isOverloaded(): boolean;
   stop(): void;
 }
 
-/** How often the loop's delay is measured. */
-const PERIOD_MS = 100;
+/** How often the loop's use is measured. */
+const PERIOD_MS = 250;
 /**
- * Delay at which the loop falls behind. A request takes about 2 ms of the
- * processor, so that fifty of them wait; a start and the compiling of code
- * delay the loop once for as long.
+ * Part of the time above which connections wait to be read: the loop hardly
+ * ever finds nothing to do. Timers tell nothing of it, they fire on time while
+ * connections wait for two seconds.
  */
-const LATE_MS = 100;
-/** Measurements in a row that make an overload. */
-const LATE_LIMIT = 2;
-/** Time without a delay of half of that after which an overload is over. */
-const CALM_MS = 3_000;
+const BUSY_PART = 0.95;
+/** Measurements in a row that make an overload; a start takes one or two. */
+const BUSY_LIMIT = 3;
+/** Part of the time below which an overload is over. */
+const CALM_PART = 0.8;
+/** Calm measurements in a row that end it; clients keep an answer for 1.5 s. */
+const CALM_LIMIT = 8;
 
 /**
  * @param clock The clock.
- * @param onChange Called with each change.
+ * @param onChange Called with each change and the use of the loop, 0 to 1.
+ * @param readUse Use of the loop since the last reading.
  * @returns The running watch.
  */
 export function watchOverload(
   clock: Clock,
-  onChange: (isOverloaded: boolean, delayMs: number) => void,
+  onChange: (isOverloaded: boolean, use: number) => void,
+  readUse: () => number = createUseReader(),
 ): OverloadWatch {
   let isOverloaded = false;
-  let lateInRow = 0;
-  let expectedAtMs = clock.monotonicMs() + PERIOD_MS;
-  let lateAtMs = -Infinity;
-
-  function change(next: boolean, delayMs: number): void {
-    if (isOverloaded === next) return;
-    isOverloaded = next;
-    onChange(next, delayMs);
-  }
+  let inRow = 0;
 
   function measure(): void {
-    const nowMs = clock.monotonicMs();
-    const delayMs = nowMs - expectedAtMs;
-    expectedAtMs = nowMs + PERIOD_MS;
-    lateInRow = delayMs >= LATE_MS ? lateInRow + 1 : 0;
-    if (delayMs >= LATE_MS / 2) lateAtMs = nowMs;
-    if (lateInRow >= LATE_LIMIT) change(true, delayMs);
-    if (nowMs - lateAtMs >= CALM_MS) change(false, delayMs);
-    timer = clock.after(PERIOD_MS, measure);
+    const use = readUse();
+    const isChanging = isOverloaded ? use < CALM_PART : use >= BUSY_PART;
+    inRow = isChanging ? inRow + 1 : 0;
+    if (inRow < (isOverloaded ? CALM_LIMIT : BUSY_LIMIT)) return;
+    isOverloaded = !isOverloaded;
+    inRow = 0;
+    onChange(isOverloaded, use);
   }
 
-  let timer: Timer = clock.after(PERIOD_MS, measure);
+  const timer = clock.every(PERIOD_MS, measure);
   return { isOverloaded: () => isOverloaded, stop: () => timer.cancel() };
 }
+
+function createUseReader(): () => number {
+  let last = performance.eventLoopUtilization();
+  return () => {
+    const now = performance.eventLoopUtilization();
+    const { utilization } = performance.eventLoopUtilization(now, last);
+    last = now;
+    return utilization;
+  };
+}
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -13,6 +13,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import type { RouteTable } from "../routing/table.ts";
 import type { HostPort } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -30,6 +31,8 @@
   clock: Clock;
   log: Log;
   metrics: ServingMetrics;
+  /** Whether connections wait to be read. */
+  isOverloaded: () => boolean;
   /** Routes in force; undefined before the first configuration. */
   getTable: () => RouteTable | undefined;
 }
@@ -51,6 +54,8 @@
 const DEFAULT_IDLE_MS = 15_000;
 /** How often connections that send their headers too slowly are looked for. */
 const SLOW_CHECK_MS = 1_000;
+/** Turns of the loop until the close behind a request is seen. */
+const CLOSE_TURNS = 2;
 /** When to come back to a VM that has no configuration yet. */
 const STARTING_RETRY_MS = 300;
 
@@ -120,7 +125,8 @@
       message,
       table.configuration.limits.maxBodyBytes,
     );
-    if (body === "cut") return;
+    if (parts.isOverloaded()) await passTurns();
+    if (body === "cut" || hasLeft(message)) return;
     if (body === "too_large") return sendOwn(response, 413, {});
     const request: CallerRequest = {
       method: message.method ?? "GET",
@@ -185,6 +191,19 @@
   server.headersTimeout = limits.headerTimeoutMs;
 }
 
+/**
+ * Lets the loop find connections that were closed right behind their request:
+ * where connections wait to be read, some clients have left meanwhile.
+ */
+async function passTurns(): Promise<void> {
+  for (let turn = 0; turn < CLOSE_TURNS; turn++) await nextTurn();
+}
+
+/** A connection whose client closed it is ended from this side as well. */
+function hasLeft({ socket }: IncomingMessage): boolean {
+  return socket.destroyed || socket.writableEnded;
+}
+
 function watchClient(response: ServerResponse): AbortSignal {
   const controller = new AbortController();
   response.once("close", () => {
