--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -96,6 +96,7 @@
       hasObject: terms.objectKey !== undefined && route.isSticky,
       endsAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
       tried: new Set(),
+      lastUse: Infinity,
       fallback: undefined,
       lost: undefined,
     };
@@ -110,6 +111,7 @@
     progress.tried.add(server.listed.id);
     const startedAtMs = clock.monotonicMs();
     const useAtStart = server.load.getUse();
+    progress.lastUse = useAtStart;
     const isFirst = progress.hasObject &&
       memory.note(server.listed.id, nameObject(progress));
     server.load.begin();
@@ -197,7 +199,8 @@
       return { kind: "failed", reason: progress.lost };
     }
     const { route } = progress.request;
-    const retryAfterMs = parts.pace.getRetryAfterMs(route, random());
+    const use = reason === "not_run_anywhere" ? progress.lastUse : Infinity;
+    const retryAfterMs = parts.pace.getRetryAfterMs(route, use, random());
     return { kind: "refused", reason, retryAfterMs };
   }
 
--- a/src/serving/pace.ts
+++ b/src/serving/pace.ts
@@ -24,10 +24,11 @@
   getMaxUse(route: Route): number;
   /**
    * @param route The route.
+   * @param use Load of the server that refused, in requests a slot.
    * @param spread Spreads clients that are refused together, 0 to 1.
    * @returns When a refused client should come back, in ms.
    */
-  getRetryAfterMs(route: Route, spread: number): number;
+  getRetryAfterMs(route: Route, use: number, spread: number): number;
 }
 
 /** Weight of one duration; about the last 20 count. */
@@ -47,6 +48,13 @@
 const LATE_PART = 0.5;
 const MIN_RETRY_AFTER_MS = 60;
 const MAX_RETRY_AFTER_MS = 600;
+/**
+ * A server with free slots that refuses does so by chance: there is nothing to
+ * wait for, and a client that comes back at once can still be served within its
+ * target. The time only keeps clients that were refused together apart.
+ */
+const LOADED_USE = 0.8;
+const CHANCE_RETRY_MS = 10;
 /** Part of a usual duration after which slots become free. */
 const RETRY_PART = 0.5;
 
@@ -75,7 +83,8 @@
       const fitting = limitMs / Math.max(1, ranMs);
       return Math.min(MAX_MAX_USE, Math.max(MIN_MAX_USE, fitting));
     },
-    getRetryAfterMs(route, spread) {
+    getRetryAfterMs(route, use, spread) {
+      if (use < LOADED_USE) return Math.round(CHANCE_RETRY_MS * (1 + spread));
       const ranMs = runningMs.get(keyOf(route)) ?? route.targetLatencyMs;
       const baseMs = ranMs * RETRY_PART * (0.5 + spread);
       return Math.round(
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -73,6 +73,7 @@
     hasObject: true,
     endsAtMs: 1_000,
     tried: new Set(),
+    lastUse: Infinity,
     fallback: undefined,
     lost: undefined,
   };
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -16,6 +16,8 @@
   endsAtMs: number;
   /** Servers that it was sent to. */
   tried: Set<string>;
+  /** Load of the server that it was last sent to, or of full servers. */
+  lastUse: number;
   /** An answer that a retry was hoped to better. */
   fallback: ServerAnswer | undefined;
   /** Why the last attempt that may have run has no answer. */
