Take back that overloaded VMs leave the directory and others help out

Kept: the watch of the loop's use, its log line, and that an overloaded VM looks for closed connections before it sends a request on.

--- a/src/gateway/control_routes.ts
+++ b/src/gateway/control_routes.ts
@@ -26,8 +26,6 @@
   directory: string;
   /** Query parameter of the directory call that names the client's region. */
   regionParameter: string;
-  /** The one that names the host that the client wants to reach. */
-  hostParameter: string;
   /** @returns The body of a directory answer. */
   encodeDirectory: (answer: DirectoryAnswer) => unknown;
 }
@@ -38,7 +36,7 @@
   paths: ControlPaths;
   metrics: ServingMetrics;
   isReady: () => boolean;
-  getDirectoryView: (host: string) => DirectoryView;
+  getDirectoryView: () => DirectoryView;
   dumpState: () => unknown;
 }
 
@@ -61,8 +59,7 @@
   directory.get(paths.directory, (request, response) => {
     const region = getQuery(request, paths.regionParameter) ??
       settings.region;
-    const host = getQuery(request, paths.hostParameter) ?? "";
-    const answer = answerDirectory(parts.getDirectoryView(host), region);
+    const answer = answerDirectory(parts.getDirectoryView(), region);
     if (answer === undefined) return endEmpty(response, 503);
     sendJson(response, paths.encodeDirectory(answer));
   });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,12 +7,11 @@
 import process from "node:process";
 import { startMesh } from "../members/mesh.ts";
 import { createMemberTable } from "../members/table.ts";
-import {
-  isServing,
-  type VmIdentity,
-  type VmRegister,
-  type VmReport,
-  type VmState,
+import type {
+  VmIdentity,
+  VmRegister,
+  VmReport,
+  VmState,
 } from "../members/types.ts";
 import { createVmViews } from "../members/views.ts";
 import {
@@ -92,14 +91,11 @@
       state = "serving";
       log.info({ version }, "serving");
     }
-    return state === "serving" && overload.isOverloaded()
-      ? "overloaded"
-      : state;
+    return state;
   }
 
   const overload = watchOverload(clock, (isOverloaded, use) => {
     log.warn({ isOverloaded, use }, "processor time");
-    mesh.reportNow();
   });
 
   const peers = await listen(
@@ -141,16 +137,11 @@
     settings,
     paths: parts.paths,
     metrics,
-    isReady: () => isServing(updateState()),
-    getDirectoryView: (host) => ({
-      vms: [
-        { identity: self, state: updateState() },
-        ...table.listAlive().map(({ identity, report }) => ({
-          identity,
-          state: report?.state,
-        })),
-      ],
-      isBoundToRegions: core.getRoutes()?.isBoundToRegions(host) ?? true,
+    isReady: () => updateState() === "serving",
+    getDirectoryView: () => ({
+      self,
+      ownState: updateState(),
+      othersServing: table.listServing(),
       ttlMs,
     }),
     dumpState: () =>
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -44,7 +44,7 @@
   /** How the sender is, sent again and again; what is absent is as before. */
   z.object({
     kind: z.literal("report"),
-    state: z.enum(["starting", "serving", "overloaded", "leaving"]).optional(),
+    state: z.enum(["starting", "serving", "leaving"]).optional(),
     demandPerS: z.record(z.string().max(200), z.number().nonnegative())
       .optional(),
     digests: z.object({ operations: digestSchema, servers: digestSchema })
--- a/src/members/table.ts
+++ b/src/members/table.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from "../runtime/clock.ts";
 import { mergeParts, type ReportParts } from "./report_parts.ts";
-import { isServing, type VmIdentity, type VmReport } from "./types.ts";
+import type { VmIdentity, VmReport } from "./types.ts";
 
 /** A VM and when it was last heard. */
 export interface Member {
@@ -96,7 +96,7 @@
     listAlive,
     listServing: () =>
       listAlive()
-        .filter((member) => isServing(member.report?.state))
+        .filter((member) => member.report?.state === "serving")
         .map((member) => member.identity),
     prune() {
       const limitMs = clock.monotonicMs() - FORGET_MS;
--- a/src/members/types.ts
+++ b/src/members/types.ts
@@ -21,20 +21,7 @@
 }
 
 /** Whether a VM serves clients. */
-export type VmState =
-  | "starting"
-  | "serving"
-  /** Serves, but falls behind; clients should ask others. */
-  | "overloaded"
-  | "leaving";
-
-/**
- * @param state A VM's state.
- * @returns Whether it serves clients.
- */
-export function isServing(state: VmState | undefined): boolean {
-  return state === "serving" || state === "overloaded";
-}
+export type VmState = "starting" | "serving" | "leaving";
 
 /** What a VM tells of itself again and again. */
 export interface VmReport {
--- a/src/routing/table.ts
+++ b/src/routing/table.ts
@@ -14,11 +14,6 @@
    * @returns The route with the longest matching prefix, if any.
    */
   match(host: string, path: string): Route | undefined;
-  /**
-   * @param host A host's name.
-   * @returns Whether some of its routes may run in some regions only.
-   */
-  isBoundToRegions(host: string): boolean;
   /**
    * @param name A service's name.
    * @returns Its terms, where the configuration holds them.
@@ -56,17 +51,7 @@
     return undefined;
   }
 
-  function isBoundToRegions(host: string): boolean {
-    const routes = byHost.get(normalizeHost(host))?.values() ?? [];
-    return [...routes].some(({ homeRegions }) => homeRegions.length > 0);
-  }
-
-  return {
-    configuration,
-    match,
-    isBoundToRegions,
-    getTerms: (name) => terms.get(name),
-  };
+  return { configuration, match, getTerms: (name) => terms.get(name) };
 }
 
 function dropQuery(path: string): string {
--- a/src/runtime/overload.ts
+++ b/src/runtime/overload.ts
@@ -25,7 +25,7 @@
 const BUSY_LIMIT = 3;
 /** Part of the time below which an overload is over. */
 const CALM_PART = 0.8;
-/** Calm measurements in a row that end it; clients keep an answer for 1.5 s. */
+/** Calm measurements in a row that end it: two seconds, as long as clients wait. */
 const CALM_LIMIT = 8;
 
 /**
