--- a/src/explain/lines.ts
+++ b/src/explain/lines.ts
@@ -5,81 +5,33 @@
  */
 import * as z from "zod";
 
-/** One choice of a server, or why there was none. */
-export interface ChoiceLine {
-  time: number;
-  vm: string;
-  service: string;
-  region: string | undefined;
-  server: string | undefined;
-  use: number | undefined;
-  isKnown: boolean | undefined;
-  /** How full each region was, where the request was refused. */
-  uses: Record<string, number> | undefined;
-}
-
-/** The end of one attempt. */
-export interface AttemptLine {
-  time: number;
-  server: string;
-  tookMs: number;
-  isFirst: boolean;
-  outcome: string;
-}
-
-/** How a request ended for its client. */
-export interface EndLine {
-  time: number;
-  vm: string;
-  tookMs: number;
-  targetMs: number;
-  outcome: string;
-  reason: string | undefined;
-}
-
-/** All lines of one request. */
-export interface RequestLines {
-  requestId: string;
-  choices: ChoiceLine[];
-  attempts: AttemptLine[];
-  end: EndLine | undefined;
-}
-
-/** A move of the shares of one VM's callers. */
-export interface MoveLine {
-  time: number;
-  vm: string;
-  service: string;
-  moved: number;
-  /** Servers were lost, which no pace holds for. */
-  loss: number;
-}
-
-/** What a log tells of requests. */
-export interface LogContent {
-  requests: Map<string, RequestLines>;
-  moves: MoveLine[];
-}
-
 const base = { time: z.number(), vm: z.string() };
+
 const choiceSchema = z.object({
   ...base,
   requestId: z.string(),
   service: z.string(),
+  /** Absent where no region could serve. */
   region: z.string().optional(),
+  /** Absent where there was none that could take it. */
   server: z.string().optional(),
+  /** Load of the server, in requests a slot. */
   use: z.number().optional(),
   isKnown: z.boolean().optional(),
+  /** How full each region was, where the request was refused. */
   uses: z.record(z.string(), z.number()).optional(),
 });
+
 const attemptSchema = z.object({
   ...base,
   requestId: z.string(),
   server: z.string(),
   tookMs: z.number(),
+  /** Whether the server had not been asked for the object before. */
   isFirst: z.boolean().default(false),
   outcome: z.string(),
 });
+
 const endSchema = z.object({
   ...base,
   requestId: z.string(),
@@ -88,13 +40,38 @@
   outcome: z.string(),
   reason: z.string().optional(),
 });
+
 const moveSchema = z.object({
   ...base,
   service: z.string(),
   moved: z.number(),
+  /** Part of the requests whose servers were lost, which no pace holds for. */
   loss: z.number(),
 });
 
+/** One choice of a server, or why there was none. */
+export type ChoiceLine = z.infer<typeof choiceSchema>;
+/** The end of one attempt. */
+export type AttemptLine = z.infer<typeof attemptSchema>;
+/** How a request ended for its client. */
+export type EndLine = z.infer<typeof endSchema>;
+/** A move of the shares of one VM's callers. */
+export type MoveLine = z.infer<typeof moveSchema>;
+
+/** All lines of one request. */
+export interface RequestLines {
+  choices: ChoiceLine[];
+  attempts: AttemptLine[];
+  end: EndLine | undefined;
+}
+
+/** What a log tells of requests. */
+export interface LogContent {
+  /** By id. */
+  requests: Map<string, RequestLines>;
+  moves: MoveLine[];
+}
+
 /**
  * @param lines Lines of any gateways, in any order; text before a line's first
  *   brace is skipped, as are lines that are none of a gateway's.
@@ -102,50 +79,48 @@
  */
 export function gatherLines(lines: Iterable<string>): LogContent {
   const content: LogContent = { requests: new Map(), moves: [] };
-  for (const line of lines) addLine(content, line);
+  for (const line of lines) addLine(content, parseLine(line));
   return content;
 }
 
-function addLine(content: LogContent, line: string): void {
-  const fields = parseLine(line);
+function addLine(
+  content: LogContent,
+  fields: Record<string, unknown> | undefined,
+): void {
   switch (fields?.msg) {
-    case "choose":
-      return addTo(content, choiceSchema, fields, "choices");
-    case "attempt ended":
-      return addTo(content, attemptSchema, fields, "attempts");
+    case "choose": {
+      const choice = read(choiceSchema, fields);
+      if (choice === undefined) return;
+      getRequest(content, choice.requestId).choices.push(choice);
+      return;
+    }
+    case "attempt ended": {
+      const attempt = read(attemptSchema, fields);
+      if (attempt === undefined) return;
+      getRequest(content, attempt.requestId).attempts.push(attempt);
+      return;
+    }
     case "request ended": {
-      const { success, data } = endSchema.safeParse(fields);
-      if (success) {
-        getRequest(content, data.requestId).end = {
-          ...data,
-          reason: data.reason,
-        };
-      }
+      const end = read(endSchema, fields);
+      if (end !== undefined) getRequest(content, end.requestId).end = end;
       return;
     }
     case "region shares moved": {
-      const { success, data } = moveSchema.safeParse(fields);
-      if (success) content.moves.push(data);
+      const move = read(moveSchema, fields);
+      if (move !== undefined) content.moves.push(move);
     }
   }
 }
 
-function addTo<K extends "choices" | "attempts">(
-  content: LogContent,
-  schema: z.ZodType<{ requestId: string }>,
-  fields: Record<string, unknown>,
-  kind: K,
-): void {
-  const { success, data } = schema.safeParse(fields);
-  if (!success) return;
-  const list = getRequest(content, data.requestId)[kind] as unknown[];
-  list.push(data);
+/** Lines that lack fields are other programs' or of another version. */
+function read<T>(schema: z.ZodType<T>, fields: unknown): T | undefined {
+  return schema.safeParse(fields).data;
 }
 
 function getRequest(content: LogContent, requestId: string): RequestLines {
   const known = content.requests.get(requestId);
   if (known !== undefined) return known;
-  const request = { requestId, choices: [], attempts: [], end: undefined };
+  const request = { choices: [], attempts: [], end: undefined };
   content.requests.set(requestId, request);
   return request;
 }
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -16,7 +16,10 @@
   endsAtMs: number;
   /** Servers that it was sent to. */
   tried: Set<string>;
-  /** Load of the server that it was last sent to, or of full servers. */
+  /**
+   * Load of the server that it was last sent to, in requests a slot; infinite
+   * before it was sent.
+   */
   lastUse: number;
   /** An answer that a retry was hoped to better. */
   fallback: ServerAnswer | undefined;
