Count the planned stop of npm start from the first request

Cause: scripts/start.sh counted half of the run from when the load process began to wait for daemons. Seen with curl on the operators' addresses: every daemon up, trondheim-2-b/entry gone. Ruled out: links, documents, platform.

The load makes a file when every daemon is up, and the script counts from there. A start that waits says every 8 s for whom.

--- a/scripts/start.sh
+++ b/scripts/start.sh
@@ -5,7 +5,7 @@
 #   npm start -- --deployment nordvern|asca --duration-s N --rate N --report FILE
 set -u
 cd "$(dirname "$0")/.." || exit 1
-bin=dist/bin
+bin=${HAWTHORNGW_BIN:-dist/bin}
 dir=$(mktemp -d "${TMPDIR:-/tmp}/hawthorngw.XXXXXX") || exit 1
 pids=
 doomed=
@@ -71,6 +71,9 @@
 stop_after=$(sed -n 's/.*"durationS": *\([0-9]*\).*/\1/p' "$dir/load.jsonc")
 (
   [ "$mode" = run ] || exit 0
+  # Counted from the first request: a start that took longer than half of the
+  # run lost its last entry before it was up, and never came up.
+  until [ -e "$dir/loading" ]; do sleep 0.2; done
   sleep $((stop_after / 2))
   if [ -n "$doomed" ]; then
     # shellcheck disable=SC2086
--- a/src/deployment/prepare.ts
+++ b/src/deployment/prepare.ts
@@ -66,7 +66,8 @@
   for (const { name, document } of files.documents) {
     writeJson(join(dir, "documents", `${name}.jsonc`), document);
   }
-  writeJson(join(dir, "load.jsonc"), files.load);
+  const loadingFile = join(dir, "loading");
+  writeJson(join(dir, "load.jsonc"), { ...files.load, loadingFile });
   writeFileSync(join(dir, "processes.txt"), `${lines.join("\n")}\n`);
   writeFileSync(join(dir, "platform.txt"), `${files.load.platformUrl}\n`);
 }
--- a/src/deployment/types.ts
+++ b/src/deployment/types.ts
@@ -85,6 +85,8 @@
   serverRegions: z.record(z.string(), z.string()),
   requestsPerS: z.number(),
   durationS: z.number(),
+  /** Made when every daemon is up and the first request is due. */
+  loadingFile: z.string().optional(),
   reportFile: z.string().optional(),
   htmlFile: z.string().optional(),
   seed: z.number(),
--- a/src/load/evidence.ts
+++ b/src/load/evidence.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import process from "node:process";
 import { request } from "undici";
 import type { StatusAnswer } from "../operator/routes.ts";
 import { KEY_HEADER } from "../runtime/access.ts";
@@ -74,6 +75,10 @@
 const CALM_POLL_MS = 500;
 const WAIT_LIMIT_MS = 15_000;
 const START_LIMIT_MS = 60_000;
+/** A start that takes longer than this says what it waits for. */
+const TELL_LACKS_MS = 8_000;
+/** Daemons that are named; the others are counted. */
+const MAX_TOLD_LACKS = 3;
 
 /**
  * Starts watching.
@@ -118,13 +123,20 @@
     return (found?.number ?? 0) >= number;
   }
 
-  /** Half of the daemons are entries. */
-  async function seesAll(operator: string): Promise<boolean> {
+  /**
+   * Half of the daemons are entries.
+   *
+   * @returns What a daemon lacks; undefined once it sees all entries alive.
+   */
+  async function findLack(operator: string): Promise<string | undefined> {
     const status = await read(operator);
-    const alive = status?.members.filter(({ id, liveness }) =>
+    if (status === undefined) return `${operator} doesn't answer`;
+    const alive = status.members.filter(({ id, liveness }) =>
       id.endsWith("/entry") && liveness === "alive"
     );
-    return alive !== undefined && alive.length >= operators.length / 2;
+    const wanted = operators.length / 2;
+    if (alive.length >= wanted) return undefined;
+    return `${operator} (${status.id}) sees ${alive.length} of ${wanted} entries alive`;
   }
 
   const timer = clock.every(CALM_POLL_MS, () => operators.forEach(read));
@@ -146,13 +158,22 @@
       return 0;
     },
     async waitUntilUp() {
-      const endMs = clock.monotonicMs() + START_LIMIT_MS;
-      while (clock.monotonicMs() < endMs) {
-        const states = await Promise.all(operators.map(seesAll));
-        if (!states.includes(false)) return;
+      const startMs = clock.monotonicMs();
+      let toldAtMs = startMs;
+      let lacks: string[] = [];
+      while (clock.monotonicMs() - startMs < START_LIMIT_MS) {
+        const found = await Promise.all(operators.map(findLack));
+        lacks = found.filter((lack) => lack !== undefined);
+        if (lacks.length === 0) return;
+        if (clock.monotonicMs() - toldAtMs >= TELL_LACKS_MS) {
+          toldAtMs = clock.monotonicMs();
+          process.stderr.write(
+            `Waiting for daemons: ${describeLacks(lacks)}\n`,
+          );
+        }
         await pause(clock, CALM_POLL_MS);
       }
-      throw new StepError("Not every daemon came up", {
+      throw new StepError(`Not every daemon came up: ${describeLacks(lacks)}`, {
         step: "load.start",
         peer: "operators",
         kind: "refused",
@@ -161,3 +182,12 @@
     close: () => timer.cancel(),
   };
 }
+
+/** Those that don't answer first: the others mostly lack just them. */
+function describeLacks(lacks: readonly string[]): string {
+  const isSilent = (lack: string) => lack.endsWith("answer") ? 0 : 1;
+  const sorted = [...lacks].sort((a, b) => isSilent(a) - isSilent(b));
+  const told = sorted.slice(0, MAX_TOLD_LACKS).join("; ");
+  const rest = lacks.length - MAX_TOLD_LACKS;
+  return rest > 0 ? `${told}; and ${rest} more` : told;
+}
--- a/src/load/experiment.ts
+++ b/src/load/experiment.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { writeFileSync } from "node:fs";
 import { applyEdits, modify } from "jsonc-parser";
 import { createCaller } from "../caller/mod.ts";
 import { getServiceKey } from "../config/rows.ts";
@@ -67,6 +68,7 @@
   const store = createDocumentStore(platform.table, clock);
   const watch = startConfigWatch({ ...settings, clock });
   await watch.waitUntilUp();
+  if (settings.loadingFile) writeFileSync(settings.loadingFile, "");
   const startMs = clock.monotonicMs();
   const durationMs = settings.durationS * 1_000;
   const load = startLoad({
