--- a/src/bin/hawthorngw_explain.ts
+++ b/src/bin/hawthorngw_explain.ts
@@ -8,6 +8,7 @@
 import process from "node:process";
 import { createInterface } from "node:readline";
 import { parseArgs } from "node:util";
+import { renderBeliefs } from "../explain/beliefs.ts";
 import { gatherLines } from "../explain/lines.ts";
 import { renderMoves, renderTable } from "../explain/report.ts";
 import { EXIT_CODES } from "../runtime/process.ts";
@@ -15,7 +16,8 @@
 const USAGE = `hawthorngw-explain FILE... [--request ID] [--max-shift SHARE]
 
 Reads log lines of gateways and prints what became of requests: by 2 s window,
-by region, by service, and the largest moves of shares.
+by region, by service; the largest moves of shares; and by service how right
+gateways were about the load and the memory of servers.
 
   --request ID        all lines of one request instead, in order
   --max-shift SHARE   bound on shifts to show beside the moves (0.15)
@@ -68,5 +70,6 @@
     renderTable(content, kind, firstMs)
   );
   const moves = renderMoves(content.moves, Number(values["max-shift"]));
-  process.stdout.write(`${[...tables, moves].join("\n\n")}\n`);
+  const beliefs = renderBeliefs(content);
+  process.stdout.write(`${[...tables, moves, beliefs].join("\n\n")}\n`);
 }
--- a/src/explain/lines.ts
+++ b/src/explain/lines.ts
@@ -17,6 +17,8 @@
   server: z.string().optional(),
   /** Load of the server, in requests a slot. */
   use: z.number().optional(),
+  /** Requests that it runs at once. */
+  slots: z.number().optional(),
   isKnown: z.boolean().optional(),
   /** How full each region was, where the request was refused. */
   uses: z.record(z.string(), z.number()).optional(),
--- a/src/explain/report.ts
+++ b/src/explain/report.ts
@@ -5,6 +5,7 @@
  */
 import { type Cause, CAUSES, findCause, type UsualTimes } from "./causes.ts";
 import type { LogContent, MoveLine, RequestLines } from "./lines.ts";
+import { renderRows } from "./rows.ts";
 
 /** Width of a window, as the bounds on shifts count. */
 const WINDOW_MS = 2_000;
@@ -119,14 +120,3 @@
   values.sort((a, b) => a - b);
   return values[Math.floor(values.length / 2)] ?? 0;
 }
-
-function renderRows(rows: readonly string[][]): string {
-  const widths = rows[0].map((_, column) =>
-    Math.max(...rows.map((row) => row[column].length))
-  );
-  return rows.map((row) =>
-    row.map((cell, column) =>
-      column === 0 ? cell.padEnd(widths[0]) : cell.padStart(widths[column])
-    ).join("  ")
-  ).join("\n");
-}
--- /dev/null
+++ b/src/explain/rows.ts
@@ -0,0 +1,20 @@
+/**
+ * Text tables.
+ *
+ * @module
+ */
+
+/**
+ * @param rows Rows of cells, the heads first.
+ * @returns The table, the first column flush left.
+ */
+export function renderRows(rows: readonly string[][]): string {
+  const widths = rows[0].map((_, column) =>
+    Math.max(...rows.map((row) => row[column].length))
+  );
+  return rows.map((row) =>
+    row.map((cell, column) =>
+      column === 0 ? cell.padEnd(widths[0]) : cell.padStart(widths[column])
+    ).join("  ")
+  ).join("\n");
+}
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -86,7 +86,14 @@
     }
     const { server, rank, use, isKnown } = choice;
     log.info(
-      { ...inputs, server: server.listed.id, rank, use, isKnown },
+      {
+        ...inputs,
+        server: server.listed.id,
+        rank,
+        use,
+        slots: server.load.getSlots(),
+        isKnown,
+      },
       "choose",
     );
     return { server, isKnown };
