Take back that refused clients are sent away for longer

Hypothesis: clients come back once, so that one sent away for up to half of the route's time (1.5 s, not 0.6) finds more room.

--- a/src/serving/pace.ts
+++ b/src/serving/pace.ts
@@ -73,8 +73,6 @@
 const FIRST_RUN_MARGIN = 1.2;
 const MIN_RETRY_AFTER_MS = 60;
 const MAX_RETRY_AFTER_MS = 600;
-/** Clients come back once: one that is sent away for longer finds more room. */
-const MAX_RETRY_PART = 0.5;
 /**
  * A server with free slots that refuses does so by chance: there is nothing to
  * wait for, and a client that comes back at once can still be served within its
@@ -143,11 +141,9 @@
       if (use < LOADED_USE) return Math.round(CHANCE_RETRY_MS * (1 + spread));
       const ranMs = runningMs.get(keyOf(route)) ?? route.targetLatencyMs;
       const baseMs = ranMs * RETRY_PART * (0.5 + spread);
-      const maxMs = Math.max(
-        MAX_RETRY_AFTER_MS,
-        MAX_RETRY_PART * route.timeoutMs,
+      return Math.round(
+        Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, baseMs)),
       );
-      return Math.round(Math.min(maxMs, Math.max(MIN_RETRY_AFTER_MS, baseMs)));
     },
   };
 }
