--- a/src/members/hubs.ts
+++ b/src/members/hubs.ts
@@ -46,9 +46,9 @@
 
 /** VMs with more processor time first: a hub handles two messages a VM. */
 function rankHubs(vms: readonly VmIdentity[]): VmIdentity[] {
-  return [...vms].sort((a, b) =>
-    b.cores - a.cores || hashToUnit(a.id) - hashToUnit(b.id)
-  );
+  const ranked = vms.map((vm) => ({ vm, rank: hashToUnit(vm.id) }));
+  ranked.sort((a, b) => b.vm.cores - a.vm.cores || a.rank - b.rank);
+  return ranked.map(({ vm }) => vm);
 }
 
 /** The hubs of a region stand in different failure domains where they can. */
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -96,6 +96,8 @@
 const READ_NEWS_MS = 250;
 /** Pause in which a hub gathers changes of VMs, so that they come in batches. */
 const VIEW_PAUSE_MS = 100;
+/** Pause in which VMs that were found gather before links are looked at. */
+const DIAL_PAUSE_MS = 50;
 /** How often the register is asked for VMs while this one starts. */
 const STARTING_LIST_MS = 2_000;
 /** After that time VMs learn of new ones from each other. */
@@ -142,6 +144,7 @@
   const listAfterMs = parts.startsWithAll ? FIRST_LIST_MS : 0;
   let hasListed = false;
   let isViewDue = false;
+  let isDialDue = false;
   let stopped = false;
 
   const options = {
@@ -208,7 +211,7 @@
     }
     if (actsAsHub()) sendView(link, state);
     parts.onFound(identity);
-    dialMissing();
+    dialSoon();
     tellViewSoon();
   }
 
@@ -231,7 +234,7 @@
     const isKnown = table.applyView(identity.id, view);
     if (!isKnown) return link.send({ kind: "want_view" });
     if (view.up.length + view.gone.length === 0) return;
-    dialMissing();
+    dialSoon();
     tellViewSoon();
   }
 
@@ -406,6 +409,7 @@
    * theirs. While no other VM is known, seeds are dialed.
    */
   function dialMissing(): void {
+    isDialDue = false;
     if (stopped) return;
     updateTopology();
     const wanted = new Set<string>();
@@ -433,6 +437,13 @@
     }
   }
 
+  /** Of many VMs that are found at once, one look at the links is enough. */
+  function dialSoon(): void {
+    if (isDialDue) return;
+    isDialDue = true;
+    clock.after(DIAL_PAUSE_MS, dialMissing);
+  }
+
   /** Former hubs are kept until all new ones are linked. */
   function isAnyMissing(): boolean {
     return listLinked(topology, self, actsAsHub())
