--- a/src/activity/activity_test.ts
+++ b/src/activity/activity_test.ts
@@ -148,6 +148,20 @@
   }
 });
 
+test("a large fleet without requests is silent", () => {
+  const clock = createFakeClock();
+  const fleet = startFleet(clock, { oslo: 30, bergen: 30 });
+  fleet.get("oslo-vm-10").own.set("oslo-1", 1);
+  clock.advance(1_000);
+  fleet.get("oslo-vm-10").own.clear();
+  clock.advance(1_000);
+  const { running } = fleet.get("oslo-vm-12");
+  assert.is(running.getTotal("oslo-1"), 0);
+  const before = fleet.countMessages();
+  clock.advance(5_000);
+  assert.is(fleet.countMessages(), before);
+});
+
 test("another VM relays once the one that did is gone", () => {
   const clock = createFakeClock();
   const fleet = startFleet(clock, { oslo: 30 });
--- a/src/activity/sharing.ts
+++ b/src/activity/sharing.ts
@@ -81,6 +81,8 @@
     otherRunning: otherRegionsRunning,
     getRegion: parts.getRegion,
   });
+  /** Whom something was told last, by scope. */
+  const spokenTo = new Set<string>();
   let wasRelay = false;
   let toldRunning: RequestPairs = [];
   let toldAtMs = -Infinity;
@@ -123,20 +125,35 @@
     parts.send(others, "vm", own);
   }
 
+  /** An idle fleet is silent, but for the word that nothing runs any more. */
+  function sendUnlessSilent(
+    vmIds: readonly string[],
+    scope: ActivityScope,
+    activity: Activity,
+  ): void {
+    const isEmpty = activity.asked.length + activity.forgotten.length +
+        activity.running.length === 0;
+    const key = `${scope} ${vmIds[0]}`;
+    if (isEmpty && !spokenTo.has(key)) return;
+    if (isEmpty) spokenTo.delete(key);
+    else spokenTo.add(key);
+    parts.send(vmIds, scope, activity);
+  }
+
   function tellRelay(relayId: string): void {
-    parts.send([relayId], "vm", takeOwn());
+    sendUnlessSilent([relayId], "vm", takeOwn());
   }
 
   function relayOn(members: readonly string[]): void {
     const own = takeOwn();
     ownRegionRunning.apply(self.id, own.running, false);
     relay.addOwn(own);
-    parts.send(members, "all", relay.takeForMembers());
+    sendUnlessSilent(members, "all", relay.takeForMembers());
     for (const region of listOtherRegions()) {
       const relayId = findRelay(region);
       const activity = relay.takeForRegion(region);
       if (relayId === undefined || activity === undefined) continue;
-      parts.send([relayId], "region", activity);
+      sendUnlessSilent([relayId], "region", activity);
     }
   }
 
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -23,8 +23,17 @@
   cores: z.number().positive().default(1),
 });
 
-/** Pairs of whole numbers, one after the other. */
-const pairsSchema = z.array(z.number().int().nonnegative()).max(MAX_NUMBERS);
+/**
+ * Pairs of whole numbers, one after the other. Checked in one go: there are a
+ * thousand of them in a message, five times a second.
+ */
+const pairsSchema = z.custom<number[]>(isPairs);
+
+function isPairs(value: unknown): boolean {
+  return Array.isArray(value) && value.length <= MAX_NUMBERS &&
+    value.length % 2 === 0 &&
+    value.every((number) => Number.isSafeInteger(number) && number >= 0);
+}
 
 const stateSchema = z.enum(["starting", "serving", "leaving"]);
 
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -32,7 +32,7 @@
 };
 
 /** How often a VM that does not read checks whether it has to. */
-const IDLE_CHECK_MS = 100;
+const IDLE_CHECK_MS = 250;
 /** A call that found nothing is this much late before it counts as lost. */
 export const SOURCE_SLACK_MS = 700;
 
