--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -8,24 +8,14 @@
 import type { NewsBoard } from "../news/board.ts";
 import { type NewsItem, type Topic, TOPICS } from "../news/types.ts";
 import type { Clock } from "../runtime/clock.ts";
-import {
-  acceptLinks,
-  type DialedLink,
-  keepLink,
-} from "../runtime/peer_link.ts";
+import { acceptLinks, keepLink } from "../runtime/peer_link.ts";
 import type { Log } from "../telemetry/log.ts";
+import { createDialing } from "./dialing.ts";
 import { startDiscovery } from "./discovery.ts";
 import { createHubViews } from "./hub_views.ts";
-import {
-  arrange,
-  isHub,
-  listLinked,
-  MAX_FULL_MESH_VMS,
-  type Topology,
-} from "./hubs.ts";
+import { isHub, type Topology } from "./hubs.ts";
 import { createLinkSet, type LinkState, type VmLink } from "./link_set.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
-import { createReach } from "./reach.ts";
 import { createFactRepair } from "./repair.ts";
 import {
   mergeParts,
@@ -91,17 +81,15 @@
 const REPORT_MS = 800;
 /** Least pause between two messages that a topic is current. */
 const READ_NEWS_MS = 250;
-/** Pause in which VMs that were found gather before links are looked at. */
-const DIAL_PAUSE_MS = 50;
 /** After that time a VM that is found is told of to all. */
 const STARTING_MS = 5_000;
+/** Seeds are dialed where the register has not answered by then. */
+const SEEDS_AFTER_MS = 500;
 /**
  * VMs that start together have all registered by then. One that lists too soon
  * takes others for its hubs than those that start after it.
  */
 const FIRST_LIST_MS = 800;
-/** Seeds are dialed where the register has not answered by then. */
-const SEEDS_AFTER_MS = 500;
 
 /**
  * @param parts What the mesh needs.
@@ -110,30 +98,36 @@
 export function startMesh(parts: MeshParts): Mesh {
   const { self, table, board, clock, log } = parts;
   const links = createLinkSet(clock);
-  const dialed = new Map<string, DialedLink>();
   const startedAtMs = clock.monotonicMs();
   const repair = createFactRepair(parts);
   const toldReadAtMs = new Map<Topic, number>();
-  const reach = createReach(clock);
+  const options = {
+    schema: vmMessageSchema,
+    clock,
+    isSelfContained: true,
+    events: { onOpen, onMessage, onClose },
+  };
+  const dialing = createDialing({
+    self,
+    table,
+    clock,
+    log,
+    links,
+    seeds: parts.seeds,
+    isSeedTime: () =>
+      discovery.hasListed() ||
+      clock.monotonicMs() - startedAtMs >= listAfterMs + SEEDS_AFTER_MS,
+    dial: (address) => keepLink(address, options),
+  });
   const views = createHubViews({
     ...parts,
     links,
-    getTopology: () => topology,
-    actsAsHub,
+    getTopology: dialing.getTopology,
+    actsAsHub: dialing.actsAsHub,
   });
   /** What every linked VM was told of this one. */
   let told: VmReport | undefined;
-  let topology = arrange([self]);
   const listAfterMs = parts.startsWithAll ? FIRST_LIST_MS : 0;
-  let isDialDue = false;
-  let stopped = false;
-
-  const options = {
-    schema: vmMessageSchema,
-    clock,
-    isSelfContained: true,
-    events: { onOpen, onMessage, onClose },
-  };
 
   function onOpen(link: VmLink): void {
     links.add(link);
@@ -178,22 +172,27 @@
       const { id, region, frontAddress } = identity;
       log.info({ member: id, region, frontAddress }, "VM found");
     }
-    if (before === undefined && hasSettled() && topology.isFullMesh) {
+    if (
+      before === undefined && hasSettled() && dialing.getTopology().isFullMesh
+    ) {
       links.send({ kind: "members", members: [identity] });
     }
     if (members < table.listKnown().length) {
       link.send({ kind: "members", members: listIdentities() });
     }
-    if (actsAsHub()) views.sendAll(link, identity);
+    if (dialing.actsAsHub()) views.sendAll(link, identity);
     parts.onFound(identity);
-    dialSoon();
+    dialing.lookSoon();
     views.tellSoon();
   }
 
   /** Facts reach VMs that only hubs are linked to by way of these. */
   function receiveNews(from: VmLink, items: NewsItem[]): void {
     const news = board.apply(items);
-    if (news.length === 0 || topology.isFullMesh || !actsAsHub()) return;
+    if (
+      news.length === 0 || dialing.getTopology().isFullMesh ||
+      !dialing.actsAsHub()
+    ) return;
     links.sendWhere({ kind: "news", items: news }, () => true, from);
   }
 
@@ -206,7 +205,7 @@
     const isKnown = table.applyView(identity.id, view);
     if (!isKnown) return link.send({ kind: "want_view" });
     if (view.up.length + view.gone.length === 0) return;
-    dialSoon();
+    dialing.lookSoon();
     views.tellSoon();
   }
 
@@ -221,7 +220,7 @@
 
   function receiveMembers(members: readonly VmIdentity[]): void {
     const found = members.filter((identity) => table.noteHeardOf(identity));
-    if (found.length > 0) dialMissing();
+    if (found.length > 0) dialing.look();
   }
 
   function receiveReport(state: LinkState, parts: ReportParts): void {
@@ -244,22 +243,15 @@
     if (repair.compare(state.facts, topic, digest)) return;
     board.noteCurrent(topic, 0);
     // Told on once only: passed back and forth it would stay current for ever.
-    if (isOwn && !topology.isFullMesh && actsAsHub()) tellRead(topic, false);
+    if (isOwn && !dialing.getTopology().isFullMesh && dialing.actsAsHub()) {
+      tellRead(topic, false);
+    }
   }
 
   function sendTopic(link: VmLink, topic: Topic): void {
     link.send({ kind: "news", items: board.listTopic(topic) });
   }
 
-  /** A VM that others of its region take for their hub is one. */
-  function actsAsHub(): boolean {
-    if (topology.isFullMesh) return false;
-    return isHub(topology, self) ||
-      links.listIdentities().some((identity) =>
-        identity.region === self.region && !isHub(topology, identity)
-      );
-  }
-
   function sendWholeView(link: VmLink, { identity }: LinkState): void {
     if (identity !== undefined) views.sendAll(link, identity);
   }
@@ -268,75 +260,6 @@
     return [self, ...table.listAlive().map((member) => member.identity)];
   }
 
-  /** Hubs that can't be reached are left out for a while. */
-  function listPossible(): VmIdentity[] {
-    const possible = table.listPossible();
-    return [self, ...possible.filter(({ id }) => !reach.isGivenUp(id))];
-  }
-
-  function updateTopology(): void {
-    const wasHub = isHub(topology, self);
-    const wasFullMesh = topology.isFullMesh;
-    const known = table.listKnown().length + 1;
-    topology = known <= MAX_FULL_MESH_VMS
-      ? arrange([self, ...table.listKnown().map(({ identity }) => identity)])
-      : arrange(listPossible(), false);
-    if (
-      wasHub === isHub(topology, self) && wasFullMesh === topology.isFullMesh
-    ) return;
-    const { isFullMesh } = topology;
-    log.info(
-      { isFullMesh, isHub: isHub(topology, self), known },
-      "links arranged",
-    );
-  }
-
-  /**
-   * Of two hubs the one with the lower address dials; VMs that are no hubs dial
-   * theirs. While no other VM is known, seeds are dialed.
-   */
-  function dialMissing(): void {
-    isDialDue = false;
-    if (stopped) return;
-    updateTopology();
-    const wanted = new Set<string>();
-    for (const target of listLinked(topology, self, actsAsHub())) {
-      if (!topology.isFullMesh) reach.note(target.id, links.has(target.id));
-      const isOwnTurn = self.peerAddress < target.peerAddress ||
-        !topology.isFullMesh &&
-          (!isHub(topology, self) || reach.isOverdue(target.id));
-      if (isOwnTurn) wanted.add(target.peerAddress);
-    }
-    const isAlone = table.listAlive().length === 0;
-    const isSeedTime = discovery.hasListed() ||
-      clock.monotonicMs() - startedAtMs >= listAfterMs + SEEDS_AFTER_MS;
-    if (isAlone && isSeedTime) parts.seeds.forEach((seed) => wanted.add(seed));
-    wanted.delete(self.peerAddress);
-    for (const address of wanted) {
-      if (dialed.has(address)) continue;
-      dialed.set(address, keepLink(address, options));
-    }
-    if (isAlone || !topology.isFullMesh && isAnyMissing()) return;
-    for (const [address, link] of dialed) {
-      if (wanted.has(address)) continue;
-      link.close();
-      dialed.delete(address);
-    }
-  }
-
-  /** Of many VMs that are found at once, one look at the links is enough. */
-  function dialSoon(): void {
-    if (isDialDue) return;
-    isDialDue = true;
-    clock.after(DIAL_PAUSE_MS, dialMissing);
-  }
-
-  /** Former hubs are kept until all new ones are linked. */
-  function isAnyMissing(): boolean {
-    return listLinked(topology, self, actsAsHub())
-      .some(({ id }) => !links.has(id));
-  }
-
   function hasSettled(): boolean {
     return clock.monotonicMs() - startedAtMs >= STARTING_MS;
   }
@@ -357,6 +280,7 @@
 
   /** In a large fleet hubs look for VMs, and who is linked to none. */
   function mayKnowTooFew(): boolean {
+    const topology = dialing.getTopology();
     return topology.isFullMesh || isHub(topology, self) || links.isEmpty();
   }
 
@@ -364,7 +288,7 @@
   const timer = clock.every(REPORT_MS, () => {
     links.closeSilent();
     table.prune();
-    dialMissing();
+    dialing.look();
     reportNow();
     views.tell();
   });
@@ -375,7 +299,7 @@
     isAlone: links.isEmpty,
     onListed: (members) => {
       receiveMembers(members);
-      dialMissing();
+      dialing.look();
     },
   });
 
@@ -387,14 +311,13 @@
       const wanted = new Set(vmIds);
       links.sendWhere(message, ({ id }) => wanted.has(id));
     },
-    getTopology: () => topology,
+    getTopology: dialing.getTopology,
     getDemand: views.getDemand,
     hasListed: discovery.hasListed,
     stop() {
-      stopped = true;
       timer.cancel();
       discovery.stop();
-      for (const link of dialed.values()) link.close();
+      dialing.stop();
       links.close();
     },
   };
