--- /dev/null
+++ b/src/members/views_test.ts
@@ -0,0 +1,45 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { createFakeClock } from "../runtime/clock.ts";
+import { arrange } from "./hubs.ts";
+import { createMemberTable } from "./table.ts";
+import type { VmIdentity } from "./types.ts";
+import { createVmViews } from "./views.ts";
+
+function makeVm(region: string, index: number): VmIdentity {
+  return {
+    id: `${region}-${index}`,
+    incarnation: "1",
+    region,
+    failureDomain: `${region}-a`,
+    frontAddress: "127.0.0.1:1",
+    peerAddress: "127.0.0.1:2",
+    cores: 1,
+  };
+}
+
+/** The VMs that read the platform, as each sees all others. */
+function listReaders(perRegion: number): VmIdentity[] {
+  const fleet = ["oslo", "bergen"].flatMap((region) =>
+    Array.from({ length: perRegion }, (_, index) => makeVm(region, index))
+  );
+  const topology = arrange(fleet);
+  return fleet.filter((self) => {
+    const table = createMemberTable(self.id, createFakeClock());
+    for (const vm of fleet) {
+      table.noteHello(vm);
+    }
+    return createVmViews(self, table).hasReadDuty(topology);
+  });
+}
+
+test("in a small fleet one VM of each region reads the platform", () => {
+  const readers = listReaders(6);
+  assert.equal(readers.map(({ region }) => region), ["oslo", "bergen"]);
+});
+
+test("behind hubs one of them reads the platform for all", () => {
+  assert.is(listReaders(60).length, 1);
+});
+
+test.run();
