Let an idle server of one slot take first runs

Found in reading: with one slot the load up to which first runs are begun came out as 0, so that none was ever begun and their durations never learned. The new test of one and two slots failed before ('full').

--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -172,8 +172,9 @@
   isKnown: boolean,
 ): number {
   if (isKnown) return maxUse;
-  const freeSlotUse = Math.max(0, 1 - KEPT_FREE_SLOTS / load.getSlots());
-  return Math.min(maxUse, freeSlotUse + firstRunQueue);
+  // An idle server takes one, however few slots it has.
+  const free = Math.max(1, load.getSlots() - KEPT_FREE_SLOTS);
+  return Math.min(maxUse, free / load.getSlots() + firstRunQueue);
 }
 
 function getPenalty(rank: number, isKnown: boolean): number {
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -140,6 +140,37 @@
   assert.is(idOf(choose(servers, clock, { knowsObject })), "0");
 });
 
+test("a first run is begun only where slots are free, or what waits leaves time", () => {
+  const { clock, servers } = startFour();
+  const knowsObject = () => false;
+  const firstRun = { knowsObject, firstRunQueue: 0 };
+  load(servers[0], 3);
+  load(servers[1], 3);
+  assert.is(idOf(choose(servers, clock, firstRun)), "full");
+  assert.is(
+    idOf(choose(servers, clock, { knowsObject, firstRunQueue: 1 })),
+    "0",
+  );
+  const knowing = { knowsObject: (id: string) => id === "0" };
+  assert.is(
+    idOf(choose(servers, clock, { ...knowing, firstRunQueue: 0 })),
+    "0",
+  );
+});
+
+test("a server of one or two slots gets first runs while it is idle", () => {
+  for (const slots of [1, 2]) {
+    const clock = createFakeClock();
+    const registry = makeRegistry(clock);
+    registry.apply(makeServerNews(makeServer("0", { slots }), 1));
+    const servers = registry.listUsable("s");
+    const firstRun = { knowsObject: () => false, firstRunQueue: 0 };
+    assert.is(idOf(choose(servers, clock, firstRun)), "0");
+    load(servers[0], 1);
+    assert.is(idOf(choose(servers, clock, firstRun)), "full");
+  }
+});
+
 /** Asks any server of the region that has room, best ranked first. */
 function chooseScattering(servers: readonly KnownServer[]): Choice {
   const server = servers.find(({ load }) => load.getUse() < 2);
