Make VMs of tests in one place; correct the reader's pause in a comment

Three tests built the same VM field by field. The pause in which changes gather is 150 ms since one reader serves all regions; the comment of the repair still said 60. No behaviour changes.

--- a/src/activity/activity_test.ts
+++ b/src/activity/activity_test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
+import { makeVmIdentity } from "../gateway/fixture.ts";
 import { arrange } from "../members/hubs.ts";
 import type { VmIdentity } from "../members/types.ts";
 import { createObjectMemory } from "../placement/memory.ts";
@@ -17,15 +18,7 @@
 ]);
 
 function makeIdentity(id: string, region: string): VmIdentity {
-  return {
-    id,
-    incarnation: "1",
-    region,
-    failureDomain: `${region}-a`,
-    frontAddress: "127.0.0.1:1",
-    peerAddress: "127.0.0.1:2",
-    cores: 1,
-  };
+  return makeVmIdentity(id, { region, failureDomain: `${region}-a` });
 }
 
 interface TestVm {
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { VmIdentity } from "../members/types.ts";
 import type { NewsItem } from "../news/types.ts";
 import type { Configuration, Route } from "../routing/types.ts";
 import { createRunningRequests } from "../activity/running.ts";
@@ -102,6 +103,27 @@
   };
 }
 
+/**
+ * @param id Its name.
+ * @param changes Fields that differ from a VM of one core in oslo.
+ * @returns How the VM is reached.
+ */
+export function makeVmIdentity(
+  id: string,
+  changes: Partial<VmIdentity> = {},
+): VmIdentity {
+  return {
+    id,
+    incarnation: "1",
+    region: "oslo",
+    failureDomain: "oslo-a",
+    frontAddress: "127.0.0.1:1",
+    peerAddress: "127.0.0.1:2",
+    cores: 1,
+    ...changes,
+  };
+}
+
 /** Regions of the failure domains in tests. */
 export const TEST_REGIONS: ReadonlyMap<string, string> = new Map([
   ["oslo-a", "oslo"],
--- a/src/members/repair.ts
+++ b/src/members/repair.ts
@@ -38,7 +38,7 @@
 }
 
 /**
- * News on their way show as a difference too, for a pause of the reader (60 ms)
+ * News on their way show as a difference too, for a pause of the reader (150 ms)
  * and a round trip (70 ms) at most. A difference that lasts this long is none
  * of these, and leaves time to be in force within the shortest limit (2 s).
  */
--- a/src/members/table_test.ts
+++ b/src/members/table_test.ts
@@ -1,20 +1,13 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
+import { makeVmIdentity } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createMemberTable } from "./table.ts";
 import type { VmIdentity, VmState } from "./types.ts";
 import { createViewTeller } from "./view_teller.ts";
 
 function makeVm(id: string, incarnation = "1"): VmIdentity {
-  return {
-    id,
-    incarnation,
-    region: "oslo",
-    failureDomain: "oslo-a",
-    frontAddress: "127.0.0.1:1",
-    peerAddress: "127.0.0.1:2",
-    cores: 1,
-  };
+  return makeVmIdentity(id, { incarnation });
 }
 
 function tell(id: string, state: VmState = "serving", incarnation = "1") {
--- a/src/members/views_test.ts
+++ b/src/members/views_test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
+import { makeVmIdentity } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { arrange } from "./hubs.ts";
 import { createMemberTable } from "./table.ts";
@@ -7,15 +8,8 @@
 import { createVmViews } from "./views.ts";
 
 function makeVm(region: string, index: number): VmIdentity {
-  return {
-    id: `${region}-${index}`,
-    incarnation: "1",
-    region,
-    failureDomain: `${region}-a`,
-    frontAddress: "127.0.0.1:1",
-    peerAddress: "127.0.0.1:2",
-    cores: 1,
-  };
+  const failureDomain = `${region}-a`;
+  return makeVmIdentity(`${region}-${index}`, { region, failureDomain });
 }
 
 /** The VMs that read the platform, as each sees all others. */
