Tell servers that ended under a request from connections that broke

Cause: lines of a cut attempt name the object, not the request, and not whether the server or the connection was lost, so three hypotheses of the incident looked alike. The stand-in of a request on its way stood twice in tests and is one now.

--- a/src/bin/hawthorngw_explain.ts
+++ b/src/bin/hawthorngw_explain.ts
@@ -9,6 +9,7 @@
 import { createInterface } from "node:readline";
 import { parseArgs } from "node:util";
 import { renderBeliefs } from "../explain/beliefs.ts";
+import { renderEnds } from "../explain/ends.ts";
 import { gatherLines } from "../explain/lines.ts";
 import { renderMoves, renderTable } from "../explain/report.ts";
 import { EXIT_CODES } from "../runtime/process.ts";
@@ -17,7 +18,8 @@
 
 Reads log lines of gateways and prints what became of requests: by 2 s window,
 by region, by service; the largest moves of shares; and by service how right
-gateways were about the load and the memory of servers.
+gateways were about the load and the memory of servers; and under which requests
+servers ended.
 
   --request ID        all lines of one request instead, in order
   --max-shift SHARE   bound on shifts to show beside the moves (0.15)
@@ -71,5 +73,8 @@
   );
   const moves = renderMoves(content.moves, Number(values["max-shift"]));
   const beliefs = renderBeliefs(content);
-  process.stdout.write(`${[...tables, moves, beliefs].join("\n\n")}\n`);
+  const ends = renderEnds(content, firstMs);
+  process.stdout.write(
+    `${[...tables, moves, beliefs, ends].join("\n\n")}\n`,
+  );
 }
--- /dev/null
+++ b/src/explain/ends_test.ts
@@ -0,0 +1,49 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { renderEnds } from "./ends.ts";
+import { gatherLines } from "./lines.ts";
+
+function makeCut(
+  request: string,
+  server: string,
+  time: number,
+  verdict = "ended",
+): string {
+  return JSON.stringify({
+    msg: "connection cut",
+    vm: `vm-${time}`,
+    time,
+    requestId: `q${time}`,
+    request,
+    method: "GET",
+    path: `/${request}`,
+    server,
+    verdict,
+  });
+}
+
+test("the request that servers ended under one after the other comes first", () => {
+  const table = renderEnds(
+    gatherLines([
+      makeCut("beside", "1", 1_000),
+      makeCut("deadly", "1", 1_001),
+      makeCut("deadly", "2", 2_000),
+      makeCut("deadly", "2", 2_001),
+      makeCut("unlucky", "3", 3_000, "runs"),
+      makeCut("unlucky", "3", 3_001, "runs"),
+    ]),
+    0,
+  );
+  const rows = table.split("\n").map((row) => row.trim().split(/ {2,}/));
+  assert.equal(rows[1], [
+    "deadly GET /deadly",
+    "2",
+    "3",
+    "3",
+    "1.001",
+    "2.001",
+  ]);
+  assert.equal(rows.map((row) => row[1]), ["servers ended", "2", "1", "0"]);
+});
+
+test.run();
--- a/src/explain/lines.ts
+++ b/src/explain/lines.ts
@@ -51,10 +51,24 @@
   loss: z.number(),
 });
 
+const cutSchema = z.object({
+  ...base,
+  requestId: z.string(),
+  /** The same for each repeat of the request. */
+  request: z.string(),
+  method: z.string(),
+  path: z.string(),
+  server: z.string(),
+  /** Whether the server ended, or only the connection. */
+  verdict: z.string(),
+});
+
 /** One choice of a server, or why there was none. */
 export type ChoiceLine = z.infer<typeof choiceSchema>;
 /** The end of one attempt. */
 export type AttemptLine = z.infer<typeof attemptSchema>;
+/** A connection that ended without an answer. */
+export type CutLine = z.infer<typeof cutSchema>;
 /** How a request ended for its client. */
 export type EndLine = z.infer<typeof endSchema>;
 /** A move of the shares of one VM's callers. */
@@ -72,6 +86,7 @@
   /** By id. */
   requests: Map<string, RequestLines>;
   moves: MoveLine[];
+  cuts: CutLine[];
 }
 
 /**
@@ -80,7 +95,7 @@
  * @returns What they tell of requests.
  */
 export function gatherLines(lines: Iterable<string>): LogContent {
-  const content: LogContent = { requests: new Map(), moves: [] };
+  const content: LogContent = { requests: new Map(), moves: [], cuts: [] };
   for (const line of lines) addLine(content, parseLine(line));
   return content;
 }
@@ -110,6 +125,11 @@
     case "region shares moved": {
       const move = read(moveSchema, fields);
       if (move !== undefined) content.moves.push(move);
+      return;
+    }
+    case "connection cut": {
+      const cut = read(cutSchema, fields);
+      if (cut !== undefined) content.cuts.push(cut);
     }
   }
 }
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -21,9 +21,11 @@
 import { createRouteTable, type RouteTable } from "../routing/table.ts";
 import type { Configuration } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { dial } from "../runtime/dial.ts";
 import { hashToUnit } from "../runtime/hash.ts";
 import { createRandom } from "../runtime/random.ts";
 import { createColdLimit } from "../servers/cold_limit.ts";
+import { createEndCheck } from "../servers/end_check.ts";
 import {
   createServerRegistry,
   type ServerRegistry,
@@ -179,6 +181,7 @@
     pace,
     memory,
     exchange,
+    endCheck: createEndCheck(dial),
   });
 
   return { registry, exchange, demand, flow, getRoutes: () => routes };
--- /dev/null
+++ b/src/serving/fixture.ts
@@ -0,0 +1,54 @@
+/**
+ * Requests on their way, for tests.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { makeRoute } from "../gateway/fixture.ts";
+import type { Progress } from "./progress.ts";
+import type { CallerRequest } from "./types.ts";
+
+/**
+ * @param changes Fields that differ from a plain GET for the object 17.
+ * @returns The request.
+ */
+export function makeRequest(
+  changes: Partial<CallerRequest> = {},
+): CallerRequest {
+  return {
+    method: "GET",
+    path: "/a",
+    headers: {},
+    body: Buffer.alloc(0),
+    terms: {
+      requestId: "q",
+      deadlineMs: undefined,
+      objectKey: "17",
+      callerKey: undefined,
+    },
+    route: makeRoute(),
+    arrivedAtMs: 0,
+    signal: new AbortController().signal,
+    ...changes,
+  };
+}
+
+/**
+ * @param changes Fields that differ from a plain request, not sent yet.
+ * @returns The request on its way.
+ */
+export function makeProgress(changes: Partial<Progress> = {}): Progress {
+  return {
+    request: makeRequest(),
+    fingerprint: "a request",
+    service: "s",
+    objectKey: "17",
+    hasObject: true,
+    endsAtMs: 1_000,
+    tried: new Set(),
+    lastUse: Infinity,
+    fallback: undefined,
+    lost: undefined,
+    ...changes,
+  };
+}
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -8,10 +8,12 @@
  * @module
  */
 import type { ObjectMemory } from "../placement/memory.ts";
+import { makeFingerprint } from "../quarantine/fingerprint.ts";
 import type { RetryBudget } from "../retries/budget.ts";
 import type { Splitter } from "../routing/split.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Random } from "../runtime/random.ts";
+import type { EndCheck } from "../servers/end_check.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { DemandMeter } from "./demand.ts";
@@ -43,6 +45,7 @@
   pace: PaceTable;
   memory: ObjectMemory;
   exchange: Exchange;
+  endCheck: EndCheck;
 }
 
 /** Serves requests. */
@@ -58,6 +61,18 @@
 /** Why a request is not sent again. */
 type RetryDenial = "attempts_used" | "too_late" | "budget_spent";
 
+/** @returns A name that each repeat of a request has as well. */
+function fingerprintOf({ method, headers, path, terms, body }: CallerRequest) {
+  const { objectKey = "", callerKey = "" } = terms;
+  return makeFingerprint({
+    method,
+    host: headers.host ?? "",
+    path,
+    caller: `${objectKey} ${callerKey}`,
+    body,
+  });
+}
+
 type Step = { kind: "again" } | { kind: "done"; result: ServeResult };
 
 /**
@@ -91,6 +106,7 @@
     const deadlineMs = terms.deadlineMs ?? DEFAULT_DEADLINE_MS;
     return {
       request,
+      fingerprint: fingerprintOf(request),
       service: parts.splitter.pickService(route),
       objectKey: terms.objectKey ?? `unkeyed ${random()}`,
       hasObject: terms.objectKey !== undefined && route.isSticky,
@@ -132,9 +148,35 @@
       isKnown,
     });
     server.load.end();
+    if (result.kind === "lost" && result.reason === "cut") {
+      const isChecked = noteCut(progress, server);
+      // What must not run twice waits for nothing more.
+      if (request.route.kind === "idempotent") await isChecked;
+    }
     return judge(progress, server, result);
   }
 
+  /** Tells a server that ended under a request from a connection that broke. */
+  async function noteCut(
+    progress: Progress,
+    server: KnownServer,
+  ): Promise<void> {
+    const { request, fingerprint } = progress;
+    const verdict = await parts.endCheck.check(server.listed);
+    log.info(
+      {
+        requestId: request.terms.requestId,
+        request: fingerprint,
+        method: request.method,
+        path: request.path,
+        server: server.listed.id,
+        service: progress.service,
+        verdict,
+      },
+      "connection cut",
+    );
+  }
+
   function judge(
     progress: Progress,
     server: KnownServer,
--- a/src/serving/observing_test.ts
+++ b/src/serving/observing_test.ts
@@ -1,8 +1,8 @@
+import { Buffer } from "node:buffer";
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import {
   makeRegistry,
-  makeRoute,
   makeServer,
   makeServerNews,
 } from "../gateway/fixture.ts";
@@ -13,7 +13,8 @@
 import { createSilentLog } from "../telemetry/log.ts";
 import { createObserver } from "./observing.ts";
 import { createPaceTable } from "./pace.ts";
-import { nameObject, type Progress } from "./progress.ts";
+import { makeProgress } from "./fixture.ts";
+import { nameObject } from "./progress.ts";
 import type { ExchangeResult, LossReason } from "./types.ts";
 
 function startObserver() {
@@ -34,35 +35,12 @@
   return { memory, retention, observer, server };
 }
 
-function makeProgress(objectKey: string): Progress {
-  return {
-    request: {
-      method: "GET",
-      path: "/a",
-      headers: {},
-      body: new Uint8Array() as Progress["request"]["body"],
-      terms: { requestId: "q", deadlineMs: undefined, objectKey },
-      route: makeRoute(),
-      arrivedAtMs: 0,
-      signal: new AbortController().signal,
-    },
-    service: "s",
-    objectKey,
-    hasObject: true,
-    endsAtMs: 1_000,
-    tried: new Set(),
-    lastUse: Infinity,
-    fallback: undefined,
-    lost: undefined,
-  };
-}
-
 const ANSWER: ExchangeResult = {
   kind: "answer",
   answer: {
     status: 200,
     headers: {},
-    body: new Uint8Array() as Progress["request"]["body"],
+    body: Buffer.alloc(0),
   },
   load: undefined,
 };
@@ -74,7 +52,7 @@
 /** Whether a server is taken to know an object after one first run. */
 function knowsAfter(result: ExchangeResult, useAtStart: number): boolean {
   const { memory, observer, server } = startObserver();
-  const progress = makeProgress("17");
+  const progress = makeProgress();
   const depth = memory.note("1", nameObject(progress));
   const end = { result, tookMs: 900, useAtStart, depth, isKnown: false };
   observer.note(progress, server, end);
@@ -102,7 +80,7 @@
 test("how many objects are kept is learned from answers of free servers", () => {
   const { memory, retention, observer, server } = startObserver();
   const ask = (objectKey: string, tookMs: number, useAtStart = 0.3) => {
-    const progress = makeProgress(objectKey);
+    const progress = makeProgress({ objectKey });
     const depth = memory.note("1", nameObject(progress));
     const end = { result: ANSWER, tookMs, useAtStart, depth, isKnown: false };
     observer.note(progress, server, end);
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -12,9 +12,9 @@
 import { createRetention } from "../placement/retention.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createSilentLog } from "../telemetry/log.ts";
+import { makeProgress, makeRequest } from "./fixture.ts";
 import { createPaceTable } from "./pace.ts";
 import { createPlacer } from "./placing.ts";
-import type { Progress } from "./progress.ts";
 
 /** A VM in oslo, one server in oslo and one in bergen. */
 function startPlacer(bergenColdMs: number) {
@@ -52,31 +52,12 @@
   });
 }
 
-function makeProgress(homeRegions: string[]): Progress {
-  return {
-    request: {
-      method: "GET",
-      path: "/a",
-      headers: {},
-      body: new Uint8Array() as Progress["request"]["body"],
-      terms: { requestId: "q", deadlineMs: undefined, objectKey: "17" },
-      route: makeRoute({ homeRegions }),
-      arrivedAtMs: 0,
-      signal: new AbortController().signal,
-    },
-    service: "s",
-    objectKey: "17",
-    hasObject: true,
-    endsAtMs: 1_000,
-    tried: new Set(),
-    lastUse: Infinity,
-    fallback: undefined,
-    lost: undefined,
-  };
-}
-
 function placeIn(bergenColdMs: number, homeRegions: string[]): string {
-  const placed = startPlacer(bergenColdMs).place(makeProgress(homeRegions));
+  const placed = startPlacer(bergenColdMs).place(
+    makeProgress({
+      request: makeRequest({ route: makeRoute({ homeRegions }) }),
+    }),
+  );
   return typeof placed === "string" ? placed : placed.server.listed.id;
 }
 
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -8,6 +8,8 @@
 /** A request that is being served. */
 export interface Progress {
   request: CallerRequest;
+  /** The same for each repeat of the request. */
+  fingerprint: string;
   service: string;
   objectKey: string;
   /** Whether servers run it faster for having run the object before. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -15,6 +15,8 @@
   deadlineMs: number | undefined;
   /** The object that the request concerns. */
   objectKey: string | undefined;
+  /** What the client shows of who it is, the same in each of its requests. */
+  callerKey: string | undefined;
 }
 
 /** A request that was read whole. */
