Set requests aside under which backend servers end, at all VMs together

Cause: nothing outlived an arrival, so a request that ends servers met up to maxAttempts fresh ones with each repeat, at each VM. Ruled out: cold servers that end from load (ends at 0 and 0.01 requests a slot), servers that end by themselves (no end between the waves, none under other requests alone).

Change: that a server ended under a request, and that a request was answered, are facts which VMs pass on like all others (by way of hubs, compared by digests, told to VMs that start). Three ends with no answer in between set a request aside: refused at once with 503, the truth about this arrival, the time to come back and a reason; copies that still wait at servers are taken back; one VM tries again after a minute, then two, four. After a second end under it nothing is sent again within the same arrival.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -16,6 +16,7 @@
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createRetention } from "../placement/retention.ts";
+import { createSuspects, type Suspects } from "../quarantine/suspects.ts";
 import { createRetryBudget } from "../retries/budget.ts";
 import { createSplitter } from "../routing/split.ts";
 import { createRouteTable, type RouteTable } from "../routing/table.ts";
@@ -56,6 +57,8 @@
   board: NewsBoard;
   /** Demand by region where hubs tell of it. */
   getFleetDemand: () => DemandByRegion | undefined;
+  /** Passes facts of this VM on to all others. */
+  passOn: (items: NewsItem[]) => void;
 }
 
 /** The deciding parts of a gateway. */
@@ -64,6 +67,7 @@
   exchange: Exchange;
   demand: DemandMeter;
   flow: Flow;
+  suspects: Suspects;
   /** @returns Routes in force; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
@@ -145,6 +149,18 @@
     allowance: settings.bounds.retryAllowance,
   }, vms.countServing);
   const pace = createPaceTable();
+  const suspects = createSuspects({
+    clock,
+    log,
+    ownId: self.id,
+    terms: settings.quarantine,
+    publish(items) {
+      const news = board.apply(items);
+      if (news.length > 0) parts.passOn(news);
+    },
+    forget: (items) => void board.apply(items),
+  });
+  board.subscribe(suspects.apply);
   const placer = createPlacer({
     clock,
     log,
@@ -182,9 +198,17 @@
     memory,
     exchange,
     endCheck: createEndCheck(dial),
+    suspects,
   });
 
-  return { registry, exchange, demand, flow, getRoutes: () => routes };
+  return {
+    registry,
+    exchange,
+    demand,
+    flow,
+    suspects,
+    getRoutes: () => routes,
+  };
 }
 
 /** Whether news of a server are of the start that was listed before. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,7 +29,7 @@
   type ReaderParts,
   startReader,
 } from "../news/reader.ts";
-import { type FactSource, TOPICS } from "../news/types.ts";
+import { type FactSource, SOURCE_TOPICS } from "../news/types.ts";
 import { createObjectMemory } from "../placement/memory.ts";
 import { formatAddress } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -98,6 +98,7 @@
     running,
     board,
     getFleetDemand: () => mesh.getDemand(),
+    passOn: (items) => mesh.passOn(items),
   });
   const metrics = createGatewayMetrics(core, board, vms.countServing);
   const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.bounds.maxTtlMs);
@@ -203,6 +204,7 @@
       state = "leaving";
       overload.stop();
       sharing.stop();
+      core.suspects.stop();
       return leave({
         clock,
         log,
@@ -224,7 +226,7 @@
   duty: Pick<ReaderParts, "hasDuty" | "isOverdue" | "onNews" | "onRead">,
 ): Reader[] {
   const times = DEFAULT_READER_TIMES;
-  return TOPICS.map((topic) =>
+  return SOURCE_TOPICS.map((topic) =>
     startReader(topic, { source, board, clock, log, times, ...duty })
   );
 }
@@ -244,6 +246,17 @@
       read: () => Math.min(getOldestAgeMs(board), UNKNOWN_AGE_MS) / 1_000,
     },
     vms: { help: "VMs that serve, as seen here", read: countVms },
+    suspect_requests: {
+      help: "Requests under which backend servers ended lately",
+      read: () => core.suspects.list().length,
+    },
+    requests_set_aside: {
+      help: "Those of them that are not run for now",
+      read: () =>
+        core.suspects.list().filter(({ judgement }) =>
+          judgement.kind === "set_aside"
+        ).length,
+    },
     configuration_version: {
       help: "Configuration in force; 0 before the first",
       read: () => core.getRoutes()?.configuration.version ?? 0,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { QuarantineTerms } from "../quarantine/types.ts";
 import type { HostPort } from "../runtime/address.ts";
 import type { LogLevel } from "../telemetry/log.ts";
 
@@ -41,5 +42,6 @@
   /** `host:port` of the platform's table. */
   tableAddress: string;
   bounds: FleetBounds;
+  quarantine: QuarantineTerms;
   logLevel: LogLevel;
 }
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -6,7 +6,7 @@
 import type { MemberTable } from "../members/table.ts";
 import type { VmIdentity, VmState } from "../members/types.ts";
 import type { NewsBoard } from "../news/board.ts";
-import { TOPICS } from "../news/types.ts";
+import { SOURCE_TOPICS } from "../news/types.ts";
 import type { KnownServer } from "../servers/registry.ts";
 import type { Core } from "./core.ts";
 
@@ -26,7 +26,7 @@
  */
 export function dumpState(parts: StateDumpParts): Record<string, unknown> {
   const { self, state, board, table, core, openRequests } = parts;
-  const ages = TOPICS.map((topic) => [topic, board.getAgeMs(topic)]);
+  const ages = SOURCE_TOPICS.map((topic) => [topic, board.getAgeMs(topic)]);
   return {
     self,
     state,
@@ -34,6 +34,7 @@
     factAgesMs: Object.fromEntries(ages),
     evacuated: core.registry.listEvacuated(),
     servers: core.registry.listAll().map(dumpServer),
+    suspects: core.suspects.list(),
     members: table.listKnown(),
     openRequests,
   };
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -6,7 +6,12 @@
 import type { Server } from "node:http";
 import type { Activity, ActivityScope } from "../activity/types.ts";
 import type { NewsBoard } from "../news/board.ts";
-import { type NewsItem, type Topic, TOPICS } from "../news/types.ts";
+import {
+  type NewsItem,
+  type SourceTopic,
+  type Topic,
+  TOPICS,
+} from "../news/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { acceptLinks, keepLink } from "../runtime/peer_link.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -61,7 +66,7 @@
   /** Passes facts on to every VM that is linked. */
   passOn(items: NewsItem[]): void;
   /** Tells every VM that this one read a topic from its source. */
-  noteRead(topic: Topic): void;
+  noteRead(topic: SourceTopic): void;
   /** Tells every VM how this one is, now. */
   reportNow(): void;
   /** Sends a message to some VMs that are linked. */
@@ -100,7 +105,7 @@
   const links = createLinkSet(clock);
   const startedAtMs = clock.monotonicMs();
   const repair = createFactRepair(parts);
-  const toldReadAtMs = new Map<Topic, number>();
+  const toldReadAtMs = new Map<SourceTopic, number>();
   const options = {
     schema: vmMessageSchema,
     clock,
@@ -271,7 +276,7 @@
   }
 
   /** Tells that facts are current, though nothing changed. */
-  function tellRead(topic: Topic, isOwn: boolean): void {
+  function tellRead(topic: SourceTopic, isOwn: boolean): void {
     const nowMs = clock.monotonicMs();
     if (nowMs - (toldReadAtMs.get(topic) ?? -Infinity) < READ_NEWS_MS) return;
     toldReadAtMs.set(topic, nowMs);
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -153,7 +153,11 @@
     kind: "report",
     state: "serving",
     demandPerS: {},
-    digests: { operations: { facts: 0, versionSum: 0 }, servers: digest },
+    digests: {
+      operations: { facts: 0, versionSum: 0 },
+      servers: digest,
+      suspects: { facts: 0, versionSum: 0 },
+    },
   };
 }
 
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -40,7 +40,8 @@
 /** Requests a second by service. */
 const demandSchema = z.record(z.string().max(200), z.number().nonnegative());
 
-const topicSchema = z.enum(["operations", "servers"]);
+const sourceTopicSchema = z.enum(["operations", "servers"]);
+const topicSchema = z.enum(["operations", "servers", "suspects"]);
 
 const digestSchema = z.object({
   facts: z.number().int().nonnegative(),
@@ -61,13 +62,17 @@
     kind: z.literal("report"),
     state: stateSchema.optional(),
     demandPerS: demandSchema.optional(),
-    digests: z.object({ operations: digestSchema, servers: digestSchema })
-      .optional(),
+    digests: z.object({
+      operations: digestSchema,
+      servers: digestSchema,
+      /** Absent in reports of VMs that are older. */
+      suspects: digestSchema.default({ facts: 0, versionSum: 0 }),
+    }).optional(),
   }),
   /** A topic was read from its source just now. */
   z.object({
     kind: z.literal("read"),
-    topic: topicSchema,
+    topic: sourceTopicSchema,
     digest: digestSchema,
     /** Whether the sender read it, and not another one that told the sender. */
     isOwn: z.boolean(),
--- a/src/members/report_parts_test.ts
+++ b/src/members/report_parts_test.ts
@@ -8,7 +8,7 @@
   return {
     state: "serving",
     demandPerS: { s: 20 },
-    digests: { operations: digest, servers: digest },
+    digests: { operations: digest, servers: digest, suspects: digest },
     ...changes,
   };
 }
@@ -31,6 +31,14 @@
     digests: {
       operations: { facts: 1, versionSum: 5 },
       servers: { facts: 1, versionSum: 6 },
+      suspects: { facts: 1, versionSum: 5 },
+    },
+  },
+  {
+    digests: {
+      operations: { facts: 1, versionSum: 5 },
+      servers: { facts: 1, versionSum: 5 },
+      suspects: { facts: 2, versionSum: 6 },
     },
   },
 ];
--- a/src/news/board.ts
+++ b/src/news/board.ts
@@ -8,9 +8,9 @@
   type Fact,
   type NewsBatch,
   type NewsItem,
+  SOURCE_TOPICS,
   type Topic,
   type TopicDigest,
-  TOPICS,
 } from "./types.ts";
 
 /** Told of each fact that changed. */
@@ -138,6 +138,7 @@
     getDigests: () => ({
       operations: getDigest("operations"),
       servers: getDigest("servers"),
+      suspects: getDigest("suspects"),
     }),
     noteCurrent(topic, ageMs) {
       const atMs = clock.monotonicMs() - ageMs;
@@ -157,5 +158,5 @@
  * @returns The age of its least current topic, in ms.
  */
 export function getOldestAgeMs(board: NewsBoard): number {
-  return Math.max(...TOPICS.map((topic) => board.getAgeMs(topic)));
+  return Math.max(...SOURCE_TOPICS.map((topic) => board.getAgeMs(topic)));
 }
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -8,7 +8,7 @@
 import { describeError } from "../runtime/errors.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { NewsBoard } from "./board.ts";
-import type { FactSource, NewsItem, Topic } from "./types.ts";
+import type { FactSource, NewsItem, SourceTopic } from "./types.ts";
 
 /** Times of a reader. */
 export interface ReaderTimes {
@@ -53,7 +53,7 @@
   /** Told of facts that were new, to pass them on. */
   onNews: (items: NewsItem[]) => void;
   /** Told of each answer of the source. */
-  onRead: (topic: Topic) => void;
+  onRead: (topic: SourceTopic) => void;
 }
 
 /** A running reader. */
@@ -66,7 +66,7 @@
  * @param parts What the reader needs.
  * @returns The running reader.
  */
-export function startReader(topic: Topic, parts: ReaderParts): Reader {
+export function startReader(topic: SourceTopic, parts: ReaderParts): Reader {
   const { source, board, clock, log, times } = parts;
   let stopped = false;
   let position: number | undefined;
--- a/src/news/schema.ts
+++ b/src/news/schema.ts
@@ -7,7 +7,10 @@
 import * as z from "zod";
 
 const MAX_NAME = 200;
+const MAX_FINGERPRINT = 64;
 const name = z.string().min(1).max(MAX_NAME);
+const fingerprint = z.string().min(1).max(MAX_FINGERPRINT);
+const round = z.number().int().nonnegative();
 
 const routeSchema = z.object({
   name: z.string().max(MAX_NAME),
@@ -56,7 +59,7 @@
 
 /** Checks one fact. */
 export const newsItemSchema = z.object({
-  topic: z.enum(["operations", "servers"]),
+  topic: z.enum(["operations", "servers", "suspects"]),
   key: z.string().max(2 * MAX_NAME),
   version: z.number().nonnegative(),
   fact: z.discriminatedUnion("kind", [
@@ -66,5 +69,18 @@
     }),
     z.object({ kind: z.literal("evacuation"), failureDomain: name }),
     z.object({ kind: z.literal("server"), server: listedServerSchema }),
+    z.object({
+      kind: z.literal("server_end"),
+      request: fingerprint,
+      round,
+      server: name,
+      vm: name,
+      seenAtMs: z.number(),
+    }),
+    z.object({
+      kind: z.literal("request_answered"),
+      request: fingerprint,
+      round,
+    }),
   ]).optional(),
 });
--- a/src/news/types.ts
+++ b/src/news/types.ts
@@ -9,17 +9,38 @@
 import type { Configuration } from "../routing/types.ts";
 import type { ListedServer } from "../servers/types.ts";
 
-/** Facts come in two streams, each with its own position. */
-export type Topic = "operations" | "servers";
+/** Streams of facts that are read from their source. */
+export type SourceTopic = "operations" | "servers";
 
-/** All topics, in the order in which they are read. */
-export const TOPICS: readonly Topic[] = ["operations", "servers"];
+/** All streams; `suspects` comes from the VMs themselves. */
+export type Topic = SourceTopic | "suspects";
+
+/** Topics that are read, in that order. */
+export const SOURCE_TOPICS: readonly SourceTopic[] = ["operations", "servers"];
+
+/** All topics. */
+export const TOPICS: readonly Topic[] = [...SOURCE_TOPICS, "suspects"];
 
 /** What is known under a key. */
 export type Fact =
   | { kind: "configuration"; configuration: Configuration }
   | { kind: "evacuation"; failureDomain: string }
-  | { kind: "server"; server: ListedServer };
+  | { kind: "server"; server: ListedServer }
+  /** A backend server ended while it had a request. */
+  | {
+    kind: "server_end";
+    /** The same for each repeat of the request. */
+    request: string;
+    /** Answers to the request so far, as far as they were told. */
+    round: number;
+    server: string;
+    /** Who saw it. */
+    vm: string;
+    /** When, in ms since the epoch by that VM's clock, which may be off. */
+    seenAtMs: number;
+  }
+  /** A request was answered, which begins a round. */
+  | { kind: "request_answered"; request: string; round: number };
 
 /** One fact, or the news that it no longer holds. */
 export interface NewsItem {
@@ -69,7 +90,7 @@
    * @param topic The topic.
    * @returns All its facts, as of one moment.
    */
-  abstract list(topic: Topic): Promise<NewsBatch>;
+  abstract list(topic: SourceTopic): Promise<NewsBatch>;
   /**
    * @param topic The topic.
    * @param afterVersion Position up to which changes are known.
@@ -77,7 +98,7 @@
    * @returns The changes after that position; none where none came in time.
    */
   abstract follow(
-    topic: Topic,
+    topic: SourceTopic,
     afterVersion: number,
     waitMs: number,
   ): Promise<FollowResult>;
--- a/src/placement/figures_test.ts
+++ b/src/placement/figures_test.ts
@@ -60,7 +60,7 @@
     table.noteReport(id, {
       state: "serving",
       demandPerS: { s: 10 },
-      digests: { operations: DIGEST, servers: DIGEST },
+      digests: { operations: DIGEST, servers: DIGEST, suspects: DIGEST },
     });
   }
   assert.is(reader.getRequestsPerS(), 35);
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -9,6 +9,8 @@
  */
 import type { ObjectMemory } from "../placement/memory.ts";
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
+import type { Suspects } from "../quarantine/suspects.ts";
+import type { Judgement } from "../quarantine/types.ts";
 import type { RetryBudget } from "../retries/budget.ts";
 import type { Splitter } from "../routing/split.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -17,7 +19,7 @@
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { DemandMeter } from "./demand.ts";
-import type { Exchange } from "./exchange.ts";
+import type { Attempt, Exchange } from "./exchange.ts";
 import type { Observer } from "./observing.ts";
 import type { PaceTable } from "./pace.ts";
 import type { Placed, Placer } from "./placing.ts";
@@ -46,6 +48,7 @@
   memory: ObjectMemory;
   exchange: Exchange;
   endCheck: EndCheck;
+  suspects: Suspects;
 }
 
 /** Serves requests. */
@@ -58,8 +61,17 @@
 const MIN_ATTEMPT_MS = 20;
 /** Clients that don't say how long they wait. */
 const DEFAULT_DEADLINE_MS = 30_000;
+/**
+ * Servers that ended under a request up to which it is sent again at once. Most
+ * of what a server takes along is harmless; of what took two, little is.
+ */
+const MAX_ENDS_FOR_RETRY = 1;
 /** Why a request is not sent again. */
-type RetryDenial = "attempts_used" | "too_late" | "budget_spent";
+type RetryDenial =
+  | "attempts_used"
+  | "too_late"
+  | "budget_spent"
+  | "servers_ended";
 
 /** @returns A name that each repeat of a request has as well. */
 function fingerprintOf({ method, headers, path, terms, body }: CallerRequest) {
@@ -80,7 +92,8 @@
  * @returns The flow of requests through this VM.
  */
 export function createFlow(parts: FlowParts): Flow {
-  const { clock, log, random, registry, exchange, budget, memory } = parts;
+  const { clock, log, random, registry, exchange, budget, memory, suspects } =
+    parts;
 
   async function serve(request: CallerRequest): Promise<ServeResult> {
     const progress = begin(request);
@@ -89,10 +102,17 @@
     parts.demand.note(progress.service);
     for (;;) {
       if (request.signal.aborted) return { kind: "client_left" };
+      const judgement = suspects.judge(progress.fingerprint);
+      if (judgement.kind === "set_aside") {
+        return turnAway(progress, judgement);
+      }
       const remainingMs = progress.endsAtMs - clock.monotonicMs();
       if (remainingMs < MIN_ATTEMPT_MS) return giveUp(progress, "too_late");
       const placed = parts.placer.place(progress);
       if (typeof placed === "string") return giveUp(progress, placed);
+      if (judgement.kind === "suspect") {
+        suspects.noteTried(progress.fingerprint);
+      }
       const step = await attempt(progress, placed, remainingMs);
       if (step.kind === "done") return step.result;
       if (progress.tried.size >= route.maxAttempts) {
@@ -101,6 +121,29 @@
     }
   }
 
+  /** Refuses at once what ends servers; clients are told when it may run. */
+  function turnAway(
+    progress: Progress,
+    { ends, retryAfterMs }: Extract<Judgement, { kind: "set_aside" }>,
+  ): ServeResult {
+    const { request, fingerprint } = progress;
+    const nowMs = clock.monotonicMs();
+    log.info(
+      {
+        requestId: request.terms.requestId,
+        request: fingerprint,
+        ends: ends.map(({ server, vm, atMs }) => ({
+          server,
+          by: vm,
+          ageMs: Math.round(nowMs - atMs),
+        })),
+        retryAfterMs: Math.round(retryAfterMs),
+      },
+      "set aside",
+    );
+    return giveUp(progress, "set_aside", retryAfterMs);
+  }
+
   function begin(request: CallerRequest): Progress {
     const { route, terms, arrivedAtMs } = request;
     const deadlineMs = terms.deadlineMs ?? DEFAULT_DEADLINE_MS;
@@ -136,8 +179,10 @@
     const leave = () => running.abort("client_left");
     request.signal.addEventListener("abort", leave);
     const timer = clock.after(remainingMs, () => running.abort("timeout"));
+    const endWatch = watchSuspect(progress, running);
     const result = await running.result;
     timer.cancel();
+    endWatch();
     request.signal.removeEventListener("abort", leave);
     const tookMs = clock.monotonicMs() - startedAtMs;
     parts.observer.note(progress, server, {
@@ -156,6 +201,19 @@
     return judge(progress, server, result);
   }
 
+  /**
+   * A copy that still waits at a server when its request is set aside is taken
+   * back, as far as it may run twice: with queues of 0.3 s each copy would end
+   * one server more.
+   */
+  function watchSuspect(
+    { request, fingerprint }: Progress,
+    running: Attempt,
+  ): () => void {
+    if (request.route.kind === "non_idempotent") return () => {};
+    return suspects.watch(fingerprint, () => running.abort("set_aside"));
+  }
+
   /** Tells a server that ended under a request from a connection that broke. */
   async function noteCut(
     progress: Progress,
@@ -175,6 +233,7 @@
       },
       "connection cut",
     );
+    if (verdict === "ended") suspects.noteEnd(fingerprint, server.listed.id);
   }
 
   function judge(
@@ -183,7 +242,10 @@
     result: ExchangeResult,
   ): Step {
     if (result.kind === "not_sent") return { kind: "again" };
-    if (result.kind === "answer") return judgeAnswer(progress, result.answer);
+    if (result.kind === "answer") {
+      suspects.noteAnswer(progress.fingerprint);
+      return judgeAnswer(progress, result.answer);
+    }
     if (result.kind === "not_run") {
       if (result.reason === "other_server") {
         registry.markReplaced(server.listed.id);
@@ -227,14 +289,24 @@
   }
 
   function findDenial(progress: Progress): RetryDenial | undefined {
-    const { request, tried, service } = progress;
+    const { request, tried, service, fingerprint } = progress;
     if (tried.size >= request.route.maxAttempts) return "attempts_used";
+    const judgement = suspects.judge(fingerprint);
+    if (
+      judgement.kind !== "clear" && judgement.ends.length > MAX_ENDS_FOR_RETRY
+    ) {
+      return "servers_ended";
+    }
     const leftMs = progress.endsAtMs - clock.monotonicMs();
     if (leftMs < MIN_ATTEMPT_MS) return "too_late";
     return budget.take(service) ? undefined : "budget_spent";
   }
 
-  function giveUp(progress: Progress, reason: RefusalReason): ServeResult {
+  function giveUp(
+    progress: Progress,
+    reason: RefusalReason,
+    retryAfterMs?: number,
+  ): ServeResult {
     if (progress.fallback !== undefined) {
       return { kind: "answer", answer: progress.fallback };
     }
@@ -244,8 +316,12 @@
     }
     const { route } = progress.request;
     const use = reason === "not_run_anywhere" ? progress.lastUse : Infinity;
-    const retryAfterMs = parts.pace.getRetryAfterMs(route, use, random());
-    return { kind: "refused", reason, retryAfterMs };
+    return {
+      kind: "refused",
+      reason,
+      retryAfterMs: retryAfterMs ??
+        parts.pace.getRetryAfterMs(route, use, random()),
+    };
   }
 
   return { serve };
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -56,6 +56,13 @@
 const SLOW_CHECK_MS = 1_000;
 /** Turns of the loop until the close behind a request is seen. */
 const CLOSE_TURNS = 2;
+/** RFC 9457: a caller who gets this can change its request, or report it. */
+const SET_ASIDE_PROBLEM = JSON.stringify({
+  title: "Request set aside",
+  status: 503,
+  detail: "Backend servers ended while they ran this request. It was not run " +
+    "now, and will not be before the time given in Retry-After.",
+});
 /** When to come back to a VM that has no configuration yet. */
 const STARTING_RETRY_MS = 300;
 
@@ -158,16 +165,24 @@
     log.info({ ...fields, ...describeResult(result) }, "request ended");
     if (result.kind === "client_left") return;
     if (result.kind === "answer") return sendAnswer(response, result);
-    if (result.kind === "refused") {
-      return sendOwn(
-        response,
-        503,
-        codec.encodeRefusal(result.retryAfterMs),
-      );
-    }
+    if (result.kind === "refused") return sendRefusal(response, result);
     sendOwn(response, result.kind === "timed_out" ? 504 : 502, {});
   }
 
+  function sendRefusal(
+    response: ServerResponse,
+    { reason, retryAfterMs }: Extract<ServeResult, { kind: "refused" }>,
+  ): void {
+    const headers = codec.encodeRefusal(retryAfterMs);
+    if (reason !== "set_aside") return sendOwn(response, 503, headers);
+    sendOwn(
+      response,
+      503,
+      { ...headers, "content-type": "application/problem+json" },
+      SET_ASIDE_PROBLEM,
+    );
+  }
+
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(parts.address.port, parts.address.host, () => {
@@ -250,10 +265,12 @@
   response: ServerResponse,
   status: number,
   headers: Record<string, string>,
+  body = "",
 ): void {
   if (response.headersSent || response.destroyed) return;
-  response.writeHead(status, { ...headers, "content-length": 0 });
-  response.end();
+  const length = Buffer.byteLength(body);
+  response.writeHead(status, { ...headers, "content-length": length });
+  response.end(body);
 }
 
 function describeResult(result: ServeResult): Record<string, unknown> {
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -145,7 +145,7 @@
     reason: LossReason,
     tookMs: number,
   ): void {
-    if (reason === "client_left") return;
+    if (reason === "client_left" || reason === "set_aside") return;
     if (reason !== "timeout") return server.health.note("failed");
     const sentAtMs = clock.monotonicMs() - tookMs;
     if (server.health.wasHeardSince(sentAtMs)) return;
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -63,7 +63,9 @@
   | "crossed"
   | "unsigned"
   | "timeout"
-  | "client_left";
+  | "client_left"
+  /** Taken back, since servers ended under the same request. */
+  | "set_aside";
 
 /** How one attempt ended. */
 export type ExchangeResult =
@@ -85,7 +87,9 @@
   | "no_server"
   | "all_full"
   | "not_run_anywhere"
-  | "too_late";
+  | "too_late"
+  /** Servers ended under the same request; it is not run for now. */
+  | "set_aside";
 
 /** How a request ends for its client. */
 export type ServeResult =
