--- a/src/members/hub_mesh_test.ts
+++ b/src/members/hub_mesh_test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { makeServer, makeServerNews } from "../gateway/fixture.ts";
 import { createNewsBoard } from "../news/board.ts";
+import { toEndNews } from "../quarantine/suspect_facts.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
 import { createSilentLog } from "../telemetry/log.ts";
@@ -123,11 +124,18 @@
 
 test("facts reach all VMs of a large fleet, whoever learned of them", async () => {
   const { vms, others, stop } = await startFleet();
-  const news = [makeServerNews(makeServer("1"), 1)];
+  const seenAtMs = 0;
+  const news = [
+    makeServerNews(makeServer("1"), 1),
+    toEndNews({ request: "r", round: 0, server: "1", vm: "vm-0", seenAtMs }),
+  ];
   others[0].board.apply(news);
   others[0].mesh.passOn(news);
   await waitUntil(() =>
-    vms.every(({ board }) => board.listTopic("servers").length === 1)
+    vms.every(({ board }) =>
+      board.listTopic("servers").length === 1 &&
+      board.listTopic("suspects").length === 1
+    )
   );
   await stop();
 });
