Hold in the own entries as well what requests servers end under

The cause of the incident stood there too: three exchanges an arrival, nothing outlived one. Ten arrivals of a request that ends servers: 30 servers before (the test failed first), 3 now. Each entry for itself; telling each other is left to the move onto the gateway's core.

--- a/bench/request_path.ts
+++ b/bench/request_path.ts
@@ -24,6 +24,7 @@
   RoundRobinChoice,
   TwoChoices,
 } from "../src/forwarding/choice.ts";
+import { createDeadlyRequests } from "../src/forwarding/deadly_requests.ts";
 import { createLocalRunner } from "../src/forwarding/local_runner.ts";
 import { syncServers } from "../src/forwarding/servers.ts";
 import type {
@@ -32,6 +33,7 @@
   Outcome,
 } from "../src/forwarding/types.ts";
 import { createFakeClock, type FakeClock } from "../src/runtime/clock.ts";
+import type { EndCheck } from "../src/servers/end_check.ts";
 import {
   createRandom,
   drawExponential,
@@ -155,7 +157,9 @@
   const { document, fault } = made;
   const backends = new QueueingBackends(document, { clock, random });
   const policy = makePolicy(createRandom(11));
-  const runner = createLocalRunner({ clock, random, backends, policy });
+  const endCheck: EndCheck = { check: () => Promise.resolve("runs") };
+  const deadly = createDeadlyRequests(clock, endCheck);
+  const runner = createLocalRunner({ clock, random, backends, policy, deadly });
   const { set } = runner.line(document);
   const sync = () => {
     syncServers(set, document, {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
 import { startFrame } from "../daemon/frame.ts";
 import { HttpBackendClient } from "../forwarding/backend_client.ts";
 import { ExpectedLatencyChoice } from "../forwarding/choice.ts";
+import { createDeadlyRequests } from "../forwarding/deadly_requests.ts";
 import { createFigures } from "../forwarding/figures.ts";
 import { createFlow } from "../forwarding/flow.ts";
 import { createKeyRegistry } from "../forwarding/key_registry.ts";
@@ -16,10 +17,12 @@
 import { createBlockSource } from "../lookup/routes.ts";
 import { requireKey } from "../runtime/access.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { dial } from "../runtime/dial.ts";
 import { createRouter } from "../runtime/http_server.ts";
 import type { Daemon } from "../runtime/process.ts";
 import { createRandom } from "../runtime/random.ts";
 import type { DaemonSettings } from "../runtime/settings.ts";
+import { createEndCheck } from "../servers/end_check.ts";
 import { startServerWatch } from "./server_watch.ts";
 
 const LOAD_PERIOD_MS = 500;
@@ -52,7 +55,14 @@
   const random = createRandom(agent.self.incarnation & SEED_MASK);
   const backends = new HttpBackendClient();
   const policy = new ExpectedLatencyChoice(random);
-  const runner = createLocalRunner({ clock, random, backends, policy });
+  const deadly = createDeadlyRequests(clock, createEndCheck(dial));
+  const runner = createLocalRunner({
+    clock,
+    random,
+    backends,
+    policy,
+    deadly,
+  });
   const peers = new HttpPeerClient(settings.peerKey, frame.translate);
   const registry = createKeyRegistry();
   const figures = createFigures({ self: agent.self, runner, clock, metrics });
@@ -95,6 +105,7 @@
     async close() {
       loadTimer.cancel();
       watch.close();
+      deadly.close();
       await Promise.all([backends.close(), peers.close()]);
     },
   });
--- /dev/null
+++ b/src/forwarding/deadly_requests.ts
@@ -0,0 +1,104 @@
+/**
+ * Requests under which this entry saw backend servers end.
+ *
+ * Load pattern: a request ends each server that runs it, and its caller repeats
+ * it; with three exchanges an arrival, ten arrivals ended thirty servers.
+ * Entries don't tell each other: each sees its own three ends.
+ *
+ * @module
+ */
+import type { BackendServer } from "../config/schema.ts";
+import { createNewsBoard } from "../news/board.ts";
+import { makeFingerprint } from "../quarantine/fingerprint.ts";
+import { createSuspects } from "../quarantine/suspects.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { createLogger } from "../runtime/logger.ts";
+import type { EndCheck } from "../servers/end_check.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import type { ForwardRequest } from "./types.ts";
+
+const log = createLogger("forwarding");
+
+/** Three servers in a row hardly end under one request by chance. */
+const MAX_SERVER_ENDS = 3;
+/** Servers that end under a request until its arrival is not sent on. */
+const MAX_ENDS_FOR_RETRY = 1;
+/** What a server drops as it ends is noticed within that time. */
+const SAME_END_MS = 1_000;
+
+/** What an entry holds against requests. */
+export interface DeadlyRequests {
+  /** @returns A name that each repeat of the request has as well. */
+  name(request: ForwardRequest): string;
+  /** @returns Time until it may run; undefined where it may now. */
+  getPauseMs(name: string): number | undefined;
+  /** @returns Whether it may be sent on within the same arrival. */
+  mayGoOn(name: string): boolean;
+  /** Notes that a server ran it to an answer. */
+  noteAnswer(name: string): void;
+  /** Looks whether a server ended that gave no answer. */
+  noteFailure(name: string, server: BackendServer): Promise<void>;
+  close(): void;
+}
+
+/**
+ * @param clock The clock.
+ * @param endCheck Tells servers that ended.
+ * @returns An entry's memory that holds nothing against any request.
+ */
+export function createDeadlyRequests(
+  clock: Clock,
+  endCheck: EndCheck,
+): DeadlyRequests {
+  const board = createNewsBoard(clock);
+  const ends = new Map<string, { count: number; atMs: number }>();
+  const suspects = createSuspects({
+    clock,
+    log: createSilentLog(),
+    ownId: "entry",
+    terms: { maxServerEnds: MAX_SERVER_ENDS },
+    publish: (items) => void board.apply(items),
+    forget: (items) => void board.apply(items),
+  });
+  board.subscribe(suspects.apply);
+
+  /** Backend servers keep their name when they start again. */
+  function nameStart({ id }: BackendServer): string {
+    const nowMs = clock.monotonicMs();
+    const last = ends.get(id) ?? { count: 0, atMs: -Infinity };
+    const isSame = nowMs - last.atMs < SAME_END_MS;
+    const end = isSame ? last : { count: last.count + 1, atMs: nowMs };
+    ends.set(id, end);
+    return `${id} ${end.count}`;
+  }
+
+  return {
+    name: ({ method, service, path, body }) =>
+      makeFingerprint({ method, host: service, path, caller: "", body }),
+    getPauseMs(name) {
+      const judgement = suspects.judge(name);
+      if (judgement.kind === "set_aside") return judgement.retryAfterMs;
+      if (judgement.kind === "suspect") suspects.noteTried(name);
+      return undefined;
+    },
+    mayGoOn(name) {
+      const judgement = suspects.judge(name);
+      return judgement.kind === "clear" ||
+        judgement.ends.length <= MAX_ENDS_FOR_RETRY;
+    },
+    noteAnswer: suspects.noteAnswer,
+    close: suspects.stop,
+    async noteFailure(name, server) {
+      const verdict = await endCheck.check(server);
+      if (verdict !== "ended") return;
+      suspects.noteEnd(name, nameStart(server));
+      const judgement = suspects.judge(name);
+      log.info("Backend server ended under a request", {
+        step: "backend.exchange",
+        peer: server.id,
+        request: name,
+        judgement: judgement.kind,
+      });
+    },
+  };
+}
--- a/src/forwarding/local_runner.ts
+++ b/src/forwarding/local_runner.ts
@@ -15,6 +15,7 @@
 import type { BackendClient } from "./backend_client.ts";
 import type { Candidate, ChoicePolicy } from "./choice.ts";
 import { createCutOff } from "./cut_off.ts";
+import type { DeadlyRequests } from "./deadly_requests.ts";
 import { createOutcomeMaker } from "./outcomes.ts";
 import { createRetryBudget, decideRetry, type RetryBudget } from "./retry.ts";
 import {
@@ -44,6 +45,7 @@
   random: Random;
   backends: BackendClient;
   policy: ChoicePolicy;
+  deadly: DeadlyRequests;
 }
 
 /** One service's waiting line and servers. */
@@ -74,7 +76,7 @@
  * @returns A runner that knows no service yet.
  */
 export function createLocalRunner(options: RunnerOptions): LocalRunner {
-  const { clock, random, backends, policy } = options;
+  const { clock, random, backends, policy, deadly } = options;
   const { notRun, unknown } = createOutcomeMaker(random);
   const lines = new Map<string, ServiceLine>();
   const budget: RetryBudget = createRetryBudget();
@@ -112,6 +114,11 @@
   ): Promise<Outcome> {
     const own = line(document);
     budget.noteRequest();
+    const pauseMs = deadly.getPauseMs(deadly.name(request));
+    if (pauseMs !== undefined) {
+      const reason = "Backend servers ended while they ran this request";
+      return Promise.resolve(notRun(reason, pauseMs));
+    }
     const { weight } = request.requestClass;
     const serviceMs = getServiceMs(own);
     const admission = decideAdmission({
@@ -168,6 +175,7 @@
     request: ForwardRequest,
   ): Promise<Outcome> {
     const tried = new Set<string>();
+    const name = deadly.name(request);
     let mayHaveRun = false;
     for (let attempts = 1;; attempts++) {
       const state = chooseServer(own, tried);
@@ -177,13 +185,21 @@
       }
       tried.add(state.server.id);
       const result = await exchange(own, state, request);
-      if (result.kind === "answer") return result;
+      if (result.kind === "answer") {
+        deadly.noteAnswer(name);
+        return result;
+      }
+      if (result.kind === "failed") {
+        const isNoted = deadly.noteFailure(name, state.server);
+        // What must not run twice waits for nothing more.
+        if (request.requestClass.idempotent) await isNoted;
+      }
       const decision = decideRetry({
         result,
         idempotent: request.requestClass.idempotent,
         attempts,
         mayHaveRun,
-        hasBudget: budget.hasBudget(),
+        hasBudget: budget.hasBudget() && deadly.mayGoOn(name),
         hasTime: hasTime(own, request),
       });
       mayHaveRun ||= result.kind === "failed";
--- a/src/forwarding/local_runner_test.ts
+++ b/src/forwarding/local_runner_test.ts
@@ -6,8 +6,10 @@
 import type { HealthReport } from "../control/messages.ts";
 import { createFakeClock, type FakeClock } from "../runtime/clock.ts";
 import { createRandom, type Random } from "../runtime/random.ts";
+import type { EndCheck } from "../servers/end_check.ts";
 import { BackendClient, type BackendExchange } from "./backend_client.ts";
 import { ExpectedLatencyChoice } from "./choice.ts";
+import { createDeadlyRequests } from "./deadly_requests.ts";
 import { createLocalRunner } from "./local_runner.ts";
 import { markLeaving, syncServers } from "./servers.ts";
 import type { ExchangeResult, ForwardRequest, Outcome } from "./types.ts";
@@ -117,7 +119,9 @@
   const random = createRandom(seed);
   const backends = new FakeBackends(clock, random, () => modeOf(random));
   const policy = new ExpectedLatencyChoice(random);
-  const runner = createLocalRunner({ clock, random, backends, policy });
+  const endCheck: EndCheck = { check: () => Promise.resolve("ended") };
+  const deadly = createDeadlyRequests(clock, endCheck);
+  const runner = createLocalRunner({ clock, random, backends, policy, deadly });
   const { set } = runner.line(document);
   syncServers(set, document, {
     failureDomain: "a1",
@@ -142,7 +146,7 @@
     service: "s",
     requestClass: document.classes[idempotent ? 0 : 1],
     method: idempotent ? "GET" : "POST",
-    path: "/",
+    path: `/${id}`,
     contentType: undefined,
     body: Buffer.alloc(0),
     deadlineMs: clock.monotonicMs() + timeMs,
@@ -261,6 +265,20 @@
   assert.is(backends.runs.get("late"), undefined);
 });
 
+test("a request under which servers end is not sent to further ones", async () => {
+  const { clock, runner, backends } = setUp(() => "dies_after");
+  for (let index = 0; index < 10; index++) {
+    const options = { clock, idempotent: true, timeMs: 900 };
+    const request = { ...makeRequest(`r${index}`, options), path: "/deadly" };
+    const run = runner.run(document, request);
+    await advance(clock, 2_000);
+    const { kind } = await run;
+    assert.is(kind, index < 2 ? "unknown" : "not_run");
+  }
+  const runs = [...backends.runs.values()].reduce((sum, count) => sum + count);
+  assert.is(runs, 3);
+});
+
 test("a leaving server gets no new work at once", async () => {
   const { clock, runner, backends, set } = setUp(() => "answer");
   markLeaving(set.servers.get("s-0")!, "document", 0);
--- a/src/servers/end_check.ts
+++ b/src/servers/end_check.ts
@@ -7,7 +7,13 @@
  * @module
  */
 import type { Dial } from "../runtime/dial.ts";
-import type { ListedServer } from "./types.ts";
+
+/** A server that can be looked for. */
+export interface Addressed {
+  id: string;
+  /** `host:port`. */
+  address: string;
+}
 
 /** What is behind a connection that ended without an answer. */
 export type EndVerdict =
@@ -24,7 +30,7 @@
    * @param server A server on which a connection ended without an answer.
    * @returns What is behind it.
    */
-  check(server: ListedServer): Promise<EndVerdict>;
+  check(server: Addressed): Promise<EndVerdict>;
 }
 
 /** Twice the way to another region and back, of 70 ms. */
@@ -44,7 +50,7 @@
 export function createEndCheck(dial: Dial): EndCheck {
   const running = new Map<string, Promise<EndVerdict>>();
 
-  async function look({ id, address }: ListedServer): Promise<EndVerdict> {
+  async function look({ id, address }: Addressed): Promise<EndVerdict> {
     const result = await dial(address, DIAL_TIMEOUT_MS);
     running.delete(id);
     return VERDICTS[result];
