Let some VMs retry where the allowance is under one for each

Each VM's part of the retry allowance was a bucket of that size; under one, it never held a whole retry: with 195 VMs and an allowance of 64 (0.25 each) no request was ever sent again, and the soak with 6 for six VMs neither. Now such parts are whole ones for some VMs, others for each service. Test failed first (0 retries; now 33 to 64 of 64).

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -144,10 +144,11 @@
     getRequestsPerS: figures.getRequestsPerS,
     maxShift: settings.bounds.maxShift,
   });
-  const budget = createRetryBudget({
+  const terms = {
     ratio: settings.bounds.retryRatio,
     allowance: settings.bounds.retryAllowance,
-  }, vms.countServing);
+  };
+  const budget = createRetryBudget(terms, vms.countServing, self.id);
   const pace = createPaceTable();
   const suspects = createSuspects({
     clock,
--- a/src/retries/budget.ts
+++ b/src/retries/budget.ts
@@ -8,6 +8,8 @@
  * @module
  */
 
+import { hashToUnit } from "../runtime/hash.ts";
+
 /** What all VMs together may spend in one window. */
 export interface BudgetTerms {
   /** Retries for each request. */
@@ -36,26 +38,34 @@
 /**
  * @param terms What all VMs may spend.
  * @param countVms How many VMs serve callers now.
+ * @param ownId This VM.
  * @returns A full budget.
  */
 export function createRetryBudget(
   terms: BudgetTerms,
   countVms: () => number,
+  ownId: string,
 ): RetryBudget {
   const tokensByService = new Map<string, number>();
 
-  function getCapacity(): number {
-    return terms.allowance * SPENT_SHARE / Math.max(1, countVms());
+  /**
+   * Parts below one retry can't be spent: where the allowance is smaller than
+   * the fleet, some VMs have a whole one, others for each service.
+   */
+  function getCapacity(service: string): number {
+    const part = terms.allowance * SPENT_SHARE / Math.max(1, countVms());
+    if (part >= 1) return part;
+    return hashToUnit(`${ownId} ${service}`) < part ? 1 : 0;
   }
 
   function getTokens(service: string): number {
-    return tokensByService.get(service) ?? getCapacity();
+    return tokensByService.get(service) ?? getCapacity(service);
   }
 
   return {
     noteRequest(service) {
       const tokens = getTokens(service) + terms.ratio * SPENT_SHARE;
-      tokensByService.set(service, Math.min(getCapacity(), tokens));
+      tokensByService.set(service, Math.min(getCapacity(service), tokens));
     },
     take(service) {
       const tokens = getTokens(service);
