Don't hold it against a request that its server was leaving

A server that drains ends under whatever it still runs. Three of them in a row set a harmless request aside (test failed first: 3 sends, now 4).

--- a/src/servers/registry.ts
+++ b/src/servers/registry.ts
@@ -35,6 +35,8 @@
    * @returns Its servers that may be sent requests, cold ones included.
    */
   listUsable(service: string): readonly KnownServer[];
+  /** @returns Whether a server is listed, and is to get requests. */
+  isUsable(server: KnownServer): boolean;
   /** @returns Every server that is listed. */
   listAll(): KnownServer[];
   /** Notes that a server's address belongs to another one now. */
@@ -212,6 +214,9 @@
   return {
     apply,
     listUsable,
+    isUsable: (server) =>
+      servers.get(server.listed.registeredName) === server &&
+      isUsableServer(server),
     listAll: () => [...servers.values()],
     markReplaced(id) {
       const server = [...servers.values()].find(({ listed }) =>
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -233,7 +233,9 @@
       },
       "connection cut",
     );
-    if (verdict === "ended") suspects.noteEnd(fingerprint, server.listed.id);
+    // One that was leaving would have ended under whatever it ran.
+    if (verdict !== "ended" || !registry.isUsable(server)) return;
+    suspects.noteEnd(fingerprint, server.listed.id);
   }
 
   function judge(
