Name a request once in an entry, not twice

Each request was hashed on admission and again before its first server. Nothing else changes: 104 tests of forwarding, deployment and entry pass; the gateway is not touched.

--- a/src/forwarding/local_runner.ts
+++ b/src/forwarding/local_runner.ts
@@ -114,7 +114,8 @@
   ): Promise<Outcome> {
     const own = line(document);
     budget.noteRequest();
-    const pauseMs = deadly.getPauseMs(deadly.name(request));
+    const name = deadly.name(request);
+    const pauseMs = deadly.getPauseMs(name);
     if (pauseMs !== undefined) {
       const reason = "Backend servers ended while they ran this request";
       return Promise.resolve(notRun(reason, pauseMs));
@@ -132,14 +133,14 @@
     if (admission.decision === "refuse") {
       return Promise.resolve(notRun(admission.reason, admission.waitMs));
     }
-    return waitAndRun(own, request, serviceMs);
+    return waitAndRun(own, request, { name, serviceMs });
   }
 
   /** A request whose time runs out in the line is refused at that moment. */
   async function waitAndRun(
     own: ServiceLine,
     request: ForwardRequest,
-    serviceMs: number,
+    { name, serviceMs }: { name: string; serviceMs: number },
   ): Promise<Outcome> {
     const lineExit = new AbortController();
     const patienceMs = request.deadlineMs - clock.monotonicMs() - serviceMs;
@@ -156,7 +157,7 @@
     try {
       return await own.queue.add(() => {
         stopWaiting();
-        return runOnServers(own, request);
+        return runOnServers(own, request, name);
       }, {
         priority: request.requestClass.weight,
         id: request.id,
@@ -173,9 +174,9 @@
   async function runOnServers(
     own: ServiceLine,
     request: ForwardRequest,
+    name: string,
   ): Promise<Outcome> {
     const tried = new Set<string>();
-    const name = deadly.name(request);
     let mayHaveRun = false;
     for (let attempts = 1;; attempts++) {
       const state = chooseServer(own, tried);
