Keep limits of client accounts in two ways, compared in a model

Equal parts need no word between VMs, and refuse most where callers come to few VMs; shared usage keeps the bucket as all VMs together use it, and lets requests through by the part of the demand that the rate covers where it runs low. The test plays each load with bursts of 0, 0.2, 1 and 3 s of the rate: none exceeds the bound in either way. Shared usage is kept. Not wired yet.

--- a/bench/mod.ts
+++ b/bench/mod.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import process from "node:process";
+import { benchLimits } from "./limits.ts";
 import { benchRequestPath } from "./request_path.ts";
 import { benchSlopes } from "./slopes.ts";
 import { benchSteering } from "./steering/mod.ts";
 
 const BENCHES: Record<string, () => void | Promise<void>> = {
+  limits: benchLimits,
   request_path: benchRequestPath,
   slopes: benchSlopes,
   steering: benchSteering,
--- /dev/null
+++ b/src/accounts/equal_parts.ts
@@ -0,0 +1,79 @@
+/**
+ * Limits by equal parts: each VM may use its part, whatever the others use.
+ *
+ * Nothing has to be told and nothing can be exceeded, cut off or not. An account
+ * whose requests come to few VMs is refused most of what it may have.
+ *
+ * @module
+ */
+import type { Clock } from "../runtime/clock.ts";
+import { type Bucket, refill } from "./bucket.ts";
+import {
+  AccountLimiter,
+  type AccountUsage,
+  type Admission,
+  type LimitState,
+  MAX_LISTED,
+} from "./limiter.ts";
+import type { ClientAccount } from "./types.ts";
+
+/** Gives each VM its part of each limit. */
+export class EqualParts extends AccountLimiter {
+  readonly #clock: Clock;
+  readonly #countVms: () => number;
+  readonly #startedAtMs: number;
+  readonly #buckets = new Map<string, Bucket>();
+
+  /**
+   * @param clock The clock.
+   * @param countVms How many VMs may serve, this one included.
+   */
+  constructor(clock: Clock, countVms: () => number) {
+    super();
+    this.#clock = clock;
+    this.#countVms = countVms;
+    this.#startedAtMs = clock.monotonicMs();
+  }
+
+  override take(account: ClientAccount): Admission {
+    const { ratePerS } = account;
+    if (ratePerS === undefined) return { kind: "within" };
+    const bucket = this.#refill(account);
+    if (bucket.level >= 1) {
+      bucket.level--;
+      return { kind: "within" };
+    }
+    const ownPerS = ratePerS / this.#countVms();
+    return { kind: "over", retryAfterMs: (1 - bucket.level) * 1_000 / ownPerS };
+  }
+
+  override charge(account: ClientAccount): void {
+    if (account.ratePerS !== undefined) this.#refill(account).level--;
+  }
+
+  override giveBack(account: ClientAccount): void {
+    if (account.ratePerS !== undefined) this.#refill(account).level++;
+  }
+
+  override takeNews(): AccountUsage[] {
+    return [];
+  }
+
+  override receive(): void {}
+
+  override list(): LimitState[] {
+    return [...this.#buckets].slice(0, MAX_LISTED).map((
+      [account, { level }],
+    ) => ({ account, level, ownPerS: 0, othersPerS: 0 }));
+  }
+
+  #refill({ name, ratePerS = 0, burst }: ClientAccount): Bucket {
+    const known = this.#buckets.get(name);
+    const bucket = known ?? { level: 0, refilledAtMs: this.#startedAtMs };
+    if (known === undefined) this.#buckets.set(name, bucket);
+    const vms = this.#countVms();
+    const terms = { ratePerS: ratePerS / vms, burst: burst / vms };
+    refill(bucket, terms, this.#clock.monotonicMs());
+    return bucket;
+  }
+}
--- /dev/null
+++ b/src/accounts/gate_test.ts
@@ -0,0 +1,82 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { createAccountDirectory } from "./directory.ts";
+import { combineHomes, type Credentials, identify } from "./gate.ts";
+import { digestKey } from "./keys.ts";
+import type { AccountBounds, ClientAccount } from "./types.ts";
+
+const BOUNDS: AccountBounds = {
+  configurationMs: 3_000,
+  withdrawalMs: 5_000,
+  limitMargin: { windowMs: 5_000, ratio: 0.1, allowance: 20 },
+};
+
+function makeAccount(name: string, ...keys: string[]): ClientAccount {
+  return {
+    name,
+    keyDigests: keys.map(digestKey),
+    burst: 0,
+    homeRegions: [],
+  };
+}
+
+const accounts = createAccountDirectory([
+  makeAccount("one", "k1", "k2"),
+  makeAccount("__proto__", "k3"),
+]);
+
+function identifyWith(changes: Partial<Credentials>, bounds = BOUNDS): string {
+  const found = identify({
+    accounts,
+    isPublic: false,
+    apiKey: "k1",
+    knowledgeAgeMs: 0,
+    ...changes,
+  }, bounds);
+  return found.kind === "account" ? found.account.name : found.kind;
+}
+
+test("each key of an account names it, whatever its name", () => {
+  assert.is(identifyWith({ apiKey: "k2" }), "one");
+  assert.is(identifyWith({ apiKey: "k3" }), "__proto__");
+});
+
+test("no key, and keys that are no account's, are unknown", () => {
+  assert.is(identifyWith({ apiKey: undefined }), "unknown");
+  assert.is(identifyWith({ apiKey: "" }), "unknown");
+  assert.is(identifyWith({ apiKey: "__proto__" }), "unknown");
+  assert.is(identifyWith({ apiKey: "constructor" }), "unknown");
+});
+
+test("no account is needed on public routes, or where there are none", () => {
+  assert.is(identifyWith({ isPublic: true, apiKey: "other" }), "open");
+  assert.is(identifyWith({ accounts: undefined, apiKey: undefined }), "open");
+  const oldest = { isPublic: true, knowledgeAgeMs: Infinity };
+  assert.is(identifyWith(oldest), "open");
+});
+
+test("a VM that may be behind doesn't say that a key is unknown", () => {
+  assert.is(identifyWith({ apiKey: "new", knowledgeAgeMs: 2_900 }), "unknown");
+  assert.is(identifyWith({ apiKey: "new", knowledgeAgeMs: 3_100 }), "unproven");
+});
+
+test("no key runs on knowledge that a withdrawal may have passed by", () => {
+  assert.is(identifyWith({ knowledgeAgeMs: 4_600 }), "one");
+  assert.is(identifyWith({ knowledgeAgeMs: 5_000 }), "unproven");
+  assert.is(identifyWith({ knowledgeAgeMs: Infinity }), "unproven");
+});
+
+test("without that bound, VMs that are cut off go by what they know", () => {
+  const bounds = { ...BOUNDS, withdrawalMs: undefined };
+  assert.is(identifyWith({ knowledgeAgeMs: 600_000 }, bounds), "one");
+});
+
+test("homes of the route and of the account both bind", () => {
+  assert.equal(combineHomes([], []), []);
+  assert.equal(combineHomes(["oslo"], []), ["oslo"]);
+  assert.equal(combineHomes([], ["bergen"]), ["bergen"]);
+  assert.equal(combineHomes(["oslo", "bergen"], ["bergen"]), ["bergen"]);
+  assert.is(combineHomes(["oslo"], ["bergen"]), undefined);
+});
+
+test.run();
--- /dev/null
+++ b/src/accounts/model/limits_test.ts
@@ -0,0 +1,56 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { listLimitScenarios } from "./scenarios.ts";
+import { type LimitWay, playLimits } from "./world.ts";
+
+const WAYS: readonly LimitWay[] = ["equal_parts", "shared_usage"];
+const FLEETS = [
+  { vms: 9, ratePerS: 25 },
+  { vms: 60, ratePerS: 200 },
+];
+const SEEDS = [1, 2, 3];
+/** Bursts, in seconds of the rate. */
+const BURSTS_S = [0, 0.2, 1, 3];
+
+for (const way of WAYS) {
+  test(`no load exceeds a limit and its margin, kept by ${way}`, () => {
+    for (const { vms, ratePerS } of FLEETS) {
+      for (const scenario of listLimitScenarios(vms, ratePerS)) {
+        for (const burstS of BURSTS_S) {
+          for (const seed of SEEDS) {
+            const burst = burstS * scenario.ratePerS;
+            const { mostOfBound } = playLimits(
+              way,
+              { ...scenario, burst },
+              seed,
+            );
+            const name = `${scenario.name}, ${vms} VMs, burst ${burst}`;
+            assert.ok(mostOfBound <= 1, `${name}: ${mostOfBound}`);
+          }
+        }
+      }
+    }
+  });
+}
+
+/** Least part of what is allowed that is served, by load. */
+const AIMS: Record<string, number> = {
+  "steady": 0.98,
+  "far over, spread": 0.98,
+  "one VM, over": 0.95,
+  "one VM, usual": 0.95,
+  "moving between regions": 0.95,
+  "region cut, usual": 0.98,
+};
+
+for (const [load, aim] of Object.entries(AIMS)) {
+  test(`shared usage serves ${aim} of what is allowed: ${load}`, () => {
+    const scenario = listLimitScenarios(60, 200).find(({ name }) =>
+      name === load
+    );
+    const { servedShare } = playLimits("shared_usage", scenario!);
+    assert.ok(servedShare >= aim, `${servedShare}`);
+  });
+}
+
+test.run();
--- /dev/null
+++ b/src/accounts/model/world.ts
@@ -0,0 +1,260 @@
+/**
+ * A fleet under a fake clock in which client accounts ask for more or less than
+ * they may: what each way of limiting lets through, against what one VM that
+ * knew everything would.
+ *
+ * @module
+ */
+import { makeVmIdentity } from "../../gateway/fixture.ts";
+import { arrange } from "../../members/hubs.ts";
+import type { VmIdentity } from "../../members/types.ts";
+import { createFakeClock, type FakeClock } from "../../runtime/clock.ts";
+import { createRandom, type Random } from "../../runtime/random.ts";
+import { type Bucket, refill } from "../bucket.ts";
+import { EqualParts } from "../equal_parts.ts";
+import type { AccountLimiter } from "../limiter.ts";
+import { createLimitPool } from "../pool.ts";
+import { SharedUsage } from "../shared_usage.ts";
+import type { ClientAccount } from "../types.ts";
+import {
+  startUsageSharing,
+  type UsageNews,
+  type UsageSharing,
+} from "../usage_sharing.ts";
+
+/** A way of keeping limits. */
+export type LimitWay = "equal_parts" | "shared_usage";
+
+/** What happens to a fleet. */
+export interface LimitScenario {
+  name: string;
+  vms: number;
+  ratePerS: number;
+  burst: number;
+  durationMs: number;
+  /**
+   * @param vm Index of a VM.
+   * @param nowMs Time since the start.
+   * @returns Requests a second that come to it.
+   */
+  getDemandPerS: (vm: number, nowMs: number) => number;
+  /** Whether two regions are cut off from each other. */
+  isCut?: (from: string, to: string, nowMs: number) => boolean;
+  /** When which VMs start anew. */
+  restarts?: { atMs: number; vms: readonly number[]; downMs: number }[];
+  /** The limit from some time on. */
+  lowered?: { atMs: number; ratePerS: number; burst: number };
+}
+
+/** What came of it. */
+export interface LimitFigures {
+  asked: number;
+  served: number;
+  /** What one VM that knew everything would have served. */
+  allowed: number;
+  /** Served, of what was allowed. */
+  servedShare: number;
+  /** Most in any window, as a part of what the limit and its margin allow. */
+  mostOfBound: number;
+  /** Served in each second. */
+  servedPerS: number[];
+}
+
+const REGIONS = ["oslo", "bergen", "trondheim"];
+const STEP_MS = 10;
+const REGION_DELAY_MS = 35;
+const LOCAL_DELAY_MS = 2;
+/** Before it, VMs get to know each other and nothing is asked. */
+const LEAD_MS = 3_000;
+const WINDOW_MS = 5_000;
+const MARGIN_RATIO = 0.1;
+const MARGIN_ALLOWANCE = 20;
+const ACCOUNT = "an account";
+
+interface ModelVm {
+  identity: VmIdentity;
+  limiter: AccountLimiter;
+  sharing: UsageSharing | undefined;
+  isUp: boolean;
+}
+
+/**
+ * @param way How limits are kept.
+ * @param scenario What happens.
+ * @param seed Draws the moments at which requests come.
+ * @returns What came of it.
+ */
+export function playLimits(
+  way: LimitWay,
+  scenario: LimitScenario,
+  seed = 1,
+): LimitFigures {
+  const clock = createFakeClock();
+  const random = createRandom(seed);
+  const account: ClientAccount = {
+    name: ACCOUNT,
+    keyDigests: [],
+    ratePerS: scenario.ratePerS,
+    burst: scenario.burst,
+    homeRegions: [],
+  };
+  const fleet = startFleet(way, scenario, { clock, random, account });
+  const ideal: Bucket = { level: scenario.burst, refilledAtMs: LEAD_MS };
+  const servedAtMs: number[] = [];
+  let asked = 0;
+  let allowed = 0;
+  clock.advance(LEAD_MS);
+  for (let nowMs = 0; nowMs < scenario.durationMs; nowMs += STEP_MS) {
+    applyEvents(scenario, nowMs, account, fleet);
+    for (let index = 0; index < scenario.vms; index++) {
+      const vm = fleet.vms[index];
+      const mean = scenario.getDemandPerS(index, nowMs) * STEP_MS / 1_000;
+      for (let count = drawPoisson(random, mean); count > 0; count--) {
+        if (!vm.isUp) continue;
+        asked++;
+        refill(
+          ideal,
+          { ratePerS: account.ratePerS!, burst: account.burst },
+          LEAD_MS + nowMs,
+        );
+        if (ideal.level >= 1) {
+          ideal.level--;
+          allowed++;
+        }
+        if (vm.limiter.take(account).kind === "within") servedAtMs.push(nowMs);
+      }
+    }
+    clock.advance(STEP_MS);
+  }
+  for (const { sharing } of fleet.vms) sharing?.stop();
+  const servedPerS = Array.from(
+    { length: scenario.durationMs / 1_000 },
+    (_, second) =>
+      servedAtMs.filter((atMs) => Math.floor(atMs / 1_000) === second).length,
+  );
+  return {
+    asked,
+    served: servedAtMs.length,
+    allowed,
+    servedShare: servedAtMs.length / allowed,
+    mostOfBound: getMostOfBound(servedAtMs, scenario),
+    servedPerS,
+  };
+}
+
+interface Fleet {
+  vms: ModelVm[];
+  restart(index: number): void;
+}
+
+function startFleet(
+  way: LimitWay,
+  scenario: LimitScenario,
+  { clock, random, account }: {
+    clock: FakeClock;
+    random: Random;
+    account: ClientAccount;
+  },
+): Fleet {
+  const identities = Array.from(
+    { length: scenario.vms },
+    (_, index) =>
+      makeVmIdentity(`vm-${index}`, {
+        region: REGIONS[index % REGIONS.length],
+      }),
+  );
+  const topology = arrange(identities);
+  const vms: ModelVm[] = [];
+
+  function deliver(from: VmIdentity, toId: string, news: UsageNews): void {
+    const to = vms.find(({ identity }) => identity.id === toId);
+    if (to === undefined) return;
+    const isNear = from.region === to.identity.region;
+    const delayMs = isNear ? LOCAL_DELAY_MS : REGION_DELAY_MS;
+    const nowMs = clock.monotonicMs() - LEAD_MS;
+    if (scenario.isCut?.(from.region, to.identity.region, nowMs)) return;
+    clock.after(delayMs, () => {
+      if (to.isUp) to.sharing?.receive(from, news);
+    });
+  }
+
+  function startVm(identity: VmIdentity): ModelVm {
+    if (way === "equal_parts") {
+      const limiter = new EqualParts(clock, () => scenario.vms);
+      return { identity, limiter, sharing: undefined, isUp: true };
+    }
+    const pool = createLimitPool(clock, () => scenario.vms);
+    const limiter = new SharedUsage({
+      clock,
+      random,
+      getPart: pool.getPart,
+      findAccount: () => account,
+    });
+    const sharing = startUsageSharing({
+      self: identity,
+      clock,
+      limiter,
+      pool,
+      isNeeded: () => true,
+      listOthers: () => identities.filter(({ id }) => id !== identity.id),
+      getTopology: () => topology,
+      send: (ids, news) => ids.forEach((id) => deliver(identity, id, news)),
+    });
+    return { identity, limiter, sharing, isUp: true };
+  }
+
+  identities.forEach((identity) => vms.push(startVm(identity)));
+  return {
+    vms,
+    restart(index) {
+      vms[index] = startVm(identities[index]);
+    },
+  };
+}
+
+function applyEvents(
+  { lowered, restarts = [] }: LimitScenario,
+  nowMs: number,
+  account: ClientAccount,
+  fleet: Fleet,
+): void {
+  if (lowered?.atMs === nowMs) {
+    account.ratePerS = lowered.ratePerS;
+    account.burst = lowered.burst;
+  }
+  for (const { atMs, vms, downMs } of restarts) {
+    for (const index of vms) {
+      if (atMs === nowMs) {
+        fleet.vms[index].isUp = false;
+        fleet.vms[index].sharing?.stop();
+      }
+      if (atMs + downMs === nowMs) fleet.restart(index);
+    }
+  }
+}
+
+/** A lower limit binds once a window has passed. */
+function getMostOfBound(
+  servedAtMs: readonly number[],
+  { ratePerS, burst, lowered }: LimitScenario,
+): number {
+  let most = 0;
+  let first = 0;
+  servedAtMs.forEach((endMs, index) => {
+    while (servedAtMs[first] <= endMs - WINDOW_MS) first++;
+    const isLow = lowered !== undefined && endMs >= lowered.atMs + WINDOW_MS;
+    const limit = isLow ? lowered : { ratePerS, burst };
+    const allowed = limit.ratePerS * WINDOW_MS / 1_000 + limit.burst;
+    const bound = allowed * (1 + MARGIN_RATIO) + MARGIN_ALLOWANCE;
+    most = Math.max(most, (index - first + 1) / bound);
+  });
+  return most;
+}
+
+function drawPoisson(random: Random, mean: number): number {
+  if (mean <= 0) return 0;
+  const limit = Math.exp(-mean);
+  let count = 0;
+  for (let product = random(); product > limit; product *= random()) count++;
+  return count;
+}
--- /dev/null
+++ b/src/accounts/shared_usage.ts
@@ -0,0 +1,208 @@
+/**
+ * Limits by shared usage: each VM keeps the account's bucket as all VMs
+ * together use it, from what they tell each other.
+ *
+ * Load patterns: callers of one account come to one VM alone, or to sixty, or
+ * move from one failure domain to another within seconds; one sends five times
+ * what it may; a region is cut off. VMs that are heard from hold a common part
+ * of the limit; the parts of those that are not stay with them. What others
+ * used is heard a fraction of a second late, so where the bucket runs low
+ * requests are let through by the part of the demand that the rate covers: VMs
+ * that all took what was left at once would exceed it together.
+ *
+ * @module
+ */
+import type { Clock } from "../runtime/clock.ts";
+import type { Random } from "../runtime/random.ts";
+import {
+  type Bucket,
+  createRateMeter,
+  type RateMeter,
+  refill,
+} from "./bucket.ts";
+import {
+  AccountLimiter,
+  type AccountUsage,
+  type Admission,
+  type LimitState,
+  MAX_LISTED,
+} from "./limiter.ts";
+import type { ClientAccount } from "./types.ts";
+
+/** What shared usage needs. */
+export interface SharedUsageParts {
+  clock: Clock;
+  random: Random;
+  /** Part of every limit that this VM and those that it hears from hold. */
+  getPart: () => number;
+  /** Finds an account that other VMs told of. */
+  findAccount: (name: string) => ClientAccount | undefined;
+}
+
+interface Usage {
+  bucket: Bucket;
+  /** Part of the limit that the bucket stands for. */
+  part: number;
+  own: RateMeter;
+  others: RateMeter;
+  /** Not told yet. */
+  asked: number;
+  spent: number;
+  /** Rises by the admitted part of each request; a whole one is let through. */
+  credit: number;
+  /** When the callers that were turned away until now will have come back. */
+  returnAtMs: number;
+  usedAtMs: number;
+}
+
+/** How late what others used is heard: two pauses of telling and a way. */
+const NEWS_LAG_S = 0.35;
+/** Time in which the bucket is brought to where it should be. */
+const SETTLE_S = 0.4;
+/** The reserve for what is not heard yet takes this part of a burst at most. */
+const MAX_RESERVE_PART = 0.5;
+/** Accounts that rest for so long have a full bucket, and are forgotten. */
+const FORGET_MS = 60_000;
+const MIN_RETRY_MS = 50;
+/** A caller that is told more gives up; more is told to none. */
+const MAX_RETRY_MS = 10_000;
+
+/** Keeps limits by what VMs tell each other. */
+export class SharedUsage extends AccountLimiter {
+  readonly #parts: SharedUsageParts;
+  readonly #startedAtMs: number;
+  readonly #usages = new Map<string, Usage>();
+
+  /** @param parts What it needs. */
+  constructor(parts: SharedUsageParts) {
+    super();
+    this.#parts = parts;
+    this.#startedAtMs = parts.clock.monotonicMs();
+  }
+
+  override take(account: ClientAccount): Admission {
+    const { ratePerS } = account;
+    if (ratePerS === undefined) return { kind: "within" };
+    const usage = this.#get(account);
+    usage.asked++;
+    usage.own.note(1);
+    usage.usedAtMs = this.#parts.clock.monotonicMs();
+    if (!this.#isWithin(usage, ratePerS, account.burst)) {
+      return { kind: "over", retryAfterMs: this.#getReturn(usage, ratePerS) };
+    }
+    spend(usage, 1);
+    return { kind: "within" };
+  }
+
+  override charge(account: ClientAccount): void {
+    if (account.ratePerS !== undefined) spend(this.#get(account), 1);
+  }
+
+  override giveBack(account: ClientAccount): void {
+    if (account.ratePerS !== undefined) spend(this.#get(account), -1);
+  }
+
+  override takeNews(): AccountUsage[] {
+    const limitMs = this.#parts.clock.monotonicMs() - FORGET_MS;
+    const news: AccountUsage[] = [];
+    for (const [account, usage] of this.#usages) {
+      if (usage.usedAtMs < limitMs) this.#usages.delete(account);
+      const { asked, spent } = usage;
+      if (asked === 0 && spent === 0) continue;
+      news.push({ account, asked, spent });
+      usage.asked = 0;
+      usage.spent = 0;
+    }
+    return news;
+  }
+
+  override receive(told: readonly AccountUsage[]): void {
+    for (const { account: name, asked, spent } of told) {
+      const account = this.#parts.findAccount(name);
+      if (account?.ratePerS === undefined) continue;
+      const usage = this.#get(account);
+      usage.others.note(asked);
+      usage.bucket.level -= spent;
+      usage.usedAtMs = this.#parts.clock.monotonicMs();
+    }
+  }
+
+  override list(): LimitState[] {
+    return [...this.#usages].slice(0, MAX_LISTED).map(([account, usage]) => ({
+      account,
+      level: usage.bucket.level,
+      ownPerS: usage.own.getPerS(),
+      othersPerS: usage.others.getPerS(),
+    }));
+  }
+
+  /** A VM that starts has nothing: what was spent before is not known. */
+  #get({ name, ratePerS = 0, burst }: ClientAccount): Usage {
+    const { clock, random, getPart } = this.#parts;
+    const nowMs = clock.monotonicMs();
+    const part = getPart();
+    let usage = this.#usages.get(name);
+    if (usage === undefined) {
+      const getNowMs = () => clock.monotonicMs();
+      usage = {
+        bucket: { level: 0, refilledAtMs: this.#startedAtMs },
+        part,
+        own: createRateMeter(getNowMs),
+        others: createRateMeter(getNowMs),
+        asked: 0,
+        spent: 0,
+        credit: random(),
+        returnAtMs: nowMs,
+        usedAtMs: nowMs,
+      };
+      this.#usages.set(name, usage);
+    }
+    const { bucket } = usage;
+    // Those that fell silent keep what was theirs.
+    if (part < usage.part && bucket.level > 0) {
+      bucket.level *= part / usage.part;
+    }
+    usage.part = part;
+    refill(bucket, { ratePerS: ratePerS * part, burst: burst * part }, nowMs);
+    return usage;
+  }
+
+  #isWithin(usage: Usage, ratePerS: number, burst: number): boolean {
+    const { bucket, part, own, others } = usage;
+    if (bucket.level < 1) return false;
+    const othersPerS = others.getPerS();
+    const reserve = Math.min(
+      othersPerS * NEWS_LAG_S,
+      ratePerS * part * NEWS_LAG_S,
+      burst * part * MAX_RESERVE_PART,
+    );
+    const allowedPerS = ratePerS * part + (bucket.level - reserve) / SETTLE_S;
+    const demandPerS = own.getPerS() + othersPerS;
+    if (allowedPerS >= demandPerS) return true;
+    usage.credit += Math.max(0, allowedPerS / demandPerS);
+    if (usage.credit < 1) return false;
+    usage.credit--;
+    return true;
+  }
+
+  /** Callers that were turned away come back one after the other. */
+  #getReturn(usage: Usage, ratePerS: number): number {
+    const nowMs = this.#parts.clock.monotonicMs();
+    const ownPerS = usage.own.getPerS();
+    const demandPerS = ownPerS + usage.others.getPerS();
+    const sharePerS = ratePerS * usage.part * ownPerS / demandPerS;
+    const missing = Math.max(0, 1 - usage.bucket.level);
+    const earliestMs = nowMs + missing * 1_000 / (ratePerS * usage.part);
+    const latestMs = nowMs + MAX_RETRY_MS;
+    usage.returnAtMs = Math.min(
+      latestMs,
+      Math.max(earliestMs, usage.returnAtMs) + 1_000 / sharePerS,
+    );
+    return Math.max(MIN_RETRY_MS, Math.round(usage.returnAtMs - nowMs));
+  }
+}
+
+function spend(usage: Usage, requests: number): void {
+  usage.bucket.level -= requests;
+  usage.spent += requests;
+}
--- /dev/null
+++ b/src/accounts/types.ts
@@ -0,0 +1,45 @@
+/**
+ * Client accounts: who may call, how much, and where their requests run.
+ *
+ * @module
+ */
+
+/** A client account of the configuration. */
+export interface ClientAccount {
+  name: string;
+  /**
+   * Digests of its API keys. The keys themselves are not kept: what passes
+   * between VMs, into logs or dumps gives none away.
+   */
+  keyDigests: string[];
+  /** 0 is the most urgent; goes before the route's where it is there. */
+  priority?: number;
+  /** Requests a second over all VMs together; absent where there is no limit. */
+  ratePerS?: number;
+  /** Requests that may come at once on top of the rate. */
+  burst: number;
+  /** Regions that may serve the account; empty where all may. */
+  homeRegions: string[];
+}
+
+/** Bounds on what VMs may do by what they know of accounts. */
+export interface AccountBounds {
+  /** Time in which a change has to be in force on VMs that are in touch. */
+  configurationMs: number;
+  /**
+   * Time from its withdrawal after which a key runs nothing, on any VM; absent
+   * where cut-off VMs may go by what they know.
+   */
+  withdrawalMs?: number;
+  /** What all VMs together may exceed a limit by. */
+  limitMargin: LimitMargin;
+}
+
+/** Tolerated excess over an account's limit, in any window. */
+export interface LimitMargin {
+  windowMs: number;
+  /** Part of what the limit allows in the window. */
+  ratio: number;
+  /** Requests on top. */
+  allowance: number;
+}
