Know client accounts: keys, withdrawal, limits and homes

Cause: the product knew no accounts. Every key was passed on to backend servers, a withdrawn one ran for ever, a caller's own account header reached servers, no account had a limit or homes. Change: configurations hold accounts with digests of their keys; the front address says who calls before it reads a body: 401 for what no configuration holds, 503 with a time where this VM's knowledge is too old to tell, 429 at once over the limit. Servers get the account's name and never a key. Homes of route and account both bind. VMs tell each other proofs of how old their knowledge is, and what accounts used. Repeats of one caller are known by its account, not its key.

--- /dev/null
+++ b/src/accounts/reception.ts
@@ -0,0 +1,125 @@
+/**
+ * Receives callers: says who calls, whether that is within the account's limit,
+ * and where the request may run.
+ *
+ * @module
+ */
+import type { Route } from "../routing/types.ts";
+import type { RouteTable } from "../routing/table.ts";
+import type { Random } from "../runtime/random.ts";
+import type { Caller, CallerTerms, ServeResult } from "../serving/types.ts";
+import type { Log } from "../telemetry/log.ts";
+import { combineHomes, getUnprovenRetryMs, identify } from "./gate.ts";
+import type { AccountLimiter } from "./limiter.ts";
+import type { AccountBounds, ClientAccount } from "./types.ts";
+
+/** What a reception needs. */
+export interface ReceptionParts {
+  log: Log;
+  random: Random;
+  bounds: AccountBounds;
+  limiter: AccountLimiter;
+  /** Proven age of what is known; infinite before the first proof. */
+  getKnowledgeAgeMs: () => number;
+}
+
+/** A caller whose request may run. */
+export interface Guest {
+  kind: "guest";
+  caller: Caller;
+  /** Undefined where no account is needed. */
+  account: ClientAccount | undefined;
+  /** Regions that may serve it; empty for all, undefined for none. */
+  homeRegions: readonly string[] | undefined;
+}
+
+/** What comes of a caller. */
+export type Received = Guest | { kind: "rejected"; result: ServeResult };
+
+/** Receives callers. */
+export interface Reception {
+  /**
+   * @param table The configuration in force.
+   * @param route The route of the request.
+   * @param terms What its headers say.
+   * @returns Who calls, or how the request ends at once.
+   */
+  receive(table: RouteTable, route: Route, terms: CallerTerms): Received;
+  /** Takes back what was counted for a request that did not run. */
+  giveBack(guest: Guest): void;
+}
+
+/**
+ * @param parts What it needs.
+ * @returns A reception.
+ */
+export function createReception(parts: ReceptionParts): Reception {
+  const { log, random, bounds, limiter } = parts;
+
+  function takeWithin(
+    account: ClientAccount,
+    requestId: string | undefined,
+  ): ServeResult | undefined {
+    const admission = limiter.take(account);
+    if (admission.kind === "within") return undefined;
+    const { name, ratePerS, burst } = account;
+    const { retryAfterMs } = admission;
+    log.info(
+      { requestId, account: name, ratePerS, burst, retryAfterMs },
+      "over the limit",
+    );
+    return { kind: "limited", retryAfterMs };
+  }
+
+  return {
+    receive(table, route, { requestId, apiKey }) {
+      const knowledgeAgeMs = parts.getKnowledgeAgeMs();
+      const { accounts, configuration } = table;
+      const { isPublic } = route;
+      const found = identify(
+        { accounts, isPublic, apiKey, knowledgeAgeMs },
+        bounds,
+      );
+      if (found.kind === "open") {
+        return {
+          kind: "guest",
+          caller: { kind: accounts === undefined ? "no_accounts" : "anyone" },
+          account: undefined,
+          homeRegions: route.homeRegions,
+        };
+      }
+      if (found.kind === "account") {
+        const { account } = found;
+        const result = takeWithin(account, requestId);
+        if (result !== undefined) return { kind: "rejected", result };
+        return {
+          kind: "guest",
+          caller: { kind: "account", name: account.name },
+          account,
+          homeRegions: combineHomes(route.homeRegions, account.homeRegions),
+        };
+      }
+      log.info(
+        {
+          requestId,
+          showsKey: apiKey !== undefined,
+          version: configuration.version,
+          knowledgeAgeMs: Math.round(knowledgeAgeMs),
+          verdict: found.kind,
+        },
+        "caller not identified",
+      );
+      const result: ServeResult = found.kind === "unknown"
+        ? { kind: "unknown_caller" }
+        : {
+          kind: "refused",
+          reason: "key_unproven",
+          retryAfterMs: getUnprovenRetryMs(random()),
+        };
+      return { kind: "rejected", result };
+    },
+    giveBack({ account }) {
+      if (account !== undefined) limiter.giveBack(account);
+    },
+  };
+}
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -4,11 +4,16 @@
  *
  * @module
  */
+import type { AccountLimiter } from "../accounts/limiter.ts";
+import { createLimitPool, type LimitPool } from "../accounts/pool.ts";
+import { createReception, type Reception } from "../accounts/reception.ts";
+import { SharedUsage } from "../accounts/shared_usage.ts";
 import type { RunningRequests } from "../activity/running.ts";
 import type { MemberTable } from "../members/table.ts";
 import type { DemandByRegion, VmIdentity } from "../members/types.ts";
 import type { VmViews } from "../members/views.ts";
 import type { NewsBoard } from "../news/board.ts";
+import type { Knowledge } from "../news/knowledge.ts";
 import type { NewsItem } from "../news/types.ts";
 import { createDemandTrend } from "../placement/demand_trend.ts";
 import { createFiguresReader } from "../placement/figures.ts";
@@ -55,6 +60,7 @@
   memory: ObjectMemory;
   running: RunningRequests;
   board: NewsBoard;
+  knowledge: Knowledge;
   /** Demand by region where hubs tell of it. */
   getFleetDemand: () => DemandByRegion | undefined;
   /** Passes facts of this VM on to all others. */
@@ -67,6 +73,9 @@
   exchange: Exchange;
   demand: DemandMeter;
   flow: Flow;
+  reception: Reception;
+  limiter: AccountLimiter;
+  limitPool: LimitPool;
   suspects: Suspects;
   /** @returns Routes in force; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
@@ -178,10 +187,25 @@
     retention,
     getTerms,
   });
+  const random = createRandom(makeSeed(self));
+  const limitPool = createLimitPool(clock, () => table.listKnown().length + 1);
+  const limiter = new SharedUsage({
+    clock,
+    random,
+    getPart: limitPool.getPart,
+    findAccount: (name) => routes?.accounts?.get(name),
+  });
+  const reception = createReception({
+    log,
+    random,
+    bounds: settings.accounts,
+    limiter,
+    getKnowledgeAgeMs: parts.knowledge.getAgeMs,
+  });
   const flow = createFlow({
     clock,
     log,
-    random: createRandom(makeSeed(self)),
+    random,
     registry,
     placer,
     observer: createObserver({
@@ -200,6 +224,7 @@
     exchange,
     endCheck: createEndCheck(dial),
     suspects,
+    limiter,
   });
 
   return {
@@ -207,6 +232,9 @@
     exchange,
     demand,
     flow,
+    reception,
+    limiter,
+    limitPool,
     suspects,
     getRoutes: () => routes,
   };
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -33,6 +33,7 @@
     maxAttempts: 2,
     isSticky: true,
     homeRegions: [],
+    isPublic: false,
     ...changes,
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import process from "node:process";
+import { startUsageSharing } from "../accounts/usage_sharing.ts";
 import { createRunningRequests } from "../activity/running.ts";
 import { startSharing } from "../activity/sharing.ts";
 import { isBehindHub } from "../members/hubs.ts";
@@ -22,14 +23,20 @@
   getOldestAgeMs,
   type NewsBoard,
 } from "../news/board.ts";
+import { createKnowledge } from "../news/knowledge.ts";
 import { isOverdue } from "../news/patience.ts";
 import {
   DEFAULT_READER_TIMES,
   type Reader,
   type ReaderParts,
   startReader,
+  STRICT_READER_TIMES,
 } from "../news/reader.ts";
-import { type FactSource, SOURCE_TOPICS } from "../news/types.ts";
+import {
+  CONFIGURATION_KEY,
+  type FactSource,
+  SOURCE_TOPICS,
+} from "../news/types.ts";
 import { createObjectMemory } from "../placement/memory.ts";
 import { formatAddress } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -86,6 +93,10 @@
   const self = makeIdentity(settings, clock);
   const table = createMemberTable(self.id, clock);
   const board = createNewsBoard(clock);
+  const knowledge = createKnowledge({
+    clock,
+    getVersion: () => board.getVersion(CONFIGURATION_KEY),
+  });
   const vms = createVmViews(self, table);
   const memory = createObjectMemory();
   const running = createRunningRequests(clock);
@@ -97,6 +108,7 @@
     memory,
     running,
     board,
+    knowledge,
     getFleetDemand: () => mesh.getDemand(),
     passOn: (items) => mesh.passOn(items),
   });
@@ -127,6 +139,11 @@
     self,
     table,
     board,
+    knowledge,
+    needsProofs: () => {
+      const routes = core.getRoutes();
+      return routes === undefined || routes.accounts !== undefined;
+    },
     register: parts.register,
     clock,
     log,
@@ -141,6 +158,17 @@
     onFound: (identity) => sharing.welcome(identity),
     onActivity: (from, scope, activity) =>
       sharing.receive(from, scope, activity),
+    onUsage: (from, news) => usageSharing.receive(from, news),
+  });
+  const usageSharing = startUsageSharing({
+    self,
+    clock,
+    limiter: core.limiter,
+    pool: core.limitPool,
+    isNeeded: () => core.getRoutes()?.accounts !== undefined,
+    listOthers: () => table.listAlive().map(({ identity }) => identity),
+    getTopology: mesh.getTopology,
+    send: (vmIds, news) => mesh.sendTo(vmIds, { kind: "usage", ...news }),
   });
   const sharing = startSharing({
     self,
@@ -164,12 +192,17 @@
         upMs: clock.monotonicMs() - startedAtMs,
       }),
     onNews: (items) => mesh.passOn(items),
-    onRead: (topic) => mesh.noteRead(topic),
+    onRead: (topic, askedAt) => {
+      if (topic === "operations") knowledge.noteReading(askedAt);
+      mesh.noteRead(topic);
+    },
+    getInstant: knowledge.getInstant,
   });
   const front = await startFront({
     address: settings.frontAddress,
     codec,
     flow: core.flow,
+    reception: core.reception,
     clock,
     log,
     metrics,
@@ -192,6 +225,7 @@
         self,
         state,
         board,
+        knowledge,
         table,
         core,
         openRequests: front.countOpen(),
@@ -204,6 +238,7 @@
       state = "leaving";
       overload.stop();
       sharing.stop();
+      usageSharing.stop();
       core.suspects.stop();
       return leave({
         clock,
@@ -221,14 +256,20 @@
 }
 
 function startReaders(
-  { source, clock, log }: GatewayParts,
+  { source, clock, log, settings }: GatewayParts,
   board: NewsBoard,
-  duty: Pick<ReaderParts, "hasDuty" | "isOverdue" | "onNews" | "onRead">,
+  duty: Pick<
+    ReaderParts,
+    "hasDuty" | "isOverdue" | "onNews" | "onRead" | "getInstant"
+  >,
 ): Reader[] {
-  const times = DEFAULT_READER_TIMES;
-  return SOURCE_TOPICS.map((topic) =>
-    startReader(topic, { source, board, clock, log, times, ...duty })
-  );
+  const isStrict = settings.accounts.withdrawalMs !== undefined;
+  return SOURCE_TOPICS.map((topic) => {
+    const times = topic === "operations" && isStrict
+      ? STRICT_READER_TIMES
+      : DEFAULT_READER_TIMES;
+    return startReader(topic, { source, board, clock, log, times, ...duty });
+  });
 }
 
 function createGatewayMetrics(
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { AccountBounds } from "../accounts/types.ts";
 import type { QuarantineTerms } from "../quarantine/types.ts";
 import type { HostPort } from "../runtime/address.ts";
 import type { LogLevel } from "../telemetry/log.ts";
@@ -42,6 +43,7 @@
   /** `host:port` of the platform's table. */
   tableAddress: string;
   bounds: FleetBounds;
+  accounts: AccountBounds;
   quarantine: QuarantineTerms;
   logLevel: LogLevel;
 }
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -6,15 +6,21 @@
 import type { MemberTable } from "../members/table.ts";
 import type { VmIdentity, VmState } from "../members/types.ts";
 import type { NewsBoard } from "../news/board.ts";
+import type { Knowledge } from "../news/knowledge.ts";
 import { SOURCE_TOPICS } from "../news/types.ts";
+import type { Configuration } from "../routing/types.ts";
 import type { KnownServer } from "../servers/registry.ts";
 import type { Core } from "./core.ts";
 
+/** A dump is for a person to read. */
+const MAX_DUMPED_ACCOUNTS = 200;
+
 /** Where the state is. */
 export interface StateDumpParts {
   self: VmIdentity;
   state: VmState;
   board: NewsBoard;
+  knowledge: Knowledge;
   table: MemberTable;
   core: Core;
   openRequests: number;
@@ -25,13 +31,16 @@
  * @returns The state as plain values.
  */
 export function dumpState(parts: StateDumpParts): Record<string, unknown> {
-  const { self, state, board, table, core, openRequests } = parts;
+  const { self, state, board, knowledge, table, core, openRequests } = parts;
   const ages = SOURCE_TOPICS.map((topic) => [topic, board.getAgeMs(topic)]);
   return {
     self,
     state,
-    configuration: core.getRoutes()?.configuration,
+    configuration: dumpConfiguration(core.getRoutes()?.configuration),
+    knowledgeAgeMs: knowledge.getAgeMs(),
     factAgesMs: Object.fromEntries(ages),
+    limitPart: core.limitPool.getPart(),
+    limits: core.limiter.list(),
     evacuated: core.registry.listEvacuated(),
     servers: core.registry.listAll().map(dumpServer),
     suspects: core.suspects.list(),
@@ -40,6 +49,17 @@
   };
 }
 
+/** Accounts show how many keys they have, and nothing of them. */
+function dumpConfiguration(
+  configuration: Configuration | undefined,
+): Record<string, unknown> | undefined {
+  if (configuration === undefined) return undefined;
+  const accounts = configuration.accounts?.slice(0, MAX_DUMPED_ACCOUNTS).map((
+    { keyDigests, ...account },
+  ) => ({ ...account, keys: keyDigests.length }));
+  return { ...configuration, accounts };
+}
+
 function dumpServer(server: KnownServer): Record<string, unknown> {
   const { listed, load, health } = server;
   return {
--- a/src/members/hub_mesh_test.ts
+++ b/src/members/hub_mesh_test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { makeServer, makeServerNews } from "../gateway/fixture.ts";
 import { createNewsBoard } from "../news/board.ts";
+import { createKnowledge } from "../news/knowledge.ts";
 import { toEndNews } from "../quarantine/suspect_facts.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
@@ -51,6 +52,8 @@
     self,
     table,
     board,
+    knowledge: createKnowledge({ clock, getVersion: () => 0 }),
+    needsProofs: () => false,
     register,
     clock,
     log: createSilentLog(),
@@ -64,6 +67,7 @@
     }),
     onFound: () => {},
     onActivity: () => {},
+    onUsage: () => {},
   });
   return {
     self,
--- a/src/members/link_set.ts
+++ b/src/members/link_set.ts
@@ -46,6 +46,8 @@
     isWanted: (identity: VmIdentity) => boolean,
     except?: VmLink,
   ): void;
+  /** Calls a function with each link. */
+  forEach(run: (link: VmLink) => void): void;
   closeSilent(): void;
   close(): void;
 }
@@ -97,6 +99,9 @@
         if (isWanted(identity)) link.sendFrame(message.kind, frame);
       }
     },
+    forEach(run) {
+      for (const link of links.keys()) run(link);
+    },
     closeSilent() {
       const limitMs = clock.monotonicMs() - SILENCE_LIMIT_MS;
       for (const [link, { heardAtMs }] of links) {
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Server } from "node:http";
+import type { UsageNews } from "../accounts/usage_sharing.ts";
 import type { Activity, ActivityScope } from "../activity/types.ts";
 import type { NewsBoard } from "../news/board.ts";
 import {
@@ -12,6 +13,7 @@
   type Topic,
   TOPICS,
 } from "../news/types.ts";
+import type { Knowledge } from "../news/knowledge.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { acceptLinks, keepLink } from "../runtime/peer_link.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -21,12 +23,9 @@
 import { isHub, type Topology } from "./hubs.ts";
 import { createLinkSet, type LinkState, type VmLink } from "./link_set.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
+import { createProofTeller } from "./proofs.ts";
 import { createFactRepair } from "./repair.ts";
-import {
-  mergeParts,
-  pickChangedParts,
-  type ReportParts,
-} from "./report_parts.ts";
+import { mergeParts, pickChangedParts } from "./report_parts.ts";
 import type { MemberTable } from "./table.ts";
 import type {
   DemandByRegion,
@@ -40,6 +39,9 @@
   self: VmIdentity;
   table: MemberTable;
   board: NewsBoard;
+  knowledge: Knowledge;
+  /** Whether anything hangs on how old knowledge is. */
+  needsProofs: () => boolean;
   register: VmRegister;
   clock: Clock;
   log: Log;
@@ -59,6 +61,8 @@
     scope: ActivityScope,
     activity: Activity,
   ) => void;
+  /** Told of what client accounts used at other VMs. */
+  onUsage: (from: VmIdentity, news: UsageNews) => void;
 }
 
 /** The links of this VM. */
@@ -130,6 +134,12 @@
     getTopology: dialing.getTopology,
     actsAsHub: dialing.actsAsHub,
   });
+  const proofs = createProofTeller({
+    ...parts,
+    links,
+    isNeeded: parts.needsProofs,
+    isRelay: () => dialing.actsAsHub(),
+  });
   /** What every linked VM was told of this one. */
   let told: VmReport | undefined;
   const listAfterMs = parts.startsWithAll ? FIRST_LIST_MS : 0;
@@ -138,7 +148,8 @@
     links.add(link);
     const members = table.listKnown().length;
     link.send({ kind: "hello", identity: self, members });
-    link.send({ kind: "report", ...parts.makeReport() });
+    const report = { ...parts.makeReport(), ...proofs.makeQuestion() };
+    link.send({ kind: "report", ...report });
   }
 
   function onClose(link: VmLink, reason: string): void {
@@ -158,7 +169,9 @@
     if (message.kind === "members") receiveMembers(message.members);
     if (message.kind === "news") receiveNews(link, message.items);
     if (message.kind === "want") sendTopic(link, message.topic);
-    if (message.kind === "report") receiveReport(state, message);
+    if (message.kind === "report") receiveReport(link, state, message);
+    if (message.kind === "proof") proofs.receiveProof(link, message);
+    if (message.kind === "usage") receiveUsage(state, message);
     if (message.kind === "read") receiveRead(state, message);
     if (message.kind === "view") receiveView(link, state, message);
     if (message.kind === "want_view") sendWholeView(link, state);
@@ -223,16 +236,25 @@
     parts.onActivity(identity, scope, { asked, forgotten, running });
   }
 
+  function receiveUsage({ identity }: LinkState, news: UsageNews): void {
+    if (identity !== undefined) parts.onUsage(identity, news);
+  }
+
   function receiveMembers(members: readonly VmIdentity[]): void {
     const found = members.filter((identity) => table.noteHeardOf(identity));
     if (found.length > 0) dialing.look();
   }
 
-  function receiveReport(state: LinkState, parts: ReportParts): void {
+  function receiveReport(
+    link: VmLink,
+    state: LinkState,
+    message: Extract<VmMessage, { kind: "report" }>,
+  ): void {
     if (state.identity === undefined) return;
+    proofs.receiveQuestion(link, message);
     const { id } = state.identity;
     const before = table.get(id)?.state;
-    table.noteReport(id, parts);
+    table.noteReport(id, message);
     const member = table.get(id);
     if (member?.state !== before) views.tellSoon();
     if (member?.report === undefined) return;
@@ -271,7 +293,7 @@
 
   function reportNow(): void {
     const changed = pickChangedParts(told, parts.makeReport());
-    links.send({ kind: "report", ...changed });
+    links.send({ kind: "report", ...changed, ...proofs.makeQuestion() });
     told = mergeParts(told, changed);
   }
 
@@ -310,7 +332,10 @@
 
   return {
     passOn: (items) => links.send({ kind: "news", items }),
-    noteRead: (topic) => tellRead(topic, true),
+    noteRead(topic) {
+      tellRead(topic, true);
+      if (topic === "operations") proofs.tell();
+    },
     reportNow,
     sendTo(vmIds, message) {
       const wanted = new Set(vmIds);
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -4,6 +4,7 @@
 import type { Activity, ActivityScope } from "../activity/types.ts";
 import { makeServer, makeServerNews } from "../gateway/fixture.ts";
 import { createNewsBoard } from "../news/board.ts";
+import { createKnowledge } from "../news/knowledge.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
 import { keepLink, type PeerLink } from "../runtime/peer_link.ts";
@@ -47,6 +48,8 @@
     self: makeIdentity("self", http.address),
     table: createMemberTable("self", clock),
     board,
+    knowledge: createKnowledge({ clock, getVersion: () => 0 }),
+    needsProofs: () => false,
     register: new EmptyRegister(),
     clock,
     log: createSilentLog(),
@@ -61,6 +64,7 @@
     onFound: ({ id }) => void found.push(id),
     onActivity: ({ id }, scope, activity) =>
       void told.push({ id, scope, activity }),
+    onUsage: () => {},
   });
   const stop = async () => {
     mesh.stop();
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -8,6 +8,8 @@
 
 const MAX_MEMBERS = 4_096;
 const MAX_ITEMS = 10_000;
+const MAX_ACCOUNT_NAME = 200;
+const MAX_ACCOUNTS = 100_000;
 /** What 4,096 servers were asked for, 128 objects each, and the servers. */
 const MAX_NUMBERS = 1_100_000;
 
@@ -68,6 +70,29 @@
       /** Absent in reports of VMs that are older. */
       suspects: digestSchema.default({ facts: 0, versionSum: 0 }),
     }).optional(),
+    /** A moment of the sender, which proofs refer to. */
+    stamp: z.number().int().nonnegative().optional(),
+    /** Proven age of what the sender knows; absent where nothing is proven. */
+    knowledgeAgeMs: z.number().nonnegative().optional(),
+  }),
+  /** How old the sender's knowledge of the configuration is. */
+  z.object({
+    kind: z.literal("proof"),
+    version: z.number().nonnegative(),
+    ageMs: z.number().nonnegative(),
+    stamp: z.number().int().nonnegative(),
+    heldMs: z.number().nonnegative(),
+  }),
+  /** What client accounts used lately. */
+  z.object({
+    kind: z.literal("usage"),
+    scope: z.enum(["vm", "region", "rest"]),
+    vms: z.number().int().nonnegative().max(MAX_MEMBERS),
+    usage: z.array(z.object({
+      account: z.string().max(MAX_ACCOUNT_NAME),
+      asked: z.number().int(),
+      spent: z.number().int(),
+    })).max(MAX_ACCOUNTS),
   }),
   /** A topic was read from its source just now. */
   z.object({
--- a/src/news/board.ts
+++ b/src/news/board.ts
@@ -35,6 +35,11 @@
   applyWhole(topic: Topic, batch: NewsBatch): NewsItem[];
   /** @returns All facts and removals of a topic, for a VM that lacks some. */
   listTopic(topic: Topic): NewsItem[];
+  /**
+   * @param key A key.
+   * @returns The version that is known under it; 0 where none is.
+   */
+  getVersion(key: string): number;
   /** @returns What tells this board's facts of a topic from another's. */
   getDigest(topic: Topic): TopicDigest;
   /** @returns The digests of all topics. */
@@ -134,6 +139,7 @@
     listTopic: (topic) =>
       [...known.values()].map(({ item }) => item)
         .filter((item) => item.topic === topic),
+    getVersion: (key) => known.get(key)?.item.version ?? 0,
     getDigest,
     getDigests: () => ({
       operations: getDigest("operations"),
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -8,6 +8,7 @@
 import { describeError } from "../runtime/errors.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { NewsBoard } from "./board.ts";
+import type { Instant } from "./knowledge.ts";
 import type { FactSource, NewsItem, SourceTopic } from "./types.ts";
 
 /** Times of a reader. */
@@ -31,6 +32,15 @@
   maxRetryMs: 800,
 };
 
+/**
+ * Where what is known has to be proven lately: a reading proves what held when
+ * it was asked for, so one that waits for long is old when it ends.
+ */
+export const STRICT_READER_TIMES: ReaderTimes = {
+  ...DEFAULT_READER_TIMES,
+  waitMs: 500,
+};
+
 /** How often a VM that does not read checks whether it has to. */
 const IDLE_CHECK_MS = 250;
 /** A call that found nothing is this much late before it counts as lost. */
@@ -52,8 +62,10 @@
   isOverdue: (ageMs: number) => boolean;
   /** Told of facts that were new, to pass them on. */
   onNews: (items: NewsItem[]) => void;
-  /** Told of each answer of the source. */
-  onRead: (topic: SourceTopic) => void;
+  /** Told of each answer of the source, and when it was asked for. */
+  onRead: (topic: SourceTopic, askedAt: Instant) => void;
+  /** @returns This moment. */
+  getInstant: () => Instant;
 }
 
 /** A running reader. */
@@ -73,10 +85,11 @@
   let failures = 0;
 
   async function readOnce(): Promise<void> {
+    const askedAt = parts.getInstant();
     if (position === undefined) {
       const batch = await source.list(topic);
       position = batch.version;
-      publish(board.applyWhole(topic, batch));
+      publish(board.applyWhole(topic, batch), askedAt);
       return;
     }
     const result = await source.follow(topic, position, times.waitMs);
@@ -86,13 +99,13 @@
       return;
     }
     position = result.batch.version;
-    publish(board.apply(result.batch.items));
+    publish(board.apply(result.batch.items), askedAt);
   }
 
-  function publish(items: NewsItem[]): void {
+  function publish(items: NewsItem[], askedAt: Instant): void {
     board.noteCurrent(topic, 0);
     if (items.length > 0) parts.onNews(items);
-    parts.onRead(topic);
+    parts.onRead(topic, askedAt);
   }
 
   function noteSuccess(): void {
--- a/src/news/schema.ts
+++ b/src/news/schema.ts
@@ -25,6 +25,17 @@
   maxAttempts: z.number().int().positive(),
   isSticky: z.boolean(),
   homeRegions: z.array(name),
+  /** Absent in facts of VMs that are older. */
+  isPublic: z.boolean().default(false),
+});
+
+const accountSchema = z.object({
+  name,
+  keyDigests: z.array(fingerprint),
+  priority: z.number().int().nonnegative().optional(),
+  ratePerS: z.number().positive().optional(),
+  burst: z.number().nonnegative(),
+  homeRegions: z.array(name),
 });
 
 /** Checks a configuration. */
@@ -43,6 +54,7 @@
     headerTimeoutMs: z.number().positive(),
     idleTimeoutMs: z.number().positive(),
   }),
+  accounts: z.array(accountSchema).optional(),
 });
 
 /** Checks a listed backend server. */
--- a/src/news/types.ts
+++ b/src/news/types.ts
@@ -42,6 +42,9 @@
   /** A request was answered, which begins a round. */
   | { kind: "request_answered"; request: string; round: number };
 
+/** Key of the configuration. */
+export const CONFIGURATION_KEY = "configuration";
+
 /** One fact, or the news that it no longer holds. */
 export interface NewsItem {
   topic: Topic;
--- a/src/routing/table.ts
+++ b/src/routing/table.ts
@@ -3,6 +3,10 @@
  *
  * @module
  */
+import {
+  type AccountDirectory,
+  createAccountDirectory,
+} from "../accounts/directory.ts";
 import type { Configuration, Route, ServiceTerms } from "./types.ts";
 
 /** Looks routes and services up in one configuration. */
@@ -19,6 +23,8 @@
    * @returns Its terms, where the configuration holds them.
    */
   getTerms(name: string): ServiceTerms | undefined;
+  /** Client accounts; undefined where callers need none. */
+  accounts: AccountDirectory | undefined;
 }
 
 /**
@@ -51,7 +57,13 @@
     return undefined;
   }
 
-  return { configuration, match, getTerms: (name) => terms.get(name) };
+  const { accounts } = configuration;
+  return {
+    configuration,
+    match,
+    getTerms: (name) => terms.get(name),
+    accounts: accounts && createAccountDirectory(accounts),
+  };
 }
 
 function dropQuery(path: string): string {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { ClientAccount } from "../accounts/types.ts";
+
 /** Whether a request may run more than once. */
 export type RequestKind = "idempotent" | "non_idempotent";
 
@@ -35,6 +37,8 @@
   isSticky: boolean;
   /** Regions that may serve the route; empty where all may. */
   homeRegions: string[];
+  /** Whether callers need no client account. */
+  isPublic: boolean;
 }
 
 /** What is known of a service apart from its backend servers. */
@@ -63,4 +67,6 @@
   routes: Route[];
   services: ServiceTerms[];
   limits: RequestLimits;
+  /** Absent where callers need no account. */
+  accounts?: ClientAccount[];
 }
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -110,6 +110,7 @@
       const headers = codec.encodeRequest(copyEndToEnd(request.headers), {
         serverName: server.registeredName,
         remainingMs: Math.max(1, Math.floor(remainingMs)),
+        caller: request.caller,
       });
       return startAttempt(getPool(server), request, headers, {
         codec,
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -4,10 +4,29 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import { EqualParts } from "../accounts/equal_parts.ts";
+import { createReception, type Reception } from "../accounts/reception.ts";
 import { makeRoute } from "../gateway/fixture.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createSilentLog } from "../telemetry/log.ts";
 import type { Progress } from "./progress.ts";
 import type { CallerRequest } from "./types.ts";
 
+/** @returns A reception of a configuration without accounts. */
+export function makeOpenReception(): Reception {
+  const clock = createFakeClock();
+  return createReception({
+    log: createSilentLog(),
+    random: () => 0,
+    bounds: {
+      configurationMs: 2_000,
+      limitMargin: { windowMs: 5_000, ratio: 0, allowance: 0 },
+    },
+    limiter: new EqualParts(clock, () => 1),
+    getKnowledgeAgeMs: () => 0,
+  });
+}
+
 /**
  * @param changes Fields that differ from a plain GET for the object 17.
  * @returns The request.
@@ -25,7 +44,11 @@
       deadlineMs: undefined,
       objectKey: "17",
       callerKey: undefined,
+      apiKey: undefined,
     },
+    caller: { kind: "no_accounts" },
+    account: undefined,
+    homeRegions: [],
     route: makeRoute(),
     arrivedAtMs: 0,
     signal: new AbortController().signal,
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import type { AccountLimiter } from "../accounts/limiter.ts";
 import type { ObjectMemory } from "../placement/memory.ts";
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
 import type { Suspects } from "../quarantine/suspects.ts";
@@ -49,6 +50,7 @@
   exchange: Exchange;
   endCheck: EndCheck;
   suspects: Suspects;
+  limiter: AccountLimiter;
 }
 
 /** Serves requests. */
@@ -74,17 +76,25 @@
   | "servers_ended";
 
 /** @returns A name that each repeat of a request has as well. */
-function fingerprintOf({ method, headers, path, terms, body }: CallerRequest) {
+function fingerprintOf(request: CallerRequest): string {
+  const { method, headers, path, terms, caller, body } = request;
   const { objectKey = "", callerKey = "" } = terms;
+  // Accounts may change keys; the account is the caller.
+  const callerName = caller.kind === "account" ? caller.name : callerKey;
   return makeFingerprint({
     method,
     host: headers.host ?? "",
     path,
-    caller: `${objectKey} ${callerKey}`,
+    caller: `${objectKey} ${callerName}`,
     body,
   });
 }
 
+/** Whether an earlier attempt ran, or may have. */
+function mayHaveRun({ fallback, lost }: Progress): boolean {
+  return fallback !== undefined || lost !== undefined;
+}
+
 type Step = { kind: "again" } | { kind: "done"; result: ServeResult };
 
 /**
@@ -168,6 +178,9 @@
   ): Promise<Step> {
     const { request } = progress;
     progress.tried.add(server.listed.id);
+    if (request.account !== undefined && mayHaveRun(progress)) {
+      parts.limiter.charge(request.account);
+    }
     const startedAtMs = clock.monotonicMs();
     const useAtStart = server.load.getUse();
     progress.lastUse = useAtStart;
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -20,14 +20,16 @@
 import { describeError } from "../runtime/errors.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { ServingMetrics } from "../telemetry/metrics.ts";
+import type { Reception } from "../accounts/reception.ts";
 import type { Flow } from "./flow.ts";
-import type { CallerRequest, ServeResult, WireCodec } from "./types.ts";
+import type { ServeResult, WireCodec } from "./types.ts";
 
 /** What the front address needs. */
 export interface FrontParts {
   address: HostPort;
   codec: WireCodec;
   flow: Flow;
+  reception: Reception;
   clock: Clock;
   log: Log;
   metrics: ServingMetrics;
@@ -71,7 +73,7 @@
  * @returns The listening address.
  */
 export function startFront(parts: FrontParts): Promise<Front> {
-  const { codec, flow, clock, log, metrics } = parts;
+  const { codec, flow, reception, clock, log, metrics } = parts;
   let isLeaving = false;
   let open = 0;
 
@@ -128,33 +130,44 @@
       return sendOwn(response, status, {});
     }
     applyLimits(server, table);
+    const received = reception.receive(table, route, terms);
+    const end = (result: ServeResult) => {
+      const tookMs = clock.monotonicMs() - arrivedAtMs;
+      metrics.noteRequest(route, result, tookMs);
+      finish(response, result, {
+        requestId: terms.requestId,
+        route: route.name,
+        version,
+        tookMs: Math.round(tookMs),
+        targetMs: route.targetLatencyMs,
+      });
+    };
+    if (received.kind === "rejected") return end(received.result);
     const body = await readBody(
       message,
       table.configuration.limits.maxBodyBytes,
     );
     if (parts.isOverloaded()) await passTurns();
-    if (body === "cut" || hasLeft(message)) return;
-    if (body === "too_large") return sendOwn(response, 413, {});
-    const request: CallerRequest = {
+    if (body === "cut" || hasLeft(message)) return reception.giveBack(received);
+    if (body === "too_large") {
+      reception.giveBack(received);
+      return sendOwn(response, 413, {});
+    }
+    const result = await flow.serve({
       method: message.method ?? "GET",
       path,
       headers: message.headers,
       body,
       terms,
+      caller: received.caller,
+      account: received.account,
       route,
+      homeRegions: received.homeRegions,
       arrivedAtMs,
       signal: watchClient(response),
-    };
-    const result = await flow.serve(request);
-    const tookMs = clock.monotonicMs() - arrivedAtMs;
-    metrics.noteRequest(route, result, tookMs);
-    finish(response, result, {
-      requestId: terms.requestId,
-      route: route.name,
-      version,
-      tookMs: Math.round(tookMs),
-      targetMs: route.targetLatencyMs,
     });
+    if (result.kind === "refused") reception.giveBack(received);
+    end(result);
   }
 
   function finish(
@@ -166,6 +179,13 @@
     if (result.kind === "client_left") return;
     if (result.kind === "answer") return sendAnswer(response, result);
     if (result.kind === "refused") return sendRefusal(response, result);
+    if (result.kind === "limited") {
+      const headers = codec.encodeRefusal(result.retryAfterMs);
+      return sendOwn(response, 429, headers);
+    }
+    if (result.kind === "unknown_caller") {
+      return sendOwn(response, 401, codec.encodeChallenge());
+    }
     sendOwn(response, result.kind === "timed_out" ? 504 : 502, {});
   }
 
@@ -283,6 +303,8 @@
         reason: result.reason,
         retryAfterMs: result.retryAfterMs,
       };
+    case "limited":
+      return { outcome: "limited", retryAfterMs: result.retryAfterMs };
     case "failed":
       return { outcome: "failed", reason: result.reason };
     default:
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -59,9 +59,10 @@
 
   function place(progress: Progress): Placed | RefusalReason {
     const { request, service, objectKey, tried } = progress;
-    const { route } = request;
+    const { route, homeRegions } = request;
+    if (homeRegions === undefined) return "no_home";
     const { requestId } = request.terms;
-    const shares = plan.getShares(service, route.homeRegions);
+    const shares = plan.getShares(service, homeRegions);
     const region = chooseRegion(shares, service, objectKey);
     const candidates = region === undefined
       ? []
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -2,7 +2,6 @@
 import { test } from "uvu";
 import {
   makeRegistry,
-  makeRoute,
   makeServer,
   makeServerNews,
 } from "../gateway/fixture.ts";
@@ -55,7 +54,7 @@
 function placeIn(bergenColdMs: number, homeRegions: string[]): string {
   const placed = startPlacer(bergenColdMs).place(
     makeProgress({
-      request: makeRequest({ route: makeRoute({ homeRegions }) }),
+      request: makeRequest({ homeRegions }),
     }),
   );
   return typeof placed === "string" ? placed : placed.server.listed.id;
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
+import type { ClientAccount } from "../accounts/types.ts";
 import type { LoadReport } from "../servers/load.ts";
 import type { Route } from "../routing/types.ts";
 
@@ -17,6 +18,23 @@
   objectKey: string | undefined;
   /** What the client shows of who it is, the same in each of its requests. */
   callerKey: string | undefined;
+  /** The key of its client account; absent where it shows none. */
+  apiKey: string | undefined;
+}
+
+/** Who calls, as far as backend servers are told. */
+export type Caller =
+  /** The configuration has no accounts; what callers show is passed on. */
+  | { kind: "no_accounts" }
+  /** The route is public: nobody's name and nobody's key is passed on. */
+  | { kind: "anyone" }
+  | { kind: "account"; name: string };
+
+/** What a backend server is told with a request. */
+export interface ServerTerms {
+  serverName: string;
+  remainingMs: number;
+  caller: Caller;
 }
 
 /** A request that was read whole. */
@@ -27,7 +45,15 @@
   headers: IncomingHttpHeaders;
   body: Buffer;
   terms: CallerTerms;
+  caller: Caller;
+  /** Whose limit it counts under; undefined where no account is needed. */
+  account: ClientAccount | undefined;
   route: Route;
+  /**
+   * Regions that may serve the route for this caller; empty where all may,
+   * undefined where none may.
+   */
+  homeRegions: readonly string[] | undefined;
   /** When its headers had arrived, on the monotonic clock. */
   arrivedAtMs: number;
   /** Aborted when the client leaves. */
@@ -88,6 +114,10 @@
   | "all_full"
   | "not_run_anywhere"
   | "too_late"
+  /** Too long ago that the caller's key was known to be valid. */
+  | "key_unproven"
+  /** The route's home regions and the account's have none in common. */
+  | "no_home"
   /** Servers ended under the same request; it is not run for now. */
   | "set_aside";
 
@@ -96,6 +126,10 @@
   | { kind: "answer"; answer: ServerAnswer }
   /** Did not run and never will. */
   | { kind: "refused"; reason: RefusalReason; retryAfterMs: number }
+  /** Over the limit of its client account; did not run and never will. */
+  | { kind: "limited"; retryAfterMs: number }
+  /** Shows no key, or one that no configuration holds. */
+  | { kind: "unknown_caller" }
   /** May have run; no usable answer came. */
   | { kind: "failed"; reason: LossReason }
   /** The route's time is over. */
@@ -117,7 +151,7 @@
    */
   abstract encodeRequest(
     headers: IncomingHttpHeaders,
-    terms: { serverName: string; remainingMs: number },
+    terms: ServerTerms,
   ): Record<string, string | string[]>;
   /**
    * @param status Status of an answer.
@@ -133,4 +167,6 @@
    * @returns Headers of a refusal.
    */
   abstract encodeRefusal(retryAfterMs: number): Record<string, string>;
+  /** @returns Headers that tell a caller how to show its key. */
+  abstract encodeChallenge(): Record<string, string>;
 }
