Let VMs that start serve accounts that are within their limits

Cause: a VM that started had nothing of any limit, and its part of the rate at 60 VMs is less than a request a second. Change: a VM begins with its own part of what came free since its process started, of the margin a part, and parts of a request are drawn; an account that nobody told of since others are heard has its burst. A VM that starts looks every 50 ms whether it can serve, and tells at once (it was up to 0.8 s late).

--- a/src/accounts/model/scenarios.ts
+++ b/src/accounts/model/scenarios.ts
@@ -87,6 +87,18 @@
       name: "all restart, far over",
       restarts: [{ atMs: 8_000, vms: all, downMs: 1_000 }],
     }),
+    makeScenario(vms, ratePerS, USUAL, {
+      name: "all restart, usual",
+      restarts: [{ atMs: 8_000, vms: all, downMs: 1_000 }],
+    }),
+    makeScenario(vms, ratePerS, HOT, {
+      name: "one after the other restarts, far over",
+      restarts: all.map((vm) => ({
+        atMs: 2_000 + 300 * vm,
+        vms: [vm],
+        downMs: 1_000,
+      })),
+    }),
     makeScenario(vms, ratePerS, USUAL, {
       name: "a third restarts, usual",
       restarts: [{
--- a/src/accounts/model/world.ts
+++ b/src/accounts/model/world.ts
@@ -66,9 +66,7 @@
 const LOCAL_DELAY_MS = 2;
 /** Before it, VMs get to know each other and nothing is asked. */
 const LEAD_MS = 3_000;
-const WINDOW_MS = 5_000;
-const MARGIN_RATIO = 0.1;
-const MARGIN_ALLOWANCE = 20;
+const MARGIN = { windowMs: 5_000, ratio: 0.1, allowance: 20 };
 const ACCOUNT = "an account";
 
 interface ModelVm {
@@ -188,6 +186,10 @@
       clock,
       random,
       getPart: pool.getPart,
+      getOwnPart: pool.getOwnPart,
+      getSettledMs: pool.getSettledMs,
+      margin: MARGIN,
+      idleSinceMs: clock.monotonicMs(),
       findAccount: () => account,
     });
     const sharing = startUsageSharing({
@@ -241,11 +243,12 @@
   let most = 0;
   let first = 0;
   servedAtMs.forEach((endMs, index) => {
-    while (servedAtMs[first] <= endMs - WINDOW_MS) first++;
-    const isLow = lowered !== undefined && endMs >= lowered.atMs + WINDOW_MS;
+    while (servedAtMs[first] <= endMs - MARGIN.windowMs) first++;
+    const isLow = lowered !== undefined &&
+      endMs >= lowered.atMs + MARGIN.windowMs;
     const limit = isLow ? lowered : { ratePerS, burst };
-    const allowed = limit.ratePerS * WINDOW_MS / 1_000 + limit.burst;
-    const bound = allowed * (1 + MARGIN_RATIO) + MARGIN_ALLOWANCE;
+    const allowed = limit.ratePerS * MARGIN.windowMs / 1_000 + limit.burst;
+    const bound = allowed * (1 + MARGIN.ratio) + MARGIN.allowance;
     most = Math.max(most, (index - first + 1) / bound);
   });
   return most;
--- a/src/accounts/pool.ts
+++ b/src/accounts/pool.ts
@@ -19,11 +19,18 @@
   countHeard(): number;
   /** @returns The part, 0 to 1. */
   getPart(): number;
+  /** @returns The part that this VM holds alone. */
+  getOwnPart(): number;
+  /** @returns For how long no other VM with much of a part was new here. */
+  getSettledMs(): number;
 }
 
 /** Sources speak twice as often at least, and a way between regions late. */
 export const HEARD_MS = 1_000;
 
+/** The part has grown by much when it is this many times what it was. */
+const MUCH_GROWN = 1.1;
+
 /**
  * @param clock The clock.
  * @param countKnown VMs that may serve, this one included.
@@ -33,6 +40,8 @@
   clock: Clock,
   countKnown: () => number,
 ): LimitPool {
+  let settledPart = 0;
+  let settledAtMs = clock.monotonicMs();
   const sources = new Map<string, { vms: number; atMs: number }>();
 
   function countHeard(): number {
@@ -45,13 +54,29 @@
     return vms;
   }
 
+  function getPart(): number {
+    const heard = countHeard();
+    return heard / Math.max(heard, countKnown());
+  }
+
+  function settle(): void {
+    const part = getPart();
+    if (part > MUCH_GROWN * settledPart) settledAtMs = clock.monotonicMs();
+    else if (part >= settledPart) return;
+    settledPart = part;
+  }
+
   return {
-    noteHeard: (source, vms) =>
-      void sources.set(source, { vms, atMs: clock.monotonicMs() }),
+    noteHeard(source, vms) {
+      sources.set(source, { vms, atMs: clock.monotonicMs() });
+      settle();
+    },
     countHeard,
-    getPart() {
-      const heard = countHeard();
-      return heard / Math.max(heard, countKnown());
+    getPart,
+    getSettledMs() {
+      settle();
+      return clock.monotonicMs() - settledAtMs;
     },
+    getOwnPart: () => 1 / Math.max(countHeard(), countKnown()),
   };
 }
--- a/src/accounts/shared_usage.ts
+++ b/src/accounts/shared_usage.ts
@@ -27,7 +27,7 @@
   type LimitState,
   MAX_LISTED,
 } from "./limiter.ts";
-import type { ClientAccount } from "./types.ts";
+import type { ClientAccount, LimitMargin } from "./types.ts";
 
 /** What shared usage needs. */
 export interface SharedUsageParts {
@@ -35,6 +35,13 @@
   random: Random;
   /** Part of every limit that this VM and those that it hears from hold. */
   getPart: () => number;
+  /** Part that this VM holds alone. */
+  getOwnPart: () => number;
+  /** For how long this VM has heard what the common part is used for. */
+  getSettledMs: () => number;
+  margin: LimitMargin;
+  /** Since when this VM has used nothing, on the monotonic clock. */
+  idleSinceMs: number;
   /** Finds an account that other VMs told of. */
   findAccount: (name: string) => ClientAccount | undefined;
 }
@@ -61,6 +68,8 @@
 const SETTLE_S = 0.4;
 /** The reserve for what is not heard yet takes this part of a burst at most. */
 const MAX_RESERVE_PART = 0.5;
+/** Part of the margin for VMs that start; the rest is for what is heard late. */
+const START_MARGIN_PART = 0.6;
 /** Accounts that rest for so long have a full bucket, and are forgotten. */
 const FORGET_MS = 60_000;
 const MIN_RETRY_MS = 50;
@@ -70,14 +79,12 @@
 /** Keeps limits by what VMs tell each other. */
 export class SharedUsage extends AccountLimiter {
   readonly #parts: SharedUsageParts;
-  readonly #startedAtMs: number;
   readonly #usages = new Map<string, Usage>();
 
   /** @param parts What it needs. */
   constructor(parts: SharedUsageParts) {
     super();
     this.#parts = parts;
-    this.#startedAtMs = parts.clock.monotonicMs();
   }
 
   override take(account: ClientAccount): Admission {
@@ -136,27 +143,12 @@
     }));
   }
 
-  /** A VM that starts has nothing: what was spent before is not known. */
-  #get({ name, ratePerS = 0, burst }: ClientAccount): Usage {
-    const { clock, random, getPart } = this.#parts;
+  #get(account: ClientAccount): Usage {
+    const { name, ratePerS = 0, burst } = account;
+    const { clock, getPart } = this.#parts;
     const nowMs = clock.monotonicMs();
     const part = getPart();
-    let usage = this.#usages.get(name);
-    if (usage === undefined) {
-      const getNowMs = () => clock.monotonicMs();
-      usage = {
-        bucket: { level: 0, refilledAtMs: this.#startedAtMs },
-        part,
-        own: createRateMeter(getNowMs),
-        others: createRateMeter(getNowMs),
-        asked: 0,
-        spent: 0,
-        credit: random(),
-        returnAtMs: nowMs,
-        usedAtMs: nowMs,
-      };
-      this.#usages.set(name, usage);
-    }
+    const usage = this.#usages.get(name) ?? this.#begin(account, part);
     const { bucket } = usage;
     // Those that fell silent keep what was theirs.
     if (part < usage.part && bucket.level > 0) {
@@ -167,6 +159,46 @@
     return usage;
   }
 
+  #begin(account: ClientAccount, part: number): Usage {
+    const { clock, random } = this.#parts;
+    const nowMs = clock.monotonicMs();
+    const getNowMs = () => clock.monotonicMs();
+    const usage: Usage = {
+      bucket: {
+        level: this.#getFirstLevel(account, part),
+        refilledAtMs: nowMs,
+      },
+      part,
+      own: createRateMeter(getNowMs),
+      others: createRateMeter(getNowMs),
+      asked: 0,
+      spent: 0,
+      credit: random(),
+      returnAtMs: nowMs,
+      usedAtMs: nowMs,
+    };
+    this.#usages.set(account.name, usage);
+    return usage;
+  }
+
+  /**
+   * An account that nobody told of has rested for as long as others are heard
+   * here. What was spent before that is not known, so beyond it a VM begins with
+   * its own part of what came free since its start, and of the margin. Parts of
+   * a request are drawn: a part of none at sixty VMs would serve nobody for a
+   * second after all of them were lost.
+   */
+  #getFirstLevel({ ratePerS = 0, burst }: ClientAccount, part: number): number {
+    const { clock, random, margin, idleSinceMs, getOwnPart } = this.#parts;
+    const idleMs = clock.monotonicMs() - idleSinceMs;
+    const getFreed = (ms: number) => Math.min(burst, ratePerS * ms / 1_000);
+    const allowed = ratePerS * margin.windowMs / 1_000 + burst;
+    const spare = margin.ratio * allowed + margin.allowance;
+    const own = getFreed(idleMs) + START_MARGIN_PART * spare;
+    const common = getFreed(this.#parts.getSettledMs()) * part;
+    return Math.max(common, Math.floor(own * getOwnPart() + random()));
+  }
+
   #isWithin(usage: Usage, ratePerS: number, burst: number): boolean {
     const { bucket, part, own, others } = usage;
     if (bucket.level < 1) return false;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -78,6 +78,11 @@
  * runs of 94 ms gained nothing and took a sixth more processor time.
  */
 const MIN_TOLD_RUN_MS = 400;
+/**
+ * How often a VM that starts looks whether it can serve: clients are sent to it
+ * only once it said so.
+ */
+const START_CHECK_MS = 50;
 /** Shown as the age of facts before there are any. */
 const UNKNOWN_AGE_MS = 1_000_000_000;
 
@@ -231,11 +236,17 @@
         openRequests: front.countOpen(),
       }),
   });
+  const startCheck = clock.every(START_CHECK_MS, () => {
+    if (updateState() === "starting") return;
+    startCheck.cancel();
+    mesh.reportNow();
+  });
   log.info({ ...self }, "started");
 
   return {
     stop() {
       state = "leaving";
+      startCheck.cancel();
       overload.stop();
       sharing.stop();
       usageSharing.stop();
