Let VMs that hear few others use their own part of a window

Cause: a VM that loses its region's hub, or starts after all were lost, had 1/60 of a rate and room for one request. Change: a VM that hears less than a quarter of all may use its part of what all may use in a window, less a fifth for what was in common use before; what it used itself counts in.

--- a/src/accounts/bucket.ts
+++ b/src/accounts/bucket.ts
@@ -69,3 +69,46 @@
     },
   };
 }
+
+/** Requests in a moving window. */
+export interface WindowCounter {
+  /** @param requests Added; below zero, taken back. */
+  note(requests: number): void;
+  count(): number;
+}
+
+/** Steps in which a window moves on; what leaves it leaves late, never early. */
+const WINDOW_STEPS = 10;
+
+/**
+ * @param getNowMs The monotonic clock.
+ * @param windowMs Length of the window.
+ * @returns A counter that counted nothing.
+ */
+export function createWindowCounter(
+  getNowMs: () => number,
+  windowMs: number,
+): WindowCounter {
+  const stepMs = windowMs / WINDOW_STEPS;
+  const counts = new Map<number, number>();
+
+  function getStep(): number {
+    return Math.floor(getNowMs() / stepMs);
+  }
+
+  return {
+    note(requests) {
+      const step = getStep();
+      counts.set(step, (counts.get(step) ?? 0) + requests);
+    },
+    count() {
+      const oldest = getStep() - WINDOW_STEPS;
+      let total = 0;
+      for (const [step, requests] of counts) {
+        if (step < oldest) counts.delete(step);
+        else total += requests;
+      }
+      return total;
+    },
+  };
+}
--- a/src/accounts/model/scenarios.ts
+++ b/src/accounts/model/scenarios.ts
@@ -79,6 +79,14 @@
       name: "region cut, usual",
       isCut: isBergenCut,
     }),
+    makeScenario(vms, ratePerS, HOT, {
+      name: "each VM on its own, far over",
+      isCut: (_from, _to, nowMs) => isCutThen(nowMs),
+    }),
+    makeScenario(vms, ratePerS, USUAL, {
+      name: "each VM on its own, usual",
+      isCut: (_from, _to, nowMs) => isCutThen(nowMs),
+    }),
     makeScenario(vms, ratePerS, HOT, {
       name: "all regions cut, far over",
       isCut: (from, to, nowMs) => isCutThen(nowMs) && from !== to,
--- a/src/accounts/model/world.ts
+++ b/src/accounts/model/world.ts
@@ -189,7 +189,6 @@
       getOwnPart: pool.getOwnPart,
       getSettledMs: pool.getSettledMs,
       margin: MARGIN,
-      idleSinceMs: clock.monotonicMs(),
       findAccount: () => account,
     });
     const sharing = startUsageSharing({
--- a/src/accounts/shared_usage.ts
+++ b/src/accounts/shared_usage.ts
@@ -17,8 +17,10 @@
 import {
   type Bucket,
   createRateMeter,
+  createWindowCounter,
   type RateMeter,
   refill,
+  type WindowCounter,
 } from "./bucket.ts";
 import {
   AccountLimiter,
@@ -40,8 +42,6 @@
   /** For how long this VM has heard what the common part is used for. */
   getSettledMs: () => number;
   margin: LimitMargin;
-  /** Since when this VM has used nothing, on the monotonic clock. */
-  idleSinceMs: number;
   /** Finds an account that other VMs told of. */
   findAccount: (name: string) => ClientAccount | undefined;
 }
@@ -52,6 +52,8 @@
   part: number;
   own: RateMeter;
   others: RateMeter;
+  /** What ran at this VM. */
+  window: WindowCounter;
   /** Not told yet. */
   asked: number;
   spent: number;
@@ -68,8 +70,10 @@
 const SETTLE_S = 0.4;
 /** The reserve for what is not heard yet takes this part of a burst at most. */
 const MAX_RESERVE_PART = 0.5;
-/** Part of the margin for VMs that start; the rest is for what is heard late. */
-const START_MARGIN_PART = 0.6;
+/** VMs that hear fewer than this part of all are on their own. */
+const SCATTERED_PART = 0.25;
+/** Kept below the whole, for what was in common use a moment before. */
+const OWN_PART = 0.8;
 /** Accounts that rest for so long have a full bucket, and are forgotten. */
 const FORGET_MS = 60_000;
 const MIN_RETRY_MS = 50;
@@ -94,7 +98,10 @@
     usage.asked++;
     usage.own.note(1);
     usage.usedAtMs = this.#parts.clock.monotonicMs();
-    if (!this.#isWithin(usage, ratePerS, account.burst)) {
+    const { burst } = account;
+    const isWithin = this.#isWithin(usage, ratePerS, burst) ||
+      this.#isWithinOwnPart(usage, ratePerS, burst);
+    if (!isWithin) {
       return { kind: "over", retryAfterMs: this.#getReturn(usage, ratePerS) };
     }
     spend(usage, 1);
@@ -171,6 +178,7 @@
       part,
       own: createRateMeter(getNowMs),
       others: createRateMeter(getNowMs),
+      window: createWindowCounter(getNowMs, this.#parts.margin.windowMs),
       asked: 0,
       spent: 0,
       credit: random(),
@@ -183,20 +191,25 @@
 
   /**
    * An account that nobody told of has rested for as long as others are heard
-   * here. What was spent before that is not known, so beyond it a VM begins with
-   * its own part of what came free since its start, and of the margin. Parts of
-   * a request are drawn: a part of none at sixty VMs would serve nobody for a
-   * second after all of them were lost.
+   * here. What was spent before that is not known.
    */
   #getFirstLevel({ ratePerS = 0, burst }: ClientAccount, part: number): number {
-    const { clock, random, margin, idleSinceMs, getOwnPart } = this.#parts;
-    const idleMs = clock.monotonicMs() - idleSinceMs;
-    const getFreed = (ms: number) => Math.min(burst, ratePerS * ms / 1_000);
+    const settledS = this.#parts.getSettledMs() / 1_000;
+    return Math.min(burst, ratePerS * settledS) * part;
+  }
+
+  /**
+   * VMs that hear few others share nothing worth the name: parts of a request a
+   * second, at sixty VMs. Each may use its part of what all may use in a window
+   * instead, what it used before counted in. Otherwise nobody would be served
+   * for a second after all VMs were lost, or while a region's hub is replaced.
+   */
+  #isWithinOwnPart(usage: Usage, ratePerS: number, burst: number): boolean {
+    if (usage.part >= SCATTERED_PART) return false;
+    const { margin, getOwnPart } = this.#parts;
     const allowed = ratePerS * margin.windowMs / 1_000 + burst;
-    const spare = margin.ratio * allowed + margin.allowance;
-    const own = getFreed(idleMs) + START_MARGIN_PART * spare;
-    const common = getFreed(this.#parts.getSettledMs()) * part;
-    return Math.max(common, Math.floor(own * getOwnPart() + random()));
+    const most = allowed * (1 + margin.ratio) + margin.allowance;
+    return usage.window.count() + 1 <= OWN_PART * most * getOwnPart();
   }
 
   #isWithin(usage: Usage, ratePerS: number, burst: number): boolean {
@@ -237,4 +250,5 @@
 function spend(usage: Usage, requests: number): void {
   usage.bucket.level -= requests;
   usage.spent += requests;
+  usage.window.note(requests);
 }
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -196,8 +196,6 @@
     getOwnPart: limitPool.getOwnPart,
     getSettledMs: limitPool.getSettledMs,
     margin: settings.accounts.limitMargin,
-    // The monotonic clock counts from the start of the process.
-    idleSinceMs: 0,
     findAccount: (name) => routes?.accounts?.get(name),
   });
   const reception = createReception({
