Tell from logs, metrics and the dump why keys and limits refused

A log line when knowledge grows too old for keys and when it is proven again, the age of knowledge and the part of limits held as metrics, and three causes more in hawthorngw-explain: key unproven, over the account's limit, unknown caller.

--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -24,7 +24,11 @@
   | "refused, all full"
   /** Servers said that they did not run it. */
   | "refused by servers"
+  /** Its VM could not prove that the caller's key was still there. */
+  | "refused, key unproven"
   | "refused, other"
+  | "over the account's limit"
+  | "unknown caller"
   /** No usable answer came. */
   | "lost"
   | "client left";
@@ -41,7 +45,10 @@
   "refused, room elsewhere",
   "refused, all full",
   "refused by servers",
+  "refused, key unproven",
   "refused, other",
+  "over the account's limit",
+  "unknown caller",
   "lost",
   "client left",
 ];
@@ -74,6 +81,10 @@
       return findLateCause(choices, attempts, usual);
     case "refused":
       return findRefusalCause(choices, end.reason);
+    case "limited":
+      return "over the account's limit";
+    case "unknown_caller":
+      return "unknown caller";
     case "client_left":
       return "client left";
     default:
@@ -104,6 +115,7 @@
   reason: string | undefined,
 ): Cause {
   if (reason === "not_run_anywhere") return "refused by servers";
+  if (reason === "key_unproven") return "refused, key unproven";
   const last = choices.at(-1);
   if (reason !== "all_full" || last?.uses === undefined) {
     return "refused, other";
--- a/src/explain/causes_test.ts
+++ b/src/explain/causes_test.ts
@@ -37,6 +37,16 @@
     outcome: "refused",
     reason: "not_run_anywhere",
   }],
+  ["refused, key unproven", { use: 0.5 }, { tookMs: 2 }, {
+    outcome: "refused",
+    reason: "key_unproven",
+  }],
+  ["over the account's limit", { use: 0.5 }, { tookMs: 2 }, {
+    outcome: "limited",
+  }],
+  ["unknown caller", { use: 0.5 }, { tookMs: 2 }, {
+    outcome: "unknown_caller",
+  }],
   ["client left", { use: 0.5 }, { tookMs: 90 }, { outcome: "client_left" }],
 ];
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,8 @@
   getOldestAgeMs,
   type NewsBoard,
 } from "../news/board.ts";
-import { createKnowledge } from "../news/knowledge.ts";
+import { createKnowledge, type Knowledge } from "../news/knowledge.ts";
+import { watchKnowledge } from "../news/knowledge_watch.ts";
 import { isOverdue } from "../news/patience.ts";
 import {
   DEFAULT_READER_TIMES,
@@ -117,7 +118,12 @@
     getFleetDemand: () => mesh.getDemand(),
     passOn: (items) => mesh.passOn(items),
   });
-  const metrics = createGatewayMetrics(core, board, vms.countServing);
+  const metrics = createGatewayMetrics(
+    core,
+    board,
+    knowledge,
+    vms.countServing,
+  );
   const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.bounds.maxTtlMs);
   let state: VmState = "starting";
 
@@ -241,12 +247,17 @@
     startCheck.cancel();
     mesh.reportNow();
   });
+  const { withdrawalMs } = settings.accounts;
+  const knowledgeWatch = withdrawalMs === undefined
+    ? undefined
+    : watchKnowledge({ clock, log, knowledge, maxAgeMs: withdrawalMs });
   log.info({ ...self }, "started");
 
   return {
     stop() {
       state = "leaving";
       startCheck.cancel();
+      knowledgeWatch?.cancel();
       overload.stop();
       sharing.stop();
       usageSharing.stop();
@@ -286,6 +297,7 @@
 function createGatewayMetrics(
   core: Core,
   board: NewsBoard,
+  knowledge: Knowledge,
   countVms: () => number,
 ): ServingMetrics {
   return createServingMetrics({
@@ -297,6 +309,14 @@
       help: "Age of the least current facts",
       read: () => Math.min(getOldestAgeMs(board), UNKNOWN_AGE_MS) / 1_000,
     },
+    knowledge_age_seconds: {
+      help: "Proven age of what is known of the configuration",
+      read: () => Math.min(knowledge.getAgeMs(), UNKNOWN_AGE_MS) / 1_000,
+    },
+    limit_part: {
+      help: "Part of each account's limit that the VMs heard here hold",
+      read: () => core.limitPool.getPart(),
+    },
     vms: { help: "VMs that serve, as seen here", read: countVms },
     suspect_requests: {
       help: "Requests under which backend servers ended lately",
