--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import process from "node:process";
+import { packUsage } from "../accounts/usage_form.ts";
 import { startUsageSharing } from "../accounts/usage_sharing.ts";
 import { createRunningRequests } from "../activity/running.ts";
 import { startSharing } from "../activity/sharing.ts";
@@ -179,7 +180,13 @@
     isNeeded: () => core.getRoutes()?.accounts !== undefined,
     listOthers: () => table.listAlive().map(({ identity }) => identity),
     getTopology: mesh.getTopology,
-    send: (vmIds, news) => mesh.sendTo(vmIds, { kind: "usage", ...news }),
+    send: (vmIds, { scope, vms, usage }) =>
+      mesh.sendTo(vmIds, {
+        kind: "usage",
+        scope,
+        vms,
+        usage: packUsage(usage),
+      }),
   });
   const sharing = startSharing({
     self,
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Server } from "node:http";
+import { unpackUsage } from "../accounts/usage_form.ts";
 import type { UsageNews } from "../accounts/usage_sharing.ts";
 import type { Activity, ActivityScope } from "../activity/types.ts";
 import type { NewsBoard } from "../news/board.ts";
@@ -236,8 +237,12 @@
     parts.onActivity(identity, scope, { asked, forgotten, running });
   }
 
-  function receiveUsage({ identity }: LinkState, news: UsageNews): void {
-    if (identity !== undefined) parts.onUsage(identity, news);
+  function receiveUsage(
+    { identity }: LinkState,
+    { scope, vms, usage }: Extract<VmMessage, { kind: "usage" }>,
+  ): void {
+    if (identity === undefined) return;
+    parts.onUsage(identity, { scope, vms, usage: unpackUsage(usage) });
   }
 
   function receiveMembers(members: readonly VmIdentity[]): void {
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -4,12 +4,11 @@
  * @module
  */
 import * as z from "zod";
+import { usageSchema } from "../accounts/usage_form.ts";
 import { newsItemSchema } from "../news/schema.ts";
 
 const MAX_MEMBERS = 4_096;
 const MAX_ITEMS = 10_000;
-const MAX_ACCOUNT_NAME = 200;
-const MAX_ACCOUNTS = 100_000;
 /** What 4,096 servers were asked for, 128 objects each, and the servers. */
 const MAX_NUMBERS = 1_100_000;
 
@@ -88,11 +87,7 @@
     kind: z.literal("usage"),
     scope: z.enum(["vm", "region", "rest"]),
     vms: z.number().int().nonnegative().max(MAX_MEMBERS),
-    usage: z.array(z.object({
-      account: z.string().max(MAX_ACCOUNT_NAME),
-      asked: z.number().int(),
-      spent: z.number().int(),
-    })).max(MAX_ACCOUNTS),
+    usage: usageSchema,
   }),
   /** A topic was read from its source just now. */
   z.object({
