--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,12 +19,8 @@
   VmState,
 } from "../members/types.ts";
 import { createVmViews } from "../members/views.ts";
-import {
-  createNewsBoard,
-  getOldestAgeMs,
-  type NewsBoard,
-} from "../news/board.ts";
-import { createKnowledge, type Knowledge } from "../news/knowledge.ts";
+import { createNewsBoard, type NewsBoard } from "../news/board.ts";
+import { createKnowledge } from "../news/knowledge.ts";
 import { watchKnowledge } from "../news/knowledge_watch.ts";
 import { isOverdue } from "../news/patience.ts";
 import {
@@ -48,12 +44,9 @@
 import { startFront } from "../serving/front.ts";
 import type { WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
-import {
-  createServingMetrics,
-  type ServingMetrics,
-} from "../telemetry/metrics.ts";
 import { type ControlPaths, serveControl } from "./control_routes.ts";
-import { type Core, createCore } from "./core.ts";
+import { createCore } from "./core.ts";
+import { createGatewayMetrics } from "./gauges.ts";
 import { leave } from "./leave.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { dumpState } from "./state_dump.ts";
@@ -85,8 +78,6 @@
  * only once it said so.
  */
 const START_CHECK_MS = 50;
-/** Shown as the age of facts before there are any. */
-const UNKNOWN_AGE_MS = 1_000_000_000;
 
 /**
  * Starts a gateway.
@@ -301,48 +292,6 @@
   });
 }
 
-function createGatewayMetrics(
-  core: Core,
-  board: NewsBoard,
-  knowledge: Knowledge,
-  countVms: () => number,
-): ServingMetrics {
-  return createServingMetrics({
-    backend_connections: {
-      help: "Open connections to backend servers",
-      read: () => core.exchange.countConnections(),
-    },
-    fact_age_seconds: {
-      help: "Age of the least current facts",
-      read: () => Math.min(getOldestAgeMs(board), UNKNOWN_AGE_MS) / 1_000,
-    },
-    knowledge_age_seconds: {
-      help: "Proven age of what is known of the configuration",
-      read: () => Math.min(knowledge.getAgeMs(), UNKNOWN_AGE_MS) / 1_000,
-    },
-    limit_part: {
-      help: "Part of each account's limit that the VMs heard here hold",
-      read: () => core.limitPool.getPart(),
-    },
-    vms: { help: "VMs that serve, as seen here", read: countVms },
-    suspect_requests: {
-      help: "Requests under which backend servers ended lately",
-      read: () => core.suspects.list().length,
-    },
-    requests_set_aside: {
-      help: "Those of them that are not run for now",
-      read: () =>
-        core.suspects.list().filter(({ judgement }) =>
-          judgement.kind === "set_aside"
-        ).length,
-    },
-    configuration_version: {
-      help: "Configuration in force; 0 before the first",
-      read: () => core.getRoutes()?.configuration.version ?? 0,
-    },
-  });
-}
-
 function makeIdentity(settings: GatewaySettings, clock: Clock): VmIdentity {
   return {
     id: settings.vmId,
--- /dev/null
+++ b/src/gateway/gauges.ts
@@ -0,0 +1,64 @@
+/**
+ * What a gateway shows of itself beside the figures of its requests.
+ *
+ * @module
+ */
+import { getOldestAgeMs, type NewsBoard } from "../news/board.ts";
+import type { Knowledge } from "../news/knowledge.ts";
+import {
+  createServingMetrics,
+  type ServingMetrics,
+} from "../telemetry/metrics.ts";
+import type { Core } from "./core.ts";
+
+/** Shown as the age of facts before there are any. */
+const UNKNOWN_AGE_MS = 1_000_000_000;
+
+/**
+ * @param core What the gateway decides with.
+ * @param board Its facts.
+ * @param knowledge How old they are.
+ * @param countVms Counts the VMs that serve, as seen here.
+ * @returns The figures of the process.
+ */
+export function createGatewayMetrics(
+  core: Core,
+  board: NewsBoard,
+  knowledge: Knowledge,
+  countVms: () => number,
+): ServingMetrics {
+  return createServingMetrics({
+    backend_connections: {
+      help: "Open connections to backend servers",
+      read: () => core.exchange.countConnections(),
+    },
+    fact_age_seconds: {
+      help: "Age of the least current facts",
+      read: () => Math.min(getOldestAgeMs(board), UNKNOWN_AGE_MS) / 1_000,
+    },
+    knowledge_age_seconds: {
+      help: "Proven age of what is known of the configuration",
+      read: () => Math.min(knowledge.getAgeMs(), UNKNOWN_AGE_MS) / 1_000,
+    },
+    limit_part: {
+      help: "Part of each account's limit that the VMs heard here hold",
+      read: () => core.limitPool.getPart(),
+    },
+    vms: { help: "VMs that serve, as seen here", read: countVms },
+    suspect_requests: {
+      help: "Requests under which backend servers ended lately",
+      read: () => core.suspects.list().length,
+    },
+    requests_set_aside: {
+      help: "Those of them that are not run for now",
+      read: () =>
+        core.suspects.list().filter(({ judgement }) =>
+          judgement.kind === "set_aside"
+        ).length,
+    },
+    configuration_version: {
+      help: "Configuration in force; 0 before the first",
+      read: () => core.getRoutes()?.configuration.version ?? 0,
+    },
+  });
+}
