--- a/src/accounts/reception.ts
+++ b/src/accounts/caller_check.ts
@@ -1,5 +1,5 @@
 /**
- * Receives callers: says who calls, whether that is within the account's limit,
+ * Checks callers: says who calls, whether that is within the account's limit,
  * and where the request may run.
  *
  * @module
@@ -13,8 +13,8 @@
 import type { AccountLimiter } from "./limiter.ts";
 import type { AccountBounds, ClientAccount } from "./types.ts";
 
-/** What a reception needs. */
-export interface ReceptionParts {
+/** What the check of callers needs. */
+export interface CallerCheckParts {
   log: Log;
   random: Random;
   bounds: AccountBounds;
@@ -24,8 +24,8 @@
 }
 
 /** A caller whose request may run. */
-export interface Guest {
-  kind: "guest";
+export interface AcceptedCaller {
+  kind: "accepted";
   caller: Caller;
   /** Undefined where no account is needed. */
   account: ClientAccount | undefined;
@@ -34,26 +34,29 @@
 }
 
 /** What comes of a caller. */
-export type Received = Guest | { kind: "rejected"; result: ServeResult };
+export type CheckedCaller = AcceptedCaller | {
+  kind: "rejected";
+  result: ServeResult;
+};
 
-/** Receives callers. */
-export interface Reception {
+/** Checks callers. */
+export interface CallerCheck {
   /**
    * @param table The configuration in force.
    * @param route The route of the request.
    * @param terms What its headers say.
    * @returns Who calls, or how the request ends at once.
    */
-  receive(table: RouteTable, route: Route, terms: CallerTerms): Received;
+  check(table: RouteTable, route: Route, terms: CallerTerms): CheckedCaller;
   /** Takes back what was counted for a request that did not run. */
-  giveBack(guest: Guest): void;
+  giveBack(accepted: AcceptedCaller): void;
 }
 
 /**
  * @param parts What it needs.
- * @returns A reception.
+ * @returns A check of callers.
  */
-export function createReception(parts: ReceptionParts): Reception {
+export function createCallerCheck(parts: CallerCheckParts): CallerCheck {
   const { log, random, bounds, limiter } = parts;
 
   function takeWithin(
@@ -72,7 +75,7 @@
   }
 
   return {
-    receive(table, route, { requestId, apiKey }) {
+    check(table, route, { requestId, apiKey }) {
       const knowledgeAgeMs = parts.getKnowledgeAgeMs();
       const { accounts, configuration } = table;
       const { isPublic } = route;
@@ -82,7 +85,7 @@
       );
       if (found.kind === "open") {
         return {
-          kind: "guest",
+          kind: "accepted",
           caller: { kind: accounts === undefined ? "no_accounts" : "anyone" },
           account: undefined,
           homeRegions: route.homeRegions,
@@ -93,7 +96,7 @@
         const result = takeWithin(account, requestId);
         if (result !== undefined) return { kind: "rejected", result };
         return {
-          kind: "guest",
+          kind: "accepted",
           caller: { kind: "account", name: account.name },
           account,
           homeRegions: combineHomes(route.homeRegions, account.homeRegions),
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -6,7 +6,10 @@
  */
 import type { AccountLimiter } from "../accounts/limiter.ts";
 import { createLimitPool, type LimitPool } from "../accounts/pool.ts";
-import { createReception, type Reception } from "../accounts/reception.ts";
+import {
+  type CallerCheck,
+  createCallerCheck,
+} from "../accounts/caller_check.ts";
 import { SharedUsage } from "../accounts/shared_usage.ts";
 import type { RunningRequests } from "../activity/running.ts";
 import type { MemberTable } from "../members/table.ts";
@@ -73,7 +76,7 @@
   exchange: Exchange;
   demand: DemandMeter;
   flow: Flow;
-  reception: Reception;
+  callerCheck: CallerCheck;
   limiter: AccountLimiter;
   limitPool: LimitPool;
   suspects: Suspects;
@@ -198,7 +201,7 @@
     margin: settings.accounts.limitMargin,
     findAccount: (name) => routes?.accounts?.get(name),
   });
-  const reception = createReception({
+  const callerCheck = createCallerCheck({
     log,
     random,
     bounds: settings.accounts,
@@ -235,7 +238,7 @@
     exchange,
     demand,
     flow,
-    reception,
+    callerCheck,
     limiter,
     limitPool,
     suspects,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -211,7 +211,7 @@
     address: settings.frontAddress,
     codec,
     flow: core.flow,
-    reception: core.reception,
+    callerCheck: core.callerCheck,
     clock,
     log,
     metrics,
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -5,17 +5,20 @@
  */
 import { Buffer } from "node:buffer";
 import { EqualParts } from "../accounts/equal_parts.ts";
-import { createReception, type Reception } from "../accounts/reception.ts";
+import {
+  type CallerCheck,
+  createCallerCheck,
+} from "../accounts/caller_check.ts";
 import { makeRoute } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import type { Progress } from "./progress.ts";
 import type { CallerRequest } from "./types.ts";
 
-/** @returns A reception of a configuration without accounts. */
-export function makeOpenReception(): Reception {
+/** @returns A check of callers by a configuration without accounts. */
+export function makeOpenCallerCheck(): CallerCheck {
   const clock = createFakeClock();
-  return createReception({
+  return createCallerCheck({
     log: createSilentLog(),
     random: () => 0,
     bounds: {
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -20,7 +20,7 @@
 import { describeError } from "../runtime/errors.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { ServingMetrics } from "../telemetry/metrics.ts";
-import type { Reception } from "../accounts/reception.ts";
+import type { CallerCheck } from "../accounts/caller_check.ts";
 import type { Flow } from "./flow.ts";
 import type { ServeResult, WireCodec } from "./types.ts";
 
@@ -29,7 +29,7 @@
   address: HostPort;
   codec: WireCodec;
   flow: Flow;
-  reception: Reception;
+  callerCheck: CallerCheck;
   clock: Clock;
   log: Log;
   metrics: ServingMetrics;
@@ -73,7 +73,7 @@
  * @returns The listening address.
  */
 export function startFront(parts: FrontParts): Promise<Front> {
-  const { codec, flow, reception, clock, log, metrics } = parts;
+  const { codec, flow, callerCheck, clock, log, metrics } = parts;
   let isLeaving = false;
   let open = 0;
 
@@ -130,7 +130,7 @@
       return sendOwn(response, status, {});
     }
     applyLimits(server, table);
-    const received = reception.receive(table, route, terms);
+    const checked = callerCheck.check(table, route, terms);
     const end = (result: ServeResult) => {
       const tookMs = clock.monotonicMs() - arrivedAtMs;
       metrics.noteRequest(route, result, tookMs);
@@ -142,15 +142,17 @@
         targetMs: route.targetLatencyMs,
       });
     };
-    if (received.kind === "rejected") return end(received.result);
+    if (checked.kind === "rejected") return end(checked.result);
     const body = await readBody(
       message,
       table.configuration.limits.maxBodyBytes,
     );
     if (parts.isOverloaded()) await passTurns();
-    if (body === "cut" || hasLeft(message)) return reception.giveBack(received);
+    if (body === "cut" || hasLeft(message)) {
+      return callerCheck.giveBack(checked);
+    }
     if (body === "too_large") {
-      reception.giveBack(received);
+      callerCheck.giveBack(checked);
       return sendOwn(response, 413, {});
     }
     const result = await flow.serve({
@@ -159,14 +161,14 @@
       headers: message.headers,
       body,
       terms,
-      caller: received.caller,
-      account: received.account,
+      caller: checked.caller,
+      account: checked.account,
       route,
-      homeRegions: received.homeRegions,
+      homeRegions: checked.homeRegions,
       arrivedAtMs,
       signal: watchClient(response),
     });
-    if (result.kind === "refused") reception.giveBack(received);
+    if (result.kind === "refused") callerCheck.giveBack(checked);
     end(result);
   }
 
