--- a/src/accounts/usage_sharing.ts
+++ b/src/accounts/usage_sharing.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { Topology } from "../members/hubs.ts";
+import { findRelay, type Topology } from "../members/hubs.ts";
 import type { VmIdentity } from "../members/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { AccountLimiter, AccountUsage } from "./limiter.ts";
@@ -81,13 +81,9 @@
   const memberHeardAtMs = new Map<string, number>();
   const toldAtMs = new Map<string, number>();
 
-  function findRelay(region: string): string | undefined {
-    return parts.getTopology().hubs.get(region)?.[0]?.id;
-  }
-
   function isRelay(): boolean {
     return !parts.getTopology().isFullMesh &&
-      findRelay(self.region) === self.id;
+      findRelay(parts.getTopology(), self.region) === self.id;
   }
 
   function tell(key: string, vmIds: readonly string[], news: UsageNews): void {
@@ -121,7 +117,7 @@
       tell(id, [id], { scope: "rest", vms, usage: rest.list() });
     }
     for (const other of parts.getTopology().hubs.keys()) {
-      const relay = findRelay(other);
+      const relay = findRelay(parts.getTopology(), other);
       if (other === self.region || relay === undefined) continue;
       const vms = 1 + members.length;
       tell(relay, [relay], { scope: "region", vms, usage: ofRegion });
@@ -138,7 +134,7 @@
     if (parts.getTopology().isFullMesh) {
       return tell("all", parts.listOthers().map(({ id }) => id), news);
     }
-    const relay = findRelay(self.region);
+    const relay = findRelay(parts.getTopology(), self.region);
     if (relay !== undefined) tell(relay, [relay], news);
   }
 
@@ -149,9 +145,13 @@
    */
   function isExpected({ id, region }: VmIdentity, scope: UsageScope): boolean {
     if (parts.getTopology().isFullMesh) return scope === "vm";
-    if (scope === "rest") return id === findRelay(self.region);
+    if (scope === "rest") {
+      return id === findRelay(parts.getTopology(), self.region);
+    }
     if (!isRelay()) return false;
-    return scope === "vm" ? region === self.region : id === findRelay(region);
+    return scope === "vm"
+      ? region === self.region
+      : id === findRelay(parts.getTopology(), region);
   }
 
   function receiveOfMember(id: string, usage: AccountUsage[]): void {
--- a/src/activity/sharing.ts
+++ b/src/activity/sharing.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { VmIdentity } from "../members/types.ts";
-import type { Topology } from "../members/hubs.ts";
+import { findRelay, type Topology } from "../members/hubs.ts";
 import type { ObjectMemory } from "../placement/memory.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -94,11 +94,6 @@
       .map(({ id }) => id);
   }
 
-  /** The first hub, which all VMs of the region and the other hubs link to. */
-  function findRelay(region: string): string | undefined {
-    return parts.getTopology().hubs.get(region)?.[0]?.id;
-  }
-
   function listOtherRegions(): string[] {
     return [...parts.getTopology().hubs.keys()].filter((region) =>
       region !== self.region
@@ -150,7 +145,7 @@
     relay.addOwn(own);
     sendUnlessSilent(members, "all", relay.takeForMembers());
     for (const region of listOtherRegions()) {
-      const relayId = findRelay(region);
+      const relayId = findRelay(parts.getTopology(), region);
       const activity = relay.takeForRegion(region);
       if (relayId === undefined || activity === undefined) continue;
       sendUnlessSilent([relayId], "region", activity);
@@ -170,7 +165,7 @@
       tellAll(listOthers());
       return DIRECT_PAUSE_MS;
     }
-    const relayId = findRelay(self.region);
+    const relayId = findRelay(parts.getTopology(), self.region);
     noteRole(relayId === self.id);
     if (wasRelay) relayOn(listOthers());
     else if (relayId !== undefined) tellRelay(relayId);
--- a/src/members/hub_views.ts
+++ b/src/members/hub_views.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from "../runtime/clock.ts";
 import { sumDemands } from "./demand.ts";
-import { isHub, type Topology } from "./hubs.ts";
+import { findRelay, isHub, type Topology } from "./hubs.ts";
 import type { LinkSet, VmLink } from "./link_set.ts";
 import type { Member, MemberTable } from "./table.ts";
 import type { DemandByRegion, VmIdentity, VmReport } from "./types.ts";
@@ -79,8 +79,8 @@
 
   /** The first hub of a region sums up, so that no demand counts twice. */
   function sumLinkedDemand(): DemandByRegion {
-    const [first] = parts.getTopology().hubs.get(self.region) ?? [];
-    if (first?.id !== self.id) return {};
+    const relayId = findRelay(parts.getTopology(), self.region);
+    if (relayId !== self.id) return {};
     const reports = table.listLinked()
       .filter(({ identity }) => identity.region === self.region)
       .map(({ report }) => report?.demandPerS ?? {});
--- a/src/members/hubs.ts
+++ b/src/members/hubs.ts
@@ -73,6 +73,19 @@
   return (hubs.get(vm.region) ?? []).some(({ id }) => id === vm.id);
 }
 
+/**
+ * @param topology Who links to whom.
+ * @param region A region.
+ * @returns The VM that sums up for the region: its first hub, which all VMs of
+ *   the region and the other hubs link to.
+ */
+export function findRelay(
+  { hubs }: Topology,
+  region: string,
+): string | undefined {
+  return hubs.get(region)?.[0]?.id;
+}
+
 /**
  * @param topology Who links to whom.
  * @param vm A VM.
