--- a/src/forwarding/deadly_requests.ts
+++ b/src/forwarding/deadly_requests.ts
@@ -11,6 +11,7 @@
 import { createNewsBoard } from "../news/board.ts";
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
 import { createSuspects } from "../quarantine/suspects.ts";
+import { DEFAULT_MAX_SERVER_ENDS, maySendAgain } from "../quarantine/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { createLogger } from "../runtime/logger.ts";
 import type { EndCheck } from "../servers/end_check.ts";
@@ -19,10 +20,6 @@
 
 const log = createLogger("forwarding");
 
-/** Three servers in a row hardly end under one request by chance. */
-const MAX_SERVER_ENDS = 3;
-/** Servers that end under a request until its arrival is not sent on. */
-const MAX_ENDS_FOR_RETRY = 1;
 /** What a server drops as it ends is noticed within that time. */
 const SAME_END_MS = 1_000;
 
@@ -56,7 +53,7 @@
     clock,
     log: createSilentLog(),
     ownId: "entry",
-    terms: { maxServerEnds: MAX_SERVER_ENDS },
+    terms: { maxServerEnds: DEFAULT_MAX_SERVER_ENDS },
     publish: (items) => void board.apply(items),
     forget: (items) => void board.apply(items),
   });
@@ -81,11 +78,7 @@
       if (judgement.kind === "suspect") suspects.noteTried(name);
       return undefined;
     },
-    mayGoOn(name) {
-      const judgement = suspects.judge(name);
-      return judgement.kind === "clear" ||
-        judgement.ends.length <= MAX_ENDS_FOR_RETRY;
-    },
+    mayGoOn: (name) => maySendAgain(suspects.judge(name)),
     noteAnswer: suspects.noteAnswer,
     close: suspects.stop,
     async noteFailure(name, server) {
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -31,3 +31,23 @@
    */
   maxServerEnds: number;
 }
+
+/**
+ * What runs on a server beside a deadly request ends with it as well; by chance
+ * that seldom happens three times in a row.
+ */
+export const DEFAULT_MAX_SERVER_ENDS = 3;
+/**
+ * Servers that ended under a request up to which it is sent again at once. Most
+ * of what a server takes along is harmless; of what took two, little is.
+ */
+const MAX_ENDS_FOR_RETRY = 1;
+
+/**
+ * @param judgement What is held against a request.
+ * @returns Whether its arrival may be sent to a further server.
+ */
+export function maySendAgain(judgement: Judgement): boolean {
+  return judgement.kind === "clear" ||
+    judgement.ends.length <= MAX_ENDS_FOR_RETRY;
+}
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -11,7 +11,7 @@
 import type { ObjectMemory } from "../placement/memory.ts";
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
 import type { Suspects } from "../quarantine/suspects.ts";
-import type { Judgement } from "../quarantine/types.ts";
+import { type Judgement, maySendAgain } from "../quarantine/types.ts";
 import type { RetryBudget } from "../retries/budget.ts";
 import type { Splitter } from "../routing/split.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -63,11 +63,6 @@
 const MIN_ATTEMPT_MS = 20;
 /** Clients that don't say how long they wait. */
 const DEFAULT_DEADLINE_MS = 30_000;
-/**
- * Servers that ended under a request up to which it is sent again at once. Most
- * of what a server takes along is harmless; of what took two, little is.
- */
-const MAX_ENDS_FOR_RETRY = 1;
 /** Why a request is not sent again. */
 type RetryDenial =
   | "attempts_used"
@@ -306,12 +301,7 @@
   function findDenial(progress: Progress): RetryDenial | undefined {
     const { request, tried, service, fingerprint } = progress;
     if (tried.size >= request.route.maxAttempts) return "attempts_used";
-    const judgement = suspects.judge(fingerprint);
-    if (
-      judgement.kind !== "clear" && judgement.ends.length > MAX_ENDS_FOR_RETRY
-    ) {
-      return "servers_ended";
-    }
+    if (!maySendAgain(suspects.judge(fingerprint))) return "servers_ended";
     const leftMs = progress.endsAtMs - clock.monotonicMs();
     if (leftMs < MIN_ATTEMPT_MS) return "too_late";
     return budget.take(service) ? undefined : "budget_spent";
