Leave accounts without a limit to the base class of limiters

Both ways asked three times whether an account has a limit, and charged and gave back alike. The model's served requests a second, which nothing read, are gone.

--- a/src/accounts/equal_parts.ts
+++ b/src/accounts/equal_parts.ts
@@ -12,10 +12,10 @@
   AccountLimiter,
   type AccountUsage,
   type Admission,
+  type LimitedAccount,
   type LimitState,
   MAX_LISTED,
 } from "./limiter.ts";
-import type { ClientAccount } from "./types.ts";
 
 /** Gives each VM its part of each limit. */
 export class EqualParts extends AccountLimiter {
@@ -35,24 +35,18 @@
     this.#startedAtMs = clock.monotonicMs();
   }
 
-  override take(account: ClientAccount): Admission {
-    const { ratePerS } = account;
-    if (ratePerS === undefined) return { kind: "within" };
+  protected override takeLimited(account: LimitedAccount): Admission {
     const bucket = this.#refill(account);
     if (bucket.level >= 1) {
       bucket.level--;
       return { kind: "within" };
     }
-    const ownPerS = ratePerS / this.#countVms();
+    const ownPerS = account.ratePerS / this.#countVms();
     return { kind: "over", retryAfterMs: (1 - bucket.level) * 1_000 / ownPerS };
   }
 
-  override charge(account: ClientAccount): void {
-    if (account.ratePerS !== undefined) this.#refill(account).level--;
-  }
-
-  override giveBack(account: ClientAccount): void {
-    if (account.ratePerS !== undefined) this.#refill(account).level++;
+  protected override count(account: LimitedAccount, runs: number): void {
+    this.#refill(account).level -= runs;
   }
 
   override takeNews(): AccountUsage[] {
@@ -67,7 +61,7 @@
     ) => ({ account, level, ownPerS: 0, othersPerS: 0 }));
   }
 
-  #refill({ name, ratePerS = 0, burst }: ClientAccount): Bucket {
+  #refill({ name, ratePerS, burst }: LimitedAccount): Bucket {
     const known = this.#buckets.get(name);
     const bucket = known ?? { level: 0, refilledAtMs: this.#startedAtMs };
     if (known === undefined) this.#buckets.set(name, bucket);
--- a/src/accounts/limiter.ts
+++ b/src/accounts/limiter.ts
@@ -21,25 +21,50 @@
   spent: number;
 }
 
+/** An account that has a limit. */
+export type LimitedAccount = ClientAccount & { ratePerS: number };
+
+/**
+ * @param account An account.
+ * @returns Whether it has a limit.
+ */
+export function isLimited(account: ClientAccount): account is LimitedAccount {
+  return account.ratePerS !== undefined;
+}
+
 /** Decides which requests of an account are within its limit. */
 export abstract class AccountLimiter {
   /**
    * @param account The account.
    * @returns Whether one more request may run; it is counted then.
    */
-  abstract take(account: ClientAccount): Admission;
+  take(account: ClientAccount): Admission {
+    return isLimited(account) ? this.takeLimited(account) : { kind: "within" };
+  }
   /**
    * Counts one more run of a request that was taken already.
    *
    * @param account The account.
    */
-  abstract charge(account: ClientAccount): void;
+  charge(account: ClientAccount): void {
+    if (isLimited(account)) this.count(account, 1);
+  }
   /**
    * Takes back what was counted for a request that did not run.
    *
    * @param account The account.
    */
-  abstract giveBack(account: ClientAccount): void;
+  giveBack(account: ClientAccount): void {
+    if (isLimited(account)) this.count(account, -1);
+  }
+  /** The same as `take`, for accounts that have a limit. */
+  protected abstract takeLimited(account: LimitedAccount): Admission;
+  /**
+   * Counts runs beside those that were taken.
+   *
+   * @param runs How many; below zero, taken back.
+   */
+  protected abstract count(account: LimitedAccount, runs: number): void;
   /** @returns What this VM's callers asked since the last call. */
   abstract takeNews(): AccountUsage[];
   /**
--- a/src/accounts/model/world.ts
+++ b/src/accounts/model/world.ts
@@ -56,8 +56,6 @@
   servedShare: number;
   /** Most in any window, as a part of what the limit and its margin allow. */
   mostOfBound: number;
-  /** Served in each second. */
-  servedPerS: number[];
 }
 
 const REGIONS = ["oslo", "bergen", "trondheim"];
@@ -125,18 +123,12 @@
     clock.advance(STEP_MS);
   }
   for (const { sharing } of fleet.vms) sharing?.stop();
-  const servedPerS = Array.from(
-    { length: scenario.durationMs / 1_000 },
-    (_, second) =>
-      servedAtMs.filter((atMs) => Math.floor(atMs / 1_000) === second).length,
-  );
   return {
     asked,
     served: servedAtMs.length,
     allowed,
     servedShare: servedAtMs.length / allowed,
     mostOfBound: getMostOfBound(servedAtMs, scenario),
-    servedPerS,
   };
 }
 
--- a/src/accounts/shared_usage.ts
+++ b/src/accounts/shared_usage.ts
@@ -26,6 +26,8 @@
   AccountLimiter,
   type AccountUsage,
   type Admission,
+  isLimited,
+  type LimitedAccount,
   type LimitState,
   MAX_LISTED,
 } from "./limiter.ts";
@@ -91,14 +93,12 @@
     this.#parts = parts;
   }
 
-  override take(account: ClientAccount): Admission {
-    const { ratePerS } = account;
-    if (ratePerS === undefined) return { kind: "within" };
+  protected override takeLimited(account: LimitedAccount): Admission {
+    const { ratePerS, burst } = account;
     const usage = this.#get(account);
     usage.asked++;
     usage.own.note(1);
     usage.usedAtMs = this.#parts.clock.monotonicMs();
-    const { burst } = account;
     const isWithin = this.#isWithin(usage, ratePerS, burst) ||
       this.#isWithinOwnPart(usage, ratePerS, burst);
     if (!isWithin) {
@@ -108,12 +108,8 @@
     return { kind: "within" };
   }
 
-  override charge(account: ClientAccount): void {
-    if (account.ratePerS !== undefined) spend(this.#get(account), 1);
-  }
-
-  override giveBack(account: ClientAccount): void {
-    if (account.ratePerS !== undefined) spend(this.#get(account), -1);
+  protected override count(account: LimitedAccount, runs: number): void {
+    spend(this.#get(account), runs);
   }
 
   override takeNews(): AccountUsage[] {
@@ -133,7 +129,7 @@
   override receive(told: readonly AccountUsage[]): void {
     for (const { account: name, asked, spent } of told) {
       const account = this.#parts.findAccount(name);
-      if (account?.ratePerS === undefined) continue;
+      if (account === undefined || !isLimited(account)) continue;
       const usage = this.#get(account);
       usage.others.note(asked);
       usage.bucket.level -= spent;
@@ -150,8 +146,8 @@
     }));
   }
 
-  #get(account: ClientAccount): Usage {
-    const { name, ratePerS = 0, burst } = account;
+  #get(account: LimitedAccount): Usage {
+    const { name, ratePerS, burst } = account;
     const { clock, getPart } = this.#parts;
     const nowMs = clock.monotonicMs();
     const part = getPart();
@@ -166,7 +162,7 @@
     return usage;
   }
 
-  #begin(account: ClientAccount, part: number): Usage {
+  #begin(account: LimitedAccount, part: number): Usage {
     const { clock, random } = this.#parts;
     const nowMs = clock.monotonicMs();
     const getNowMs = () => clock.monotonicMs();
@@ -193,7 +189,7 @@
    * An account that nobody told of has rested for as long as others are heard
    * here. What was spent before that is not known.
    */
-  #getFirstLevel({ ratePerS = 0, burst }: ClientAccount, part: number): number {
+  #getFirstLevel({ ratePerS, burst }: LimitedAccount, part: number): number {
     const settledS = this.#parts.getSettledMs() / 1_000;
     return Math.min(burst, ratePerS * settledS) * part;
   }
