--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -10,6 +10,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import { classifyTransportError, describeError } from "../runtime/errors.ts";
+import { NO_SIGNALS } from "../servers/signals.ts";
 import type { ListedServer } from "../servers/types.ts";
 import type {
   AnswerMark,
@@ -236,14 +237,14 @@
   request: CallerRequest,
 ): ExchangeResult {
   const { requestId } = request.terms;
-  const { load } = mark;
+  const { signals } = mark;
   const isOwn = mark.requestId === requestId;
   // A refusal may come from a server that did not read so far as the id.
   if (isOwn || mark.requestId === undefined) {
     if (mark.isOtherServer) {
-      return { kind: "not_run", reason: "other_server", load: undefined };
+      return { kind: "not_run", reason: "other_server", signals: NO_SIGNALS };
     }
-    if (mark.isNotRun) return { kind: "not_run", reason: "shed", load };
+    if (mark.isNotRun) return { kind: "not_run", reason: "shed", signals };
   }
   if (!isOwn) {
     const detail = `answer to request ${mark.requestId ?? "without id"}`;
@@ -252,7 +253,7 @@
   if (answer.status >= 200 && answer.status < 300 && !mark.isSigned) {
     return { kind: "lost", reason: "unsigned", detail: "answer is not signed" };
   }
-  return { kind: "answer", answer, load };
+  return { kind: "answer", answer, signals };
 }
 
 function judgeError(
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -89,6 +89,7 @@
         isFirst: progress.hasObject && !end.isKnown,
         depth: end.depth,
         ...describeResult(result),
+        ...describeSignals(result),
       },
       "attempt ended",
     );
@@ -96,7 +97,8 @@
 
   function noteLoad(server: KnownServer, result: ExchangeResult): void {
     if (result.kind !== "answer" && result.kind !== "not_run") return;
-    if (result.load !== undefined) server.load.report(result.load);
+    const { load } = result.signals;
+    if (load !== undefined) server.load.report(load);
   }
 
   function noteAnswer(
@@ -180,3 +182,10 @@
   }
   return { outcome: result.kind, reason: result.reason };
 }
+
+/** What the server asked for; nothing where it asked for nothing. */
+function describeSignals(result: ExchangeResult): Record<string, unknown> {
+  if (result.kind !== "answer" && result.kind !== "not_run") return {};
+  const { limitPerS, isLeaving, backoffMs } = result.signals;
+  return { limitPerS, backoffMs, ...(isLeaving ? { isLeaving } : {}) };
+}
--- a/src/serving/observing_test.ts
+++ b/src/serving/observing_test.ts
@@ -10,6 +10,7 @@
 import { createRetention } from "../placement/retention.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createRunTimes } from "../servers/run_times.ts";
+import { NO_SIGNALS } from "../servers/signals.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { createObserver } from "./observing.ts";
 import { createPaceTable } from "./pace.ts";
@@ -42,7 +43,7 @@
     headers: {},
     body: Buffer.alloc(0),
   },
-  load: undefined,
+  signals: NO_SIGNALS,
 };
 
 function makeLoss(reason: LossReason): ExchangeResult {
@@ -72,7 +73,7 @@
   const shed: ExchangeResult = {
     kind: "not_run",
     reason: "shed",
-    load: undefined,
+    signals: NO_SIGNALS,
   };
   assert.not(knowsAfter(shed, 0.5));
 });
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -6,7 +6,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import type { ClientAccount } from "../accounts/types.ts";
-import type { LoadReport } from "../servers/load.ts";
+import type { ServerSignals } from "../servers/signals.ts";
 import type { Route } from "../routing/types.ts";
 
 /** What a client says about its request apart from the request itself. */
@@ -69,7 +69,7 @@
   isNotRun: boolean;
   /** Whether another server has the address now. */
   isOtherServer: boolean;
-  load: LoadReport | undefined;
+  signals: ServerSignals;
 }
 
 /** Answers of this status and above are failures of the server. */
@@ -95,12 +95,12 @@
 
 /** How one attempt ended. */
 export type ExchangeResult =
-  | { kind: "answer"; answer: ServerAnswer; load: LoadReport | undefined }
+  | { kind: "answer"; answer: ServerAnswer; signals: ServerSignals }
   /** The server said that it did not run the request. */
   | {
     kind: "not_run";
     reason: "shed" | "other_server";
-    load: LoadReport | undefined;
+    signals: ServerSignals;
   }
   /** No byte of the request can have reached the server. */
   | { kind: "not_sent"; reason: string }
