Move limits over all VMs out of the client accounts

A bucket, its shares over VMs and what they tell each other of it know nothing of accounts but a name, a rate and a burst: `src/limits` holds them for whatever has a limit. Names only; the model's tests give the same figures, messages between VMs are the same.

--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { listLimitScenarios } from "../src/accounts/model/scenarios.ts";
-import { type LimitWay, playLimits } from "../src/accounts/model/world.ts";
+import { listLimitScenarios } from "../src/limits/model/scenarios.ts";
+import { type LimitWay, playLimits } from "../src/limits/model/world.ts";
 import { publish, type Row } from "./report.ts";
 
 const WAYS: readonly LimitWay[] = ["equal_parts", "shared_usage"];
--- a/src/accounts/caller_check.ts
+++ b/src/accounts/caller_check.ts
@@ -10,7 +10,7 @@
 import type { Caller, CallerTerms, ServeResult } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import { combineHomes, getUnprovenRetryMs, identify } from "./gate.ts";
-import type { AccountLimiter } from "./limiter.ts";
+import type { RateLimiter } from "../limits/limiter.ts";
 import type { AccountBounds, ClientAccount } from "./types.ts";
 
 /** What the check of callers needs. */
@@ -18,7 +18,7 @@
   log: Log;
   random: Random;
   bounds: AccountBounds;
-  limiter: AccountLimiter;
+  limiter: RateLimiter;
   /** Proven age of what is known; infinite before the first proof. */
   getKnowledgeAgeMs: () => number;
 }
--- a/src/accounts/types.ts
+++ b/src/accounts/types.ts
@@ -4,9 +4,10 @@
  * @module
  */
 
-/** A client account of the configuration. */
-export interface ClientAccount {
-  name: string;
+import type { LimitHolder, LimitMargin } from "../limits/limiter.ts";
+
+/** A client account of the configuration, with its limit over all VMs. */
+export interface ClientAccount extends LimitHolder {
   /**
    * Digests of its API keys. The keys themselves are not kept: what passes
    * between VMs, into logs or dumps gives none away.
@@ -14,10 +15,6 @@
   keyDigests: string[];
   /** 0 is the most urgent; goes before the route's where it is there. */
   priority?: number;
-  /** Requests a second over all VMs together; absent where there is no limit. */
-  ratePerS?: number;
-  /** Requests that may come at once on top of the rate. */
-  burst: number;
   /** Regions that may serve the account; empty where all may. */
   homeRegions: string[];
 }
@@ -34,12 +31,3 @@
   /** What all VMs together may exceed a limit by. */
   limitMargin: LimitMargin;
 }
-
-/** Tolerated excess over an account's limit, in any window. */
-export interface LimitMargin {
-  windowMs: number;
-  /** Part of what the limit allows in the window. */
-  ratio: number;
-  /** Requests on top. */
-  allowance: number;
-}
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -4,13 +4,13 @@
  *
  * @module
  */
-import type { AccountLimiter } from "../accounts/limiter.ts";
-import { createLimitPool, type LimitPool } from "../accounts/pool.ts";
+import type { RateLimiter } from "../limits/limiter.ts";
+import { createLimitPool, type LimitPool } from "../limits/pool.ts";
 import {
   type CallerCheck,
   createCallerCheck,
 } from "../accounts/caller_check.ts";
-import { SharedUsage } from "../accounts/shared_usage.ts";
+import { SharedUsage } from "../limits/shared_usage.ts";
 import type { RunningRequests } from "../activity/running.ts";
 import type { MemberTable } from "../members/table.ts";
 import type { DemandByRegion, VmIdentity } from "../members/types.ts";
@@ -77,7 +77,7 @@
   demand: DemandMeter;
   flow: Flow;
   callerCheck: CallerCheck;
-  limiter: AccountLimiter;
+  limiter: RateLimiter;
   limitPool: LimitPool;
   suspects: Suspects;
   /** @returns Routes in force; undefined before the first configuration. */
@@ -199,7 +199,7 @@
     getOwnPart: limitPool.getOwnPart,
     getSettledMs: limitPool.getSettledMs,
     margin: settings.accounts.limitMargin,
-    findAccount: (name) => routes?.accounts?.get(name),
+    findHolder: (name) => routes?.accounts?.get(name),
   });
   const callerCheck = createCallerCheck({
     log,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import process from "node:process";
-import { packUsage } from "../accounts/usage_form.ts";
-import { startUsageSharing } from "../accounts/usage_sharing.ts";
+import { packUsage } from "../limits/usage_form.ts";
+import { startUsageSharing } from "../limits/usage_sharing.ts";
 import { createRunningRequests } from "../activity/running.ts";
 import { startSharing } from "../activity/sharing.ts";
 import { isBehindHub } from "../members/hubs.ts";
--- a/src/accounts/bucket.ts
+++ b/src/limits/bucket.ts
@@ -1,5 +1,5 @@
 /**
- * A token bucket: what an account may do at once, and how that refills.
+ * A token bucket: what may be done at once, and how that refills.
  *
  * @module
  */
--- a/src/accounts/equal_parts.ts
+++ b/src/limits/equal_parts.ts
@@ -9,16 +9,16 @@
 import type { Clock } from "../runtime/clock.ts";
 import { type Bucket, refill } from "./bucket.ts";
 import {
-  AccountLimiter,
-  type AccountUsage,
   type Admission,
-  type LimitedAccount,
+  type LimitedHolder,
   type LimitState,
+  type LimitUsage,
   MAX_LISTED,
+  RateLimiter,
 } from "./limiter.ts";
 
 /** Gives each VM its part of each limit. */
-export class EqualParts extends AccountLimiter {
+export class EqualParts extends RateLimiter {
   readonly #clock: Clock;
   readonly #countVms: () => number;
   readonly #startedAtMs: number;
@@ -35,21 +35,21 @@
     this.#startedAtMs = clock.monotonicMs();
   }
 
-  protected override takeLimited(account: LimitedAccount): Admission {
-    const bucket = this.#refill(account);
+  protected override takeLimited(holder: LimitedHolder): Admission {
+    const bucket = this.#refill(holder);
     if (bucket.level >= 1) {
       bucket.level--;
       return { kind: "within" };
     }
-    const ownPerS = account.ratePerS / this.#countVms();
+    const ownPerS = holder.ratePerS / this.#countVms();
     return { kind: "over", retryAfterMs: (1 - bucket.level) * 1_000 / ownPerS };
   }
 
-  protected override count(account: LimitedAccount, runs: number): void {
-    this.#refill(account).level -= runs;
+  protected override count(holder: LimitedHolder, runs: number): void {
+    this.#refill(holder).level -= runs;
   }
 
-  override takeNews(): AccountUsage[] {
+  override takeNews(): LimitUsage[] {
     return [];
   }
 
@@ -57,11 +57,11 @@
 
   override list(): LimitState[] {
     return [...this.#buckets].slice(0, MAX_LISTED).map((
-      [account, { level }],
-    ) => ({ account, level, ownPerS: 0, othersPerS: 0 }));
+      [name, { level }],
+    ) => ({ name, level, ownPerS: 0, othersPerS: 0 }));
   }
 
-  #refill({ name, ratePerS, burst }: LimitedAccount): Bucket {
+  #refill({ name, ratePerS, burst }: LimitedHolder): Bucket {
     const known = this.#buckets.get(name);
     const bucket = known ?? { level: 0, refilledAtMs: this.#startedAtMs };
     if (known === undefined) this.#buckets.set(name, bucket);
--- a/src/accounts/model/world.ts
+++ b/src/limits/model/world.ts
@@ -12,10 +12,10 @@
 import { createRandom, type Random } from "../../runtime/random.ts";
 import { type Bucket, refill } from "../bucket.ts";
 import { EqualParts } from "../equal_parts.ts";
-import type { AccountLimiter } from "../limiter.ts";
+import type { RateLimiter } from "../limiter.ts";
 import { createLimitPool } from "../pool.ts";
 import { SharedUsage } from "../shared_usage.ts";
-import type { ClientAccount } from "../types.ts";
+import type { ClientAccount } from "../../accounts/types.ts";
 import {
   startUsageSharing,
   type UsageNews,
@@ -69,7 +69,7 @@
 
 interface ModelVm {
   identity: VmIdentity;
-  limiter: AccountLimiter;
+  limiter: RateLimiter;
   sharing: UsageSharing | undefined;
   isUp: boolean;
 }
@@ -181,7 +181,7 @@
       getOwnPart: pool.getOwnPart,
       getSettledMs: pool.getSettledMs,
       margin: MARGIN,
-      findAccount: () => account,
+      findHolder: () => account,
     });
     const sharing = startUsageSharing({
       self: identity,
--- a/src/accounts/shared_usage.ts
+++ b/src/limits/shared_usage.ts
@@ -1,5 +1,5 @@
 /**
- * Limits by shared usage: each VM keeps the account's bucket as all VMs
+ * Limits by shared usage: each VM keeps a holder's bucket as all VMs
  * together use it, from what they tell each other.
  *
  * Load patterns: callers of one account come to one VM alone, or to sixty, or
@@ -23,15 +23,16 @@
   type WindowCounter,
 } from "./bucket.ts";
 import {
-  AccountLimiter,
-  type AccountUsage,
   type Admission,
   isLimited,
-  type LimitedAccount,
+  type LimitedHolder,
+  type LimitHolder,
+  type LimitMargin,
   type LimitState,
+  type LimitUsage,
   MAX_LISTED,
+  RateLimiter,
 } from "./limiter.ts";
-import type { ClientAccount, LimitMargin } from "./types.ts";
 
 /** What shared usage needs. */
 export interface SharedUsageParts {
@@ -44,8 +45,8 @@
   /** For how long this VM has heard what the common part is used for. */
   getSettledMs: () => number;
   margin: LimitMargin;
-  /** Finds an account that other VMs told of. */
-  findAccount: (name: string) => ClientAccount | undefined;
+  /** Finds whose limit other VMs told of. */
+  findHolder: (name: string) => LimitHolder | undefined;
 }
 
 interface Usage {
@@ -76,14 +77,14 @@
 const SCATTERED_PART = 0.25;
 /** Kept below the whole, for what was in common use a moment before. */
 const OWN_PART = 0.8;
-/** Accounts that rest for so long have a full bucket, and are forgotten. */
+/** Holders that rest for so long have a full bucket, and are forgotten. */
 const FORGET_MS = 60_000;
 const MIN_RETRY_MS = 50;
 /** A caller that is told more gives up; more is told to none. */
 const MAX_RETRY_MS = 10_000;
 
 /** Keeps limits by what VMs tell each other. */
-export class SharedUsage extends AccountLimiter {
+export class SharedUsage extends RateLimiter {
   readonly #parts: SharedUsageParts;
   readonly #usages = new Map<string, Usage>();
 
@@ -93,9 +94,9 @@
     this.#parts = parts;
   }
 
-  protected override takeLimited(account: LimitedAccount): Admission {
-    const { ratePerS, burst } = account;
-    const usage = this.#get(account);
+  protected override takeLimited(holder: LimitedHolder): Admission {
+    const { ratePerS, burst } = holder;
+    const usage = this.#get(holder);
     usage.asked++;
     usage.own.note(1);
     usage.usedAtMs = this.#parts.clock.monotonicMs();
@@ -108,29 +109,29 @@
     return { kind: "within" };
   }
 
-  protected override count(account: LimitedAccount, runs: number): void {
-    spend(this.#get(account), runs);
+  protected override count(holder: LimitedHolder, runs: number): void {
+    spend(this.#get(holder), runs);
   }
 
-  override takeNews(): AccountUsage[] {
+  override takeNews(): LimitUsage[] {
     const limitMs = this.#parts.clock.monotonicMs() - FORGET_MS;
-    const news: AccountUsage[] = [];
-    for (const [account, usage] of this.#usages) {
-      if (usage.usedAtMs < limitMs) this.#usages.delete(account);
+    const news: LimitUsage[] = [];
+    for (const [name, usage] of this.#usages) {
+      if (usage.usedAtMs < limitMs) this.#usages.delete(name);
       const { asked, spent } = usage;
       if (asked === 0 && spent === 0) continue;
-      news.push({ account, asked, spent });
+      news.push({ name, asked, spent });
       usage.asked = 0;
       usage.spent = 0;
     }
     return news;
   }
 
-  override receive(told: readonly AccountUsage[]): void {
-    for (const { account: name, asked, spent } of told) {
-      const account = this.#parts.findAccount(name);
-      if (account === undefined || !isLimited(account)) continue;
-      const usage = this.#get(account);
+  override receive(told: readonly LimitUsage[]): void {
+    for (const { name, asked, spent } of told) {
+      const holder = this.#parts.findHolder(name);
+      if (holder === undefined || !isLimited(holder)) continue;
+      const usage = this.#get(holder);
       usage.others.note(asked);
       usage.bucket.level -= spent;
       usage.usedAtMs = this.#parts.clock.monotonicMs();
@@ -138,20 +139,20 @@
   }
 
   override list(): LimitState[] {
-    return [...this.#usages].slice(0, MAX_LISTED).map(([account, usage]) => ({
-      account,
+    return [...this.#usages].slice(0, MAX_LISTED).map(([name, usage]) => ({
+      name,
       level: usage.bucket.level,
       ownPerS: usage.own.getPerS(),
       othersPerS: usage.others.getPerS(),
     }));
   }
 
-  #get(account: LimitedAccount): Usage {
-    const { name, ratePerS, burst } = account;
+  #get(holder: LimitedHolder): Usage {
+    const { name, ratePerS, burst } = holder;
     const { clock, getPart } = this.#parts;
     const nowMs = clock.monotonicMs();
     const part = getPart();
-    const usage = this.#usages.get(name) ?? this.#begin(account, part);
+    const usage = this.#usages.get(name) ?? this.#begin(holder, part);
     const { bucket } = usage;
     // Those that fell silent keep what was theirs.
     if (part < usage.part && bucket.level > 0) {
@@ -162,13 +163,13 @@
     return usage;
   }
 
-  #begin(account: LimitedAccount, part: number): Usage {
+  #begin(holder: LimitedHolder, part: number): Usage {
     const { clock, random } = this.#parts;
     const nowMs = clock.monotonicMs();
     const getNowMs = () => clock.monotonicMs();
     const usage: Usage = {
       bucket: {
-        level: this.#getFirstLevel(account, part),
+        level: this.#getFirstLevel(holder, part),
         refilledAtMs: nowMs,
       },
       part,
@@ -181,15 +182,15 @@
       returnAtMs: nowMs,
       usedAtMs: nowMs,
     };
-    this.#usages.set(account.name, usage);
+    this.#usages.set(holder.name, usage);
     return usage;
   }
 
   /**
-   * An account that nobody told of has rested for as long as others are heard
+   * A holder that nobody told of has rested for as long as others are heard
    * here. What was spent before that is not known.
    */
-  #getFirstLevel({ ratePerS, burst }: LimitedAccount, part: number): number {
+  #getFirstLevel({ ratePerS, burst }: LimitedHolder, part: number): number {
     const settledS = this.#parts.getSettledMs() / 1_000;
     return Math.min(burst, ratePerS * settledS) * part;
   }
--- a/src/accounts/usage_form_test.ts
+++ b/src/limits/usage_form_test.ts
@@ -4,9 +4,9 @@
 
 test("usage arrives as it was sent, requests given back included", () => {
   const usage = [
-    { account: "one", asked: 4, spent: 4 },
-    { account: "two", asked: 9, spent: 1 },
-    { account: "three", asked: 0, spent: -2 },
+    { name: "one", asked: 4, spent: 4 },
+    { name: "two", asked: 9, spent: 1 },
+    { name: "three", asked: 0, spent: -2 },
   ];
   const packed = packUsage(usage);
   assert.equal(packed[0], ["one", 4]);
--- a/src/accounts/usage_sharing.ts
+++ b/src/limits/usage_sharing.ts
@@ -1,5 +1,5 @@
 /**
- * Tells other VMs what client accounts used here, and takes in what they used
+ * Tells other VMs what was used of limits here, and takes in what they used
  * there.
  *
  * In a small fleet VMs tell each other. In a large one they tell the first hub
@@ -11,27 +11,27 @@
 import { findRelay, type Topology } from "../members/hubs.ts";
 import type { VmIdentity } from "../members/types.ts";
 import type { Clock } from "../runtime/clock.ts";
-import type { AccountLimiter, AccountUsage } from "./limiter.ts";
+import type { LimitUsage, RateLimiter } from "./limiter.ts";
 import { HEARD_MS, type LimitPool } from "./pool.ts";
 
 /** For whom a message speaks: a VM, a region, or all but the receiver. */
 export type UsageScope = "vm" | "region" | "rest";
 
-/** What accounts used since the last message. */
+/** What was used since the last message. */
 export interface UsageNews {
   scope: UsageScope;
   /** For how many VMs the sender speaks. */
   vms: number;
-  usage: AccountUsage[];
+  usage: LimitUsage[];
 }
 
 /** What sharing needs. */
 export interface UsageSharingParts {
   self: VmIdentity;
   clock: Clock;
-  limiter: AccountLimiter;
+  limiter: RateLimiter;
   pool: LimitPool;
-  /** Whether any account has a limit. */
+  /** Whether there is any limit. */
   isNeeded: () => boolean;
   /** Other VMs that are up. */
   listOthers: () => VmIdentity[];
@@ -50,19 +50,19 @@
 /** Where nothing was used, that is said this often, to be heard. */
 const SILENT_MS = 400;
 
-/** Adds usage up by account. */
+/** Adds usage up by limit. */
 function createTally() {
-  const totals = new Map<string, AccountUsage>();
+  const totals = new Map<string, LimitUsage>();
   return {
-    add(usage: readonly AccountUsage[], sign: 1 | -1 = 1): void {
-      for (const { account, asked, spent } of usage) {
-        const total = totals.get(account) ?? { account, asked: 0, spent: 0 };
+    add(usage: readonly LimitUsage[], sign: 1 | -1 = 1): void {
+      for (const { name, asked, spent } of usage) {
+        const total = totals.get(name) ?? { name, asked: 0, spent: 0 };
         total.asked += sign * asked;
         total.spent += sign * spent;
-        totals.set(account, total);
+        totals.set(name, total);
       }
     },
-    list: (): AccountUsage[] =>
+    list: (): LimitUsage[] =>
       [...totals.values()].filter(({ asked, spent }) =>
         asked !== 0 || spent !== 0
       ),
@@ -76,8 +76,8 @@
 export function startUsageSharing(parts: UsageSharingParts): UsageSharing {
   const { self, clock, limiter, pool, send } = parts;
   /** What members of this region told since the last time, by VM. */
-  let ofMembers = new Map<string, AccountUsage[]>();
-  let ofRegions: AccountUsage[] = [];
+  let ofMembers = new Map<string, LimitUsage[]>();
+  let ofRegions: LimitUsage[] = [];
   const memberHeardAtMs = new Map<string, number>();
   const toldAtMs = new Map<string, number>();
 
@@ -102,7 +102,7 @@
     return [...memberHeardAtMs.keys()];
   }
 
-  function relayOn(own: AccountUsage[]): void {
+  function relayOn(own: LimitUsage[]): void {
     const members = listMembers();
     const region = createTally();
     region.add(own);
@@ -154,7 +154,7 @@
       : id === findRelay(parts.getTopology(), region);
   }
 
-  function receiveOfMember(id: string, usage: AccountUsage[]): void {
+  function receiveOfMember(id: string, usage: LimitUsage[]): void {
     memberHeardAtMs.set(id, clock.monotonicMs());
     const before = ofMembers.get(id);
     if (before === undefined) return void ofMembers.set(id, usage);
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Server } from "node:http";
-import { unpackUsage } from "../accounts/usage_form.ts";
-import type { UsageNews } from "../accounts/usage_sharing.ts";
+import { unpackUsage } from "../limits/usage_form.ts";
+import type { UsageNews } from "../limits/usage_sharing.ts";
 import type { Activity, ActivityScope } from "../activity/types.ts";
 import type { NewsBoard } from "../news/board.ts";
 import {
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { EqualParts } from "../accounts/equal_parts.ts";
+import { EqualParts } from "../limits/equal_parts.ts";
 import {
   type CallerCheck,
   createCallerCheck,
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { AccountLimiter } from "../accounts/limiter.ts";
+import type { RateLimiter } from "../limits/limiter.ts";
 import type { ObjectMemory } from "../placement/memory.ts";
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
 import type { Suspects } from "../quarantine/suspects.ts";
@@ -50,7 +50,7 @@
   exchange: Exchange;
   endCheck: EndCheck;
   suspects: Suspects;
-  limiter: AccountLimiter;
+  limiter: RateLimiter;
 }
 
 /** Serves requests. */
