--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -1,9 +1,12 @@
 /**
- * Ways of keeping the limits of client accounts, on the same loads.
+ * Ways of keeping limits over all VMs, on the same loads.
  *
  * @module
  */
-import { listLimitScenarios } from "../src/limits/model/scenarios.ts";
+import {
+  listLimitScenarios,
+  listServerScenarios,
+} from "../src/limits/model/scenarios.ts";
 import { type LimitWay, playLimits } from "../src/limits/model/world.ts";
 import { publish, type Row } from "./report.ts";
 
@@ -33,3 +36,37 @@
   }
   publish("limits", "Served of what is allowed, and most of the bound", rows);
 }
+
+const SERVER_WAYS: readonly LimitWay[] = [
+  "ranked_senders",
+  "equal_parts",
+  "shared_usage",
+];
+const SERVER_FLEETS = [
+  { vms: 9, ratePerS: 3.5 },
+  { vms: 27, ratePerS: 0.7 },
+  { vms: 60, ratePerS: 4 },
+  { vms: 195, ratePerS: 40 },
+];
+const SEEDS = [1, 2, 3, 4, 5];
+
+/** Plays loads of a server that named a limit, in each way. */
+export function benchServerLimits(): void {
+  const rows: Row[] = [];
+  for (const { vms, ratePerS } of SERVER_FLEETS) {
+    for (const scenario of listServerScenarios(vms, ratePerS)) {
+      const row: Row = { vms, ratePerS, load: scenario.name };
+      for (const way of SERVER_WAYS) {
+        const figures = SEEDS.map((seed) => playLimits(way, scenario, seed));
+        const served = figures.reduce((sum, one) => sum + one.served, 0);
+        const allowed = figures.reduce((sum, one) => sum + one.allowed, 0);
+        const most = Math.max(...figures.map((one) => one.mostOfBound));
+        row[`${way}: served`] = Number((served / allowed).toFixed(3));
+        row[`${way}: most`] = Number(most.toFixed(3));
+      }
+      rows.push(row);
+    }
+  }
+  const title = "Served of what a server's limit allows, and most of the bound";
+  publish("server_limits", title, rows);
+}
--- a/bench/mod.ts
+++ b/bench/mod.ts
@@ -4,13 +4,14 @@
  * @module
  */
 import process from "node:process";
-import { benchLimits } from "./limits.ts";
+import { benchLimits, benchServerLimits } from "./limits.ts";
 import { benchRequestPath } from "./request_path.ts";
 import { benchSlopes } from "./slopes.ts";
 import { benchSteering } from "./steering/mod.ts";
 
 const BENCHES: Record<string, () => void | Promise<void>> = {
   limits: benchLimits,
+  server_limits: benchServerLimits,
   request_path: benchRequestPath,
   slopes: benchSlopes,
   steering: benchSteering,
--- a/src/limits/model/limits_test.ts
+++ b/src/limits/model/limits_test.ts
@@ -1,6 +1,6 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
-import { listLimitScenarios } from "./scenarios.ts";
+import { listLimitScenarios, listServerScenarios } from "./scenarios.ts";
 import { type LimitWay, playLimits } from "./world.ts";
 
 const WAYS: readonly LimitWay[] = ["equal_parts", "shared_usage"];
@@ -53,4 +53,36 @@
   });
 }
 
+const SERVER_FLEETS = [
+  { vms: 9, ratePerS: 3.5 },
+  { vms: 27, ratePerS: 0.7 },
+  { vms: 60, ratePerS: 4 },
+];
+
+test("no load exceeds a server's limit and its margin, kept by shared usage", () => {
+  for (const { vms, ratePerS } of SERVER_FLEETS) {
+    for (const scenario of listServerScenarios(vms, ratePerS)) {
+      for (const seed of SEEDS) {
+        const { mostOfBound } = playLimits("shared_usage", scenario, seed);
+        const name = `${scenario.name}, ${vms} VMs, seed ${seed}`;
+        assert.ok(mostOfBound <= 1, `${name}: ${mostOfBound}`);
+      }
+    }
+  }
+});
+
+/** Least part of a server's limit that is used while VMs hear each other. */
+const SERVER_AIM = 0.8;
+
+test("shared usage uses most of a server's limit, whichever VM is asked", () => {
+  for (const { vms, ratePerS } of SERVER_FLEETS) {
+    for (const scenario of listServerScenarios(vms, ratePerS)) {
+      const isWell = ["all is well", "one VM gets all"].includes(scenario.name);
+      if (!isWell) continue;
+      const { servedShare } = playLimits("shared_usage", scenario);
+      assert.ok(servedShare >= SERVER_AIM, `${vms} VMs: ${servedShare}`);
+    }
+  }
+});
+
 test.run();
--- /dev/null
+++ b/src/limits/model/ranked_senders.ts
@@ -0,0 +1,57 @@
+/**
+ * Limits by senders: the first VMs of a region by rank spend the whole limit.
+ *
+ * @module
+ */
+import type { Clock } from "../../runtime/clock.ts";
+import { type ColdLimit, createColdLimit } from "../../servers/cold_limit.ts";
+import {
+  type Admission,
+  type LimitedHolder,
+  type LimitState,
+  type LimitUsage,
+  RateLimiter,
+} from "../limiter.ts";
+
+/** Who may be a sender. */
+export interface Senders {
+  region: string;
+  listVms: (region: string) => readonly string[];
+}
+
+/** Gives few VMs the whole of each limit, as cold servers are limited. */
+export class RankedSenders extends RateLimiter {
+  readonly #senders: Senders;
+  readonly #limit: ColdLimit;
+
+  /**
+   * @param clock The clock.
+   * @param ownId This VM.
+   * @param senders Who may be a sender.
+   */
+  constructor(clock: Clock, ownId: string, senders: Senders) {
+    super();
+    this.#senders = senders;
+    const { listVms } = senders;
+    this.#limit = createColdLimit({ clock, ownId, listVms });
+  }
+
+  protected override takeLimited({ name, ratePerS }: LimitedHolder): Admission {
+    const isTaken = this.#limit.take(name, ratePerS, this.#senders.region);
+    return isTaken
+      ? { kind: "within" }
+      : { kind: "over", retryAfterMs: 1_000 / ratePerS };
+  }
+
+  protected override count(): void {}
+
+  override takeNews(): LimitUsage[] {
+    return [];
+  }
+
+  override receive(): void {}
+
+  override list(): LimitState[] {
+    return [];
+  }
+}
--- a/src/limits/model/scenarios.ts
+++ b/src/limits/model/scenarios.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { LimitMargin } from "../limiter.ts";
 import type { LimitScenario } from "./world.ts";
 
 const DURATION_MS = 20_000;
@@ -123,3 +124,66 @@
     makeScenario(vms, 2, HOT, { name: "small, far over" }),
   ];
 }
+
+/** What a server that named a limit may get beyond it, at the most. */
+const SERVER_MARGIN: LimitMargin = {
+  windowMs: 4_000,
+  ratio: 0.5,
+  allowance: 5,
+};
+/** What a server got before it named a limit, of that limit. */
+const SERVER_DEMAND = 5;
+/** Part of it that VMs of the server's own region send. */
+const NEAR_PART = 0.9;
+
+/**
+ * @param vms VMs of the fleet.
+ * @param ratePerS What a server names, which stands in the first VM's region.
+ * @returns Loads that the server's limit has to answer.
+ */
+export function listServerScenarios(
+  vms: number,
+  ratePerS: number,
+): LimitScenario[] {
+  const all = Array.from({ length: vms }, (_, index) => index);
+  const near = all.filter((vm) => vm % 3 === 0);
+  const far = vms - near.length;
+  const getDemandPerS = (vm: number) =>
+    SERVER_DEMAND * ratePerS *
+    (vm % 3 === 0 ? NEAR_PART / near.length : (1 - NEAR_PART) / far);
+  const make = (changes: Changes): LimitScenario =>
+    makeScenario(vms, ratePerS, 0, {
+      margin: SERVER_MARGIN,
+      startsEmpty: true,
+      getDemandPerS,
+      ...changes,
+    });
+  return [
+    make({ name: "all is well" }),
+    make({
+      name: "one VM gets all",
+      getDemandPerS: (vm) => vm === 3 ? SERVER_DEMAND * ratePerS : 0,
+    }),
+    make({
+      name: "its region cut off",
+      isCut: (from, to, nowMs) =>
+        isCutThen(nowMs) && from !== to && (from === "oslo" || to === "oslo"),
+    }),
+    make({
+      name: "each VM on its own",
+      isCut: (_from, _to, nowMs) => isCutThen(nowMs),
+    }),
+    make({
+      name: "all restart",
+      restarts: [{ atMs: 8_000, vms: all, downMs: 1_000 }],
+    }),
+    make({
+      name: "its region restarts",
+      restarts: [{ atMs: 8_000, vms: near, downMs: 2_000 }],
+    }),
+    make({
+      name: "lowered",
+      lowered: { atMs: 8_000, ratePerS: ratePerS / 4, burst: ratePerS / 4 },
+    }),
+  ];
+}
--- a/src/limits/model/world.ts
+++ b/src/limits/model/world.ts
@@ -1,6 +1,5 @@
 /**
- * A fleet under a fake clock in which client accounts ask for more or less than
- * they may: what each way of limiting lets through, against what one VM that
+ * A fleet under a fake clock in which more or less is asked than limits allow: what each way of limiting lets through, against what one VM that
  * knew everything would.
  *
  * @module
@@ -12,10 +11,10 @@
 import { createRandom, type Random } from "../../runtime/random.ts";
 import { type Bucket, refill } from "../bucket.ts";
 import { EqualParts } from "../equal_parts.ts";
-import type { RateLimiter } from "../limiter.ts";
+import type { LimitedHolder, LimitMargin, RateLimiter } from "../limiter.ts";
 import { createLimitPool } from "../pool.ts";
 import { SharedUsage } from "../shared_usage.ts";
-import type { ClientAccount } from "../../accounts/types.ts";
+import { RankedSenders } from "./ranked_senders.ts";
 import {
   startUsageSharing,
   type UsageNews,
@@ -23,7 +22,7 @@
 } from "../usage_sharing.ts";
 
 /** A way of keeping limits. */
-export type LimitWay = "equal_parts" | "shared_usage";
+export type LimitWay = "equal_parts" | "shared_usage" | "ranked_senders";
 
 /** What happens to a fleet. */
 export interface LimitScenario {
@@ -42,6 +41,10 @@
   isCut?: (from: string, to: string, nowMs: number) => boolean;
   /** When which VMs start anew. */
   restarts?: { atMs: number; vms: readonly number[]; downMs: number }[];
+  /** What may be exceeded; that of client accounts unless given. */
+  margin?: LimitMargin;
+  /** Whether the limit was set on what is in use, so that nothing is saved up. */
+  startsEmpty?: boolean;
   /** The limit from some time on. */
   lowered?: { atMs: number; ratePerS: number; burst: number };
 }
@@ -64,8 +67,14 @@
 const LOCAL_DELAY_MS = 2;
 /** Before it, VMs get to know each other and nothing is asked. */
 const LEAD_MS = 3_000;
-const MARGIN = { windowMs: 5_000, ratio: 0.1, allowance: 20 };
-const ACCOUNT = "an account";
+const ACCOUNT_MARGIN: LimitMargin = {
+  windowMs: 5_000,
+  ratio: 0.1,
+  allowance: 20,
+};
+const HOLDER = "a holder";
+/** The region of a holder that stands in one, such as a server. */
+const HOLDER_REGION = REGIONS[0];
 
 interface ModelVm {
   identity: VmIdentity;
@@ -87,21 +96,17 @@
 ): LimitFigures {
   const clock = createFakeClock();
   const random = createRandom(seed);
-  const account: ClientAccount = {
-    name: ACCOUNT,
-    keyDigests: [],
-    ratePerS: scenario.ratePerS,
-    burst: scenario.burst,
-    homeRegions: [],
-  };
-  const fleet = startFleet(way, scenario, { clock, random, account });
-  const ideal: Bucket = { level: scenario.burst, refilledAtMs: LEAD_MS };
+  const { ratePerS, burst } = scenario;
+  const holder: LimitedHolder = { name: HOLDER, ratePerS, burst };
+  const fleet = startFleet(way, scenario, { clock, random, holder });
+  const level = scenario.startsEmpty ? 0 : burst;
+  const ideal: Bucket = { level, refilledAtMs: LEAD_MS };
   const servedAtMs: number[] = [];
   let asked = 0;
   let allowed = 0;
   clock.advance(LEAD_MS);
   for (let nowMs = 0; nowMs < scenario.durationMs; nowMs += STEP_MS) {
-    applyEvents(scenario, nowMs, account, fleet);
+    applyEvents(scenario, nowMs, holder, fleet);
     for (let index = 0; index < scenario.vms; index++) {
       const vm = fleet.vms[index];
       const mean = scenario.getDemandPerS(index, nowMs) * STEP_MS / 1_000;
@@ -110,14 +115,14 @@
         asked++;
         refill(
           ideal,
-          { ratePerS: account.ratePerS!, burst: account.burst },
+          { ratePerS: holder.ratePerS, burst: holder.burst },
           LEAD_MS + nowMs,
         );
         if (ideal.level >= 1) {
           ideal.level--;
           allowed++;
         }
-        if (vm.limiter.take(account).kind === "within") servedAtMs.push(nowMs);
+        if (vm.limiter.take(holder).kind === "within") servedAtMs.push(nowMs);
       }
     }
     clock.advance(STEP_MS);
@@ -140,10 +145,10 @@
 function startFleet(
   way: LimitWay,
   scenario: LimitScenario,
-  { clock, random, account }: {
+  { clock, random, holder }: {
     clock: FakeClock;
     random: Random;
-    account: ClientAccount;
+    holder: LimitedHolder;
   },
 ): Fleet {
   const identities = Array.from(
@@ -168,20 +173,33 @@
     });
   }
 
+  function listUp(region: string): string[] {
+    return vms.filter(({ identity, isUp }) =>
+      isUp && identity.region === region
+    ).map(({ identity }) => identity.id);
+  }
+
   function startVm(identity: VmIdentity): ModelVm {
     if (way === "equal_parts") {
       const limiter = new EqualParts(clock, () => scenario.vms);
       return { identity, limiter, sharing: undefined, isUp: true };
     }
+    if (way === "ranked_senders") {
+      const limiter = new RankedSenders(clock, identity.id, {
+        region: HOLDER_REGION,
+        listVms: listUp,
+      });
+      return { identity, limiter, sharing: undefined, isUp: true };
+    }
     const pool = createLimitPool(clock, () => scenario.vms);
     const limiter = new SharedUsage({
       clock,
       random,
       getPart: pool.getPart,
       getOwnPart: pool.getOwnPart,
-      getSettledMs: pool.getSettledMs,
-      margin: MARGIN,
-      findHolder: () => account,
+      getSettledMs: scenario.startsEmpty ? () => 0 : pool.getSettledMs,
+      margin: scenario.margin ?? ACCOUNT_MARGIN,
+      findHolder: () => holder,
     });
     const sharing = startUsageSharing({
       self: identity,
@@ -208,12 +226,12 @@
 function applyEvents(
   { lowered, restarts = [] }: LimitScenario,
   nowMs: number,
-  account: ClientAccount,
+  holder: LimitedHolder,
   fleet: Fleet,
 ): void {
   if (lowered?.atMs === nowMs) {
-    account.ratePerS = lowered.ratePerS;
-    account.burst = lowered.burst;
+    holder.ratePerS = lowered.ratePerS;
+    holder.burst = lowered.burst;
   }
   for (const { atMs, vms, downMs } of restarts) {
     for (const index of vms) {
@@ -229,17 +247,17 @@
 /** A lower limit binds once a window has passed. */
 function getMostOfBound(
   servedAtMs: readonly number[],
-  { ratePerS, burst, lowered }: LimitScenario,
+  { ratePerS, burst, lowered, margin = ACCOUNT_MARGIN }: LimitScenario,
 ): number {
   let most = 0;
   let first = 0;
   servedAtMs.forEach((endMs, index) => {
-    while (servedAtMs[first] <= endMs - MARGIN.windowMs) first++;
+    while (servedAtMs[first] <= endMs - margin.windowMs) first++;
     const isLow = lowered !== undefined &&
-      endMs >= lowered.atMs + MARGIN.windowMs;
+      endMs >= lowered.atMs + margin.windowMs;
     const limit = isLow ? lowered : { ratePerS, burst };
-    const allowed = limit.ratePerS * MARGIN.windowMs / 1_000 + limit.burst;
-    const bound = allowed * (1 + MARGIN.ratio) + MARGIN.allowance;
+    const allowed = limit.ratePerS * margin.windowMs / 1_000 + limit.burst;
+    const bound = allowed * (1 + margin.ratio) + margin.allowance;
     most = Math.max(most, (index - first + 1) / bound);
   });
   return most;
