Keep the rates that backend servers name, over all VMs together

What callers saw: nothing yet; a backend server in need that named 3.5 requests a second in its answers got 74 in 4 s from VMs that it had told, 26 allowed.

Cause: a gateway took one thing from a server's answers, its load, and knew no rate that many VMs share but those of client accounts and cold servers. Evidence: the incident's lines name no limit, `Server-Limit` stood nowhere in the code, and three gateways on loopback send 39 in 4 s. Ruled out: late learning (six VMs were told within 1.5 s and went on), each VM keeping to the whole rate by itself (12 a second from one VM).

Now each answer's rate is noted, told to the other VMs within 0.1 s and by way of hubs, and spent as the limits of client accounts are: by what all VMs tell each other they used. What a server can't take goes to the next one of the object; shares of regions count the slots that its rate leaves. Where no server of the region has room the caller is refused at once (`held_back`) and told when it may.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -49,6 +49,7 @@
 import { createPlacer } from "../serving/placing.ts";
 import type { WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
+import { createServerLimits, type ServerLimits } from "./server_limits.ts";
 import type { GatewaySettings } from "./settings.ts";
 
 /** What a core is built from. */
@@ -80,6 +81,7 @@
   limiter: RateLimiter;
   limitPool: LimitPool;
   suspects: Suspects;
+  serverLimits: ServerLimits;
   /** @returns Routes in force; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
@@ -102,6 +104,17 @@
   const getTerms = (service: string) => routes?.getTerms(service);
   const demand = createDemandMeter(clock);
   const runTimes = createRunTimes();
+  const random = createRandom(makeSeed(self));
+  const countKnown = () => table.listKnown().length + 1;
+  const serverLimits = createServerLimits({
+    clock,
+    log,
+    random,
+    ownId: self.id,
+    countKnown,
+    runTimes,
+  });
+  const { permits, rateLimits } = serverLimits;
   const retention = createRetention();
   const registry = createServerRegistry({
     clock,
@@ -145,6 +158,7 @@
     registry,
     table,
     trend: createDemandTrend(clock),
+    getSlots: permits.getSlots,
     getOwnDemand: demand.getRates,
     getFleetDemand: parts.getFleetDemand,
   });
@@ -185,13 +199,13 @@
       ownId: self.id,
       listVms: vms.listServingIds,
     }),
+    permits,
     pace,
     memory,
     retention,
     getTerms,
   });
-  const random = createRandom(makeSeed(self));
-  const limitPool = createLimitPool(clock, () => table.listKnown().length + 1);
+  const limitPool = createLimitPool(clock, countKnown);
   const limiter = new SharedUsage({
     clock,
     random,
@@ -221,6 +235,7 @@
       memory,
       retention,
       runTimes,
+      rateLimits,
     }),
     budget,
     splitter: createSplitter(),
@@ -230,6 +245,7 @@
     exchange,
     endCheck: createEndCheck(dial),
     suspects,
+    permits,
     limiter,
   });
 
@@ -242,6 +258,7 @@
     limiter,
     limitPool,
     suspects,
+    serverLimits,
     getRoutes: () => routes,
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -48,6 +48,7 @@
 import { createCore } from "./core.ts";
 import { createGatewayMetrics } from "./gauges.ts";
 import { leave } from "./leave.ts";
+import { startServerLimitSharing } from "./server_limits.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { dumpState } from "./state_dump.ts";
 
@@ -162,6 +163,9 @@
     onActivity: (from, scope, activity) =>
       sharing.receive(from, scope, activity),
     onUsage: (from, news) => usageSharing.receive(from, news),
+    onServerUsage: (from, news) => limitSharing.receive(from, news),
+    onServerRates: ({ id }, rates) =>
+      core.serverLimits.rateLimits.receive(id, rates),
   });
   const usageSharing = startUsageSharing({
     self,
@@ -179,6 +183,21 @@
         usage: packUsage(usage),
       }),
   });
+  const limitSharing = startServerLimitSharing({
+    self,
+    clock,
+    limits: core.serverLimits,
+    listOthers: () => table.listAlive().map(({ identity }) => identity),
+    getTopology: mesh.getTopology,
+    sendUsage: (vmIds, { scope, vms, usage }) =>
+      mesh.sendTo(vmIds, {
+        kind: "server_usage",
+        scope,
+        vms,
+        usage: packUsage(usage),
+      }),
+    tellRates: mesh.tellServerRates,
+  });
   const sharing = startSharing({
     self,
     clock,
@@ -259,6 +278,7 @@
       overload.stop();
       sharing.stop();
       usageSharing.stop();
+      limitSharing.stop();
       core.suspects.stop();
       return leave({
         clock,
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -44,6 +44,10 @@
       help: "Part of each account's limit that the VMs heard here hold",
       read: () => core.limitPool.getPart(),
     },
+    limited_servers: {
+      help: "Backend servers that named a rate lately",
+      read: () => core.serverLimits.rateLimits.count(),
+    },
     vms: { help: "VMs that serve, as seen here", read: countVms },
     suspect_requests: {
       help: "Requests under which backend servers ended lately",
--- /dev/null
+++ b/src/gateway/server_limits.ts
@@ -0,0 +1,122 @@
+/**
+ * Keeps the rates that backend servers name over all VMs: what is known of
+ * them, what all VMs spend of them, and telling others of both.
+ *
+ * @module
+ */
+import type { LimitMargin, RateLimiter } from "../limits/limiter.ts";
+import { createLimitPool, type LimitPool } from "../limits/pool.ts";
+import { SharedUsage } from "../limits/shared_usage.ts";
+import {
+  startUsageSharing,
+  type UsageNews,
+  type UsageSharing,
+} from "../limits/usage_sharing.ts";
+import type { Topology } from "../members/hubs.ts";
+import type { VmIdentity } from "../members/types.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Random } from "../runtime/random.ts";
+import {
+  createServerPermits,
+  type ServerPermits,
+  toLimitHolder,
+} from "../servers/permits.ts";
+import {
+  createServerRateLimits,
+  type RateLimitNews,
+  type ServerRateLimits,
+} from "../servers/rate_limits.ts";
+import type { RunTimes } from "../servers/run_times.ts";
+import type { Log } from "../telemetry/log.ts";
+
+/** Keeps rates that servers named. */
+export interface ServerLimits {
+  rateLimits: ServerRateLimits;
+  limiter: RateLimiter;
+  pool: LimitPool;
+  permits: ServerPermits;
+}
+
+/** What keeping them needs. */
+export interface ServerLimitParts {
+  clock: Clock;
+  log: Log;
+  random: Random;
+  ownId: string;
+  /** VMs that may serve, this one included. */
+  countKnown: () => number;
+  runTimes: RunTimes;
+}
+
+/** A server takes its rate and nothing beyond, also of VMs that are cut off. */
+const MARGIN: LimitMargin = { windowMs: 4_000, ratio: 0, allowance: 0 };
+/** Pause in which rates gather that others have to know. */
+const TELL_MS = 100;
+
+/**
+ * @param parts What keeping rates needs.
+ * @returns The rates, of which none was named.
+ */
+export function createServerLimits(parts: ServerLimitParts): ServerLimits {
+  const { clock, log, random, ownId, countKnown, runTimes } = parts;
+  const rateLimits = createServerRateLimits({ clock, log, ownId });
+  const pool = createLimitPool(clock, countKnown);
+  const limiter = new SharedUsage({
+    clock,
+    random,
+    getPart: pool.getPart,
+    getOwnPart: pool.getOwnPart,
+    // A server names a rate while it is in use: nothing of it is saved up.
+    getSettledMs: () => 0,
+    margin: MARGIN,
+    findHolder(name) {
+      const ratePerS = rateLimits.getRatePerS(name);
+      return ratePerS === undefined ? undefined : toLimitHolder(name, ratePerS);
+    },
+  });
+  const permits = createServerPermits({ rateLimits, limiter, runTimes });
+  return { rateLimits, limiter, pool, permits };
+}
+
+/** What telling others needs. */
+export interface LimitSharingParts {
+  self: VmIdentity;
+  clock: Clock;
+  limits: ServerLimits;
+  listOthers: () => VmIdentity[];
+  getTopology: () => Topology;
+  sendUsage: (vmIds: readonly string[], news: UsageNews) => void;
+  tellRates: (rates: RateLimitNews[]) => void;
+}
+
+/**
+ * @param parts What telling others needs.
+ * @returns The running exchange of what VMs spend.
+ */
+export function startServerLimitSharing(
+  parts: LimitSharingParts,
+): UsageSharing {
+  const { self, clock, limits } = parts;
+  const { rateLimits, limiter, pool } = limits;
+  const usage = startUsageSharing({
+    self,
+    clock,
+    limiter,
+    pool,
+    isNeeded: () => rateLimits.count() > 0,
+    listOthers: parts.listOthers,
+    getTopology: parts.getTopology,
+    send: parts.sendUsage,
+  });
+  const timer = clock.every(TELL_MS, () => {
+    const rates = rateLimits.takeNews();
+    if (rates.length > 0) parts.tellRates(rates);
+  });
+  return {
+    receive: usage.receive,
+    stop() {
+      timer.cancel();
+      usage.stop();
+    },
+  };
+}
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -41,6 +41,8 @@
     factAgesMs: Object.fromEntries(ages),
     limitPart: core.limitPool.getPart(),
     limits: core.limiter.list(),
+    serverRates: core.serverLimits.rateLimits.list(),
+    serverRatesPart: core.serverLimits.pool.getPart(),
     evacuated: core.registry.listEvacuated(),
     servers: core.registry.listAll().map(dumpServer),
     suspects: core.suspects.list(),
--- a/src/members/hub_mesh_test.ts
+++ b/src/members/hub_mesh_test.ts
@@ -7,6 +7,7 @@
 import { toEndNews } from "../quarantine/suspect_facts.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
+import { createServerRateLimits } from "../servers/rate_limits.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { arrange, isHub, MAX_FULL_MESH_VMS } from "./hubs.ts";
 import { startMesh } from "./mesh.ts";
@@ -48,6 +49,8 @@
   };
   const table = createMemberTable(self.id, clock);
   let state: VmState = "serving";
+  const log = createSilentLog();
+  const rateLimits = createServerRateLimits({ clock, log, ownId: self.id });
   const mesh = startMesh({
     self,
     table,
@@ -56,7 +59,7 @@
     needsProofs: () => false,
     register,
     clock,
-    log: createSilentLog(),
+    log,
     server: http.server,
     seeds: [],
     startsWithAll: true,
@@ -68,12 +71,15 @@
     onFound: () => {},
     onActivity: () => {},
     onUsage: () => {},
+    onServerUsage: () => {},
+    onServerRates: ({ id }, rates) => rateLimits.receive(id, rates),
   });
   return {
     self,
     board,
     table,
     mesh,
+    rateLimits,
     leave() {
       state = "leaving";
       mesh.reportNow();
@@ -144,6 +150,17 @@
   await stop();
 });
 
+test("a rate that a server named is known to all VMs of a large fleet", async () => {
+  const { vms, others, stop } = await startFleet();
+  const [told] = others;
+  told.rateLimits.note("1", 3.5);
+  told.mesh.tellServerRates(told.rateLimits.takeNews());
+  await waitUntil(() =>
+    vms.every(({ rateLimits }) => rateLimits.getRatePerS("1") === 3.5)
+  );
+  await stop();
+});
+
 test("a VM that leaves is named by no VM of a large fleet any more", async () => {
   const { vms, others, stop } = await startFleet();
   const [leaver] = others;
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -16,6 +16,7 @@
 } from "../news/types.ts";
 import type { Knowledge } from "../news/knowledge.ts";
 import type { Clock } from "../runtime/clock.ts";
+import type { RateLimitNews } from "../servers/rate_limits.ts";
 import { acceptLinks, keepLink } from "../runtime/peer_link.ts";
 import type { Log } from "../telemetry/log.ts";
 import { createDialing } from "./dialing.ts";
@@ -64,12 +65,22 @@
   ) => void;
   /** Told of what client accounts used at other VMs. */
   onUsage: (from: VmIdentity, news: UsageNews) => void;
+  /** Told of what was sent from other VMs to servers that named a rate. */
+  onServerUsage: (from: VmIdentity, news: UsageNews) => void;
+  /**
+   * Told of rates that servers named at other VMs.
+   *
+   * @returns Those that are new here.
+   */
+  onServerRates: (from: VmIdentity, rates: RateLimitNews[]) => RateLimitNews[];
 }
 
 /** The links of this VM. */
 export interface Mesh {
   /** Passes facts on to every VM that is linked. */
   passOn(items: NewsItem[]): void;
+  /** Tells every VM that is linked of rates that servers named. */
+  tellServerRates(rates: RateLimitNews[]): void;
   /** Tells every VM that this one read a topic from its source. */
   noteRead(topic: SourceTopic): void;
   /** Tells every VM how this one is, now. */
@@ -172,7 +183,13 @@
     if (message.kind === "want") sendTopic(link, message.topic);
     if (message.kind === "report") receiveReport(link, state, message);
     if (message.kind === "proof") proofs.receiveProof(link, message);
-    if (message.kind === "usage") receiveUsage(state, message);
+    if (message.kind === "usage") receiveUsage(state, message, parts.onUsage);
+    if (message.kind === "server_usage") {
+      receiveUsage(state, message, parts.onServerUsage);
+    }
+    if (message.kind === "server_rates") {
+      receiveRates(link, state, message.rates);
+    }
     if (message.kind === "read") receiveRead(state, message);
     if (message.kind === "view") receiveView(link, state, message);
     if (message.kind === "want_view") sendWholeView(link, state);
@@ -205,14 +222,9 @@
     views.tellSoon();
   }
 
-  /** Facts reach VMs that only hubs are linked to by way of these. */
   function receiveNews(from: VmLink, items: NewsItem[]): void {
     const news = board.apply(items);
-    if (
-      news.length === 0 || dialing.getTopology().isFullMesh ||
-      !dialing.actsAsHub()
-    ) return;
-    links.sendWhere({ kind: "news", items: news }, () => true, from);
+    passToOthers({ kind: "news", items: news }, news.length, from);
   }
 
   function receiveView(
@@ -239,10 +251,35 @@
 
   function receiveUsage(
     { identity }: LinkState,
-    { scope, vms, usage }: Extract<VmMessage, { kind: "usage" }>,
+    { scope, vms, usage }: Extract<
+      VmMessage,
+      { kind: "usage" | "server_usage" }
+    >,
+    receive: (from: VmIdentity, news: UsageNews) => void,
   ): void {
     if (identity === undefined) return;
-    parts.onUsage(identity, { scope, vms, usage: unpackUsage(usage) });
+    receive(identity, { scope, vms, usage: unpackUsage(usage) });
+  }
+
+  function receiveRates(
+    from: VmLink,
+    { identity }: LinkState,
+    rates: RateLimitNews[],
+  ): void {
+    if (identity === undefined) return;
+    const news = parts.onServerRates(identity, rates);
+    passToOthers({ kind: "server_rates", rates: news }, news.length, from);
+  }
+
+  /** What VMs that only hubs are linked to have to know reaches them so. */
+  function passToOthers(
+    message: VmMessage,
+    items: number,
+    from: VmLink,
+  ): void {
+    const isPassedOn = items > 0 && !dialing.getTopology().isFullMesh &&
+      dialing.actsAsHub();
+    if (isPassedOn) links.sendWhere(message, () => true, from);
   }
 
   function receiveMembers(members: readonly VmIdentity[]): void {
@@ -337,6 +374,7 @@
 
   return {
     passOn: (items) => links.send({ kind: "news", items }),
+    tellServerRates: (rates) => links.send({ kind: "server_rates", rates }),
     noteRead(topic) {
       tellRead(topic, true);
       if (topic === "operations") proofs.tell();
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -65,6 +65,8 @@
     onActivity: ({ id }, scope, activity) =>
       void told.push({ id, scope, activity }),
     onUsage: () => {},
+    onServerUsage: () => {},
+    onServerRates: () => [],
   });
   const stop = async () => {
     mesh.stop();
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -9,6 +9,7 @@
 
 const MAX_MEMBERS = 4_096;
 const MAX_ITEMS = 10_000;
+const MAX_SERVER_NAME = 200;
 /** What 4,096 servers were asked for, 128 objects each, and the servers. */
 const MAX_NUMBERS = 1_100_000;
 
@@ -49,6 +50,12 @@
   versionSum: z.number(),
 });
 
+const usageFields = {
+  scope: z.enum(["vm", "region", "rest"]),
+  vms: z.number().int().nonnegative().max(MAX_MEMBERS),
+  usage: usageSchema,
+};
+
 /** Checks messages between VMs. */
 export const vmMessageSchema = z.discriminatedUnion("kind", [
   /** First message of both sides. */
@@ -82,12 +89,24 @@
     stamp: z.number().int().nonnegative(),
     heldMs: z.number().nonnegative(),
   }),
-  /** What client accounts used lately. */
+  /** What was used of limits lately. */
   z.object({
     kind: z.literal("usage"),
-    scope: z.enum(["vm", "region", "rest"]),
-    vms: z.number().int().nonnegative().max(MAX_MEMBERS),
-    usage: usageSchema,
+    ...usageFields,
+  }),
+  /** The same of limits that backend servers named. */
+  z.object({
+    kind: z.literal("server_usage"),
+    ...usageFields,
+  }),
+  /** Rates that backend servers named, or name no more. */
+  z.object({
+    kind: z.literal("server_rates"),
+    rates: z.array(z.object({
+      server: z.string().max(MAX_SERVER_NAME),
+      ratePerS: z.number().nonnegative().optional(),
+      ageMs: z.number().nonnegative(),
+    })).max(MAX_ITEMS),
   }),
   /** A topic was read from its source just now. */
   z.object({
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -30,17 +30,22 @@
   coldRatePerS: number;
   /** Whether a server was asked for the object not long ago. */
   knowsObject: (serverId: string) => boolean;
+  /** Takes one request's worth of what a server allows; whether it may go. */
+  takePermit: (server: KnownServer) => boolean;
+}
+
+/** A server that takes an attempt. */
+export interface ServerChoice {
+  kind: "server";
+  server: KnownServer;
+  rank: number;
+  use: number;
+  isKnown: boolean;
 }
 
 /** Where an attempt goes. */
 export type Choice =
-  | {
-    kind: "server";
-    server: KnownServer;
-    rank: number;
-    use: number;
-    isKnown: boolean;
-  }
+  | ServerChoice
   /** Every server that could take it is full. */
   | { kind: "full" }
   /** There is no server that could take it. */
@@ -69,6 +74,8 @@
  * was the same for 0.55, with half as many again refused.
  */
 const KEPT_FREE_SLOTS = 1.35;
+/** Servers that are asked for leave for one attempt, at the most. */
+const MAX_PERMITS_ASKED = 8;
 /** A server that failed this share of recent requests is asked last. */
 const POOR_FAILURE_SHARE = 0.35;
 
@@ -96,7 +103,7 @@
   const anyone = candidates.flat().find((server) =>
     !tried.has(server.listed.id) && server.coldUntilMs <= clock.monotonicMs()
   );
-  if (!isAnyAlive && anyone !== undefined) {
+  if (!isAnyAlive && anyone !== undefined && placement.takePermit(anyone)) {
     const isKnown = placement.knowsObject(anyone.listed.id);
     return { kind: "server", server: anyone, rank: 0, use: 0, isKnown };
   }
@@ -115,7 +122,7 @@
     server.health.getFailureShare() < POOR_FAILURE_SHARE
   );
   const chosen = sound.length > 0 ? sound : warm;
-  return chooseInCircle(chosen, placement) ??
+  return choosePermitted(chosen, placement) ??
     findColdTurn(alive, placement, coldLimit, nowMs);
 }
 
@@ -137,15 +144,32 @@
   if (!coldLimit.take(id, placement.coldRatePerS, first.region)) {
     return undefined;
   }
+  if (!placement.takePermit(first)) return undefined;
   const isKnown = placement.knowsObject(id);
   return { kind: "server", server: first, rank: 0, use, isKnown };
 }
 
-function chooseInCircle(
+/** What a server that holds back can't take goes to the next in the order. */
+function choosePermitted(
   servers: readonly KnownServer[],
   placement: Placement,
 ): Choice | undefined {
-  let best: Choice | undefined;
+  let left = servers;
+  for (let asked = 0; asked < MAX_PERMITS_ASKED; asked++) {
+    const choice = chooseInCircle(left, placement);
+    if (choice === undefined || placement.takePermit(choice.server)) {
+      return choice;
+    }
+    left = left.filter((server) => server !== choice.server);
+  }
+  return undefined;
+}
+
+function chooseInCircle(
+  servers: readonly KnownServer[],
+  placement: Placement,
+): ServerChoice | undefined {
+  let best: ServerChoice | undefined;
   let bestCost = Infinity;
   servers.slice(0, KNOWING_CIRCLE).forEach((server, rank) => {
     const use = server.load.getUse();
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -41,6 +41,7 @@
     firstRunQueue: 2,
     coldRatePerS: 9,
     knowsObject: () => true,
+    takePermit: () => true,
     ...changes,
   };
   return chooseServer(placement, coldLimit, clock);
@@ -87,6 +88,27 @@
   assert.is(idOf(choose(servers, clock, { tried })), "2");
 });
 
+test("a server that asks for fewer requests makes room in the circle", () => {
+  const { clock, servers } = startFour();
+  const takePermit = (server: KnownServer) => server !== servers[0];
+  const knowsObject = () => false;
+  assert.is(idOf(choose(servers, clock, { takePermit, knowsObject })), "1");
+  load(servers[1], 8);
+  assert.is(idOf(choose(servers, clock, { takePermit, knowsObject })), "2");
+});
+
+test("leave is asked for no more than some times", () => {
+  const { clock } = startFour();
+  const servers = [...listServers(clock, 40).listUsable("s")];
+  let asked = 0;
+  const takePermit = () => {
+    asked++;
+    return false;
+  };
+  assert.is(idOf(choose(servers, clock, { takePermit })), "full");
+  assert.is(asked, 8);
+});
+
 test("a server that fails a third of its requests is passed over", () => {
   const { clock, servers } = startFour();
   for (let count = 0; count < 6; count++) servers[0].health.note("failed");
--- a/src/placement/figures.ts
+++ b/src/placement/figures.ts
@@ -7,6 +7,7 @@
 import type { MemberTable } from "../members/table.ts";
 import type { DemandByRegion } from "../members/types.ts";
 import type { ServerRegistry } from "../servers/registry.ts";
+import type { ListedServer } from "../servers/types.ts";
 import type { DemandTrend } from "./demand_trend.ts";
 import type { RegionFigures } from "./shares.ts";
 
@@ -22,6 +23,8 @@
   registry: ServerRegistry;
   table: MemberTable;
   trend: DemandTrend;
+  /** Slots that a server can be used with. */
+  getSlots: (server: ListedServer) => number;
   /** Requests a second that this VM's clients make, by service. */
   getOwnDemand: () => Record<string, number>;
   /** Demand by region where hubs tell of it; this VM's own is part of it. */
@@ -63,7 +66,7 @@
     for (const server of registry.listUsable(service)) {
       const region = figures.get(server.region);
       if (region === undefined || server.health.isDown()) continue;
-      region.slots += server.listed.slots;
+      region.slots += parts.getSlots(server.listed);
     }
   }
 
--- a/src/placement/figures_test.ts
+++ b/src/placement/figures_test.ts
@@ -9,11 +9,11 @@
 import { createMemberTable } from "../members/table.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createDemandTrend } from "./demand_trend.ts";
-import { createFiguresReader } from "./figures.ts";
+import { createFiguresReader, type FiguresParts } from "./figures.ts";
 
 const DIGEST = { facts: 0, versionSum: 0 };
 
-function startFigures() {
+function startFigures(changes: Partial<FiguresParts> = {}) {
   const clock = createFakeClock();
   const table = createMemberTable("self", clock);
   const registry = makeRegistry(clock);
@@ -23,14 +23,22 @@
     registry,
     table,
     trend: createDemandTrend(clock),
+    getSlots: ({ slots }) => slots,
     getFleetDemand: () => undefined,
     getOwnDemand: () => ({ s: 20, t: 5 }),
+    ...changes,
   });
   const getSlots = () =>
     reader.read("s").find(({ region }) => region === "oslo")?.slots;
   return { table, registry, reader, getSlots };
 }
 
+test("a server counts with the slots that it can be used with", () => {
+  const { registry, getSlots } = startFigures({ getSlots: () => 0.5 });
+  registry.apply(makeServerNews(makeServer("1"), 1));
+  assert.is(getSlots(), 0.5);
+});
+
 test("slots of cold servers count, those of unreachable ones don't", () => {
   const { registry, getSlots } = startFigures();
   registry.apply(makeServerNews(makeServer("1"), 1));
--- /dev/null
+++ b/src/servers/permits_test.ts
@@ -0,0 +1,69 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { makeServer } from "../gateway/fixture.ts";
+import { createServerLimits } from "../gateway/server_limits.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createRunTimes } from "./run_times.ts";
+
+const SERVER = makeServer("i-1", { slots: 4 });
+
+/** One VM alone, to which a server that runs for 100 ms named a rate. */
+function startLimited(ratePerS: number) {
+  const clock = createFakeClock();
+  const runTimes = createRunTimes();
+  runTimes.note(SERVER.service, 100);
+  const { permits, rateLimits } = createServerLimits({
+    clock,
+    log: createSilentLog(),
+    random: () => 0.5,
+    ownId: "vm-1",
+    countKnown: () => 1,
+    runTimes,
+  });
+  rateLimits.note(SERVER.id, ratePerS);
+  const takeFor = (durationMs: number, isSent = true) => {
+    let taken = 0;
+    for (let ms = 0; ms < durationMs; ms += 10) {
+      clock.advance(10);
+      if (!permits.take(SERVER)) continue;
+      taken++;
+      if (!isSent) permits.giveBack(SERVER);
+      // The server names its rate with each answer.
+      rateLimits.note(SERVER.id, ratePerS);
+    }
+    return taken;
+  };
+  return { permits, takeFor };
+}
+
+test("a server that named no rate takes all", () => {
+  const { permits } = startLimited(4);
+  const other = makeServer("i-2");
+  for (let count = 0; count < 100; count++) assert.ok(permits.take(other));
+});
+
+test("one that named a rate gets it, and not more", () => {
+  const { takeFor } = startLimited(4);
+  const taken = takeFor(20_000);
+  assert.ok(taken >= 0.9 * 80 && taken <= 84, `${taken}`);
+});
+
+test("what was not sent is given back", () => {
+  const sent = startLimited(4).takeFor(10_000);
+  const notSent = startLimited(4).takeFor(10_000, false);
+  assert.ok(notSent > 2 * sent, `${notSent}, ${sent}`);
+});
+
+test("a rate leaves as many slots as its requests take up", () => {
+  assert.is(startLimited(4).permits.getSlots(SERVER), 0.4);
+  assert.is(startLimited(400).permits.getSlots(SERVER), 4);
+});
+
+test("callers that find no leave come back when there may be some", () => {
+  const { permits } = startLimited(2);
+  assert.is(permits.getWaitMs([SERVER]), 500);
+  assert.is(startLimited(0).permits.getWaitMs([SERVER]), 5_000);
+});
+
+test.run();
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -12,6 +12,7 @@
 import { makeRoute } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createSilentLog } from "../telemetry/log.ts";
+import type { ServerPermits } from "../servers/permits.ts";
 import type { Progress } from "./progress.ts";
 import type { CallerRequest } from "./types.ts";
 
@@ -30,6 +31,17 @@
   });
 }
 
+/** @returns Permits of servers that ask for nothing. */
+export function makeOpenPermits(): ServerPermits {
+  return {
+    take: () => true,
+    giveBack() {},
+    getSlots: ({ slots }) => slots,
+    getWaitMs: () => 0,
+    describe: ({ id }) => ({ server: id }),
+  };
+}
+
 /**
  * @param changes Fields that differ from a plain GET for the object 17.
  * @returns The request.
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -18,6 +18,7 @@
 import type { Random } from "../runtime/random.ts";
 import type { EndCheck } from "../servers/end_check.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import type { ServerPermits } from "../servers/permits.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { DemandMeter } from "./demand.ts";
 import type { Attempt, Exchange } from "./exchange.ts";
@@ -50,6 +51,8 @@
   exchange: Exchange;
   endCheck: EndCheck;
   suspects: Suspects;
+  permits: ServerPermits;
+  /** Limits of client accounts. */
   limiter: RateLimiter;
 }
 
@@ -114,7 +117,9 @@
       const remainingMs = progress.endsAtMs - clock.monotonicMs();
       if (remainingMs < MIN_ATTEMPT_MS) return giveUp(progress, "too_late");
       const placed = parts.placer.place(progress);
-      if (typeof placed === "string") return giveUp(progress, placed);
+      if (placed.kind === "not_placed") {
+        return giveUp(progress, placed.reason, placed.retryAfterMs);
+      }
       if (judgement.kind === "suspect") {
         suspects.noteTried(progress.fingerprint);
       }
@@ -251,7 +256,10 @@
     server: KnownServer,
     result: ExchangeResult,
   ): Step {
-    if (result.kind === "not_sent") return { kind: "again" };
+    if (result.kind === "not_sent") {
+      parts.permits.giveBack(server.listed);
+      return { kind: "again" };
+    }
     if (result.kind === "answer") {
       suspects.noteAnswer(progress.fingerprint);
       return judgeAnswer(progress, result.answer);
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { Retention } from "../placement/retention.ts";
 import type { KnownServer } from "../servers/registry.ts";
+import type { ServerRateLimits } from "../servers/rate_limits.ts";
 import type { RunTimes } from "../servers/run_times.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { PaceTable } from "./pace.ts";
@@ -26,6 +27,7 @@
   memory: ObjectMemory;
   retention: Retention;
   runTimes: RunTimes;
+  rateLimits: Pick<ServerRateLimits, "note">;
 }
 
 /** How one attempt ended. */
@@ -70,7 +72,7 @@
     end: AttemptEnd,
   ): void {
     const { result, tookMs } = end;
-    noteLoad(server, result);
+    noteSignals(server, result);
     if (result.kind === "answer") noteAnswer(progress, server, end);
     if (result.kind === "not_run") server.health.note("shed");
     if (result.kind === "not_sent") server.health.note("unreachable");
@@ -95,10 +97,12 @@
     );
   }
 
-  function noteLoad(server: KnownServer, result: ExchangeResult): void {
+  function noteSignals(server: KnownServer, result: ExchangeResult): void {
     if (result.kind !== "answer" && result.kind !== "not_run") return;
-    const { load } = result.signals;
+    if (result.kind === "not_run" && result.reason === "other_server") return;
+    const { load, limitPerS } = result.signals;
     if (load !== undefined) server.load.report(load);
+    parts.rateLimits.note(server.listed.id, limitPerS);
   }
 
   function noteAnswer(
--- a/src/serving/observing_test.ts
+++ b/src/serving/observing_test.ts
@@ -32,6 +32,7 @@
     memory,
     retention,
     runTimes: createRunTimes(),
+    rateLimits: { note() {} },
   });
   return { memory, retention, observer, server };
 }
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -13,7 +13,9 @@
 import type { ServiceTerms } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
+import type { ServerPermits } from "../servers/permits.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import type { ListedServer } from "../servers/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { PaceTable } from "./pace.ts";
 import { nameObject, type Progress } from "./progress.ts";
@@ -27,6 +29,7 @@
   ranking: Ranking;
   plan: RegionPlan;
   coldLimit: ColdLimit;
+  permits: ServerPermits;
   pace: PaceTable;
   memory: ObjectMemory;
   retention: Retention;
@@ -36,18 +39,27 @@
 
 /** Where an attempt goes. */
 export interface Placed {
+  kind: "placed";
   server: KnownServer;
   /** Whether the server is taken to know the object. */
   isKnown: boolean;
 }
 
+/** Why an attempt goes nowhere. */
+export interface NotPlaced {
+  kind: "not_placed";
+  reason: RefusalReason;
+  /** When there will be room, as far as that is known. */
+  retryAfterMs?: number;
+}
+
 /** Finds servers. */
 export interface Placer {
   /**
    * @param progress A request that is to be sent.
    * @returns The server to send it to, or why there is none.
    */
-  place(progress: Progress): Placed | RefusalReason;
+  place(progress: Progress): Placed | NotPlaced;
 }
 
 /**
@@ -55,18 +67,19 @@
  * @returns A placer.
  */
 export function createPlacer(parts: PlacerParts): Placer {
-  const { clock, log, registry, ranking, plan, pace, memory } = parts;
+  const { clock, log, registry, ranking, plan, pace, memory, permits } = parts;
 
-  function place(progress: Progress): Placed | RefusalReason {
+  function place(progress: Progress): Placed | NotPlaced {
     const { request, service, objectKey, tried } = progress;
     const { route, homeRegions } = request;
-    if (homeRegions === undefined) return "no_home";
+    if (homeRegions === undefined) return refuse("no_home");
     const { requestId } = request.terms;
     const shares = plan.getShares(service, homeRegions);
     const region = chooseRegion(shares, service, objectKey);
     const candidates = region === undefined
       ? []
       : [ranking.rank(service, region, objectKey)];
+    const heldBack: ListedServer[] = [];
     const placement = {
       candidates,
       tried,
@@ -76,14 +89,30 @@
         : Infinity,
       coldRatePerS: parts.getTerms(service)?.coldRequestsPerS ?? 0,
       knowsObject: (id: string) => knowsObject(progress, id),
+      takePermit({ listed }: KnownServer) {
+        const isTaken = permits.take(listed);
+        if (!isTaken) heldBack.push(listed);
+        return isTaken;
+      },
     };
     const choice = chooseServer(placement, parts.coldLimit, clock);
-    const inputs = { requestId, service, objectKey, region };
+    const inputs = {
+      requestId,
+      service,
+      objectKey,
+      region,
+      ...(heldBack.length > 0
+        ? { heldBack: heldBack.map(permits.describe) }
+        : {}),
+    };
     if (choice.kind !== "server") {
       const uses = readUses(service);
       const { maxUse } = placement;
       log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
-      return choice.kind === "full" ? "all_full" : "no_server";
+      if (heldBack.length > 0) {
+        return refuse("held_back", permits.getWaitMs(heldBack));
+      }
+      return refuse(choice.kind === "full" ? "all_full" : "no_server");
     }
     const { server, rank, use, isKnown } = choice;
     log.info(
@@ -97,7 +126,7 @@
       },
       "choose",
     );
-    return { server, isKnown };
+    return { kind: "placed", server, isKnown };
   }
 
   function knowsObject(progress: Progress, serverId: string): boolean {
@@ -152,3 +181,7 @@
 
   return { place };
 }
+
+function refuse(reason: RefusalReason, retryAfterMs?: number): NotPlaced {
+  return { kind: "not_placed", reason, retryAfterMs };
+}
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -10,13 +10,14 @@
 import { createRegionPlan } from "../placement/regions.ts";
 import { createRetention } from "../placement/retention.ts";
 import { createFakeClock } from "../runtime/clock.ts";
+import type { ListedServer } from "../servers/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
-import { makeProgress, makeRequest } from "./fixture.ts";
+import { makeOpenPermits, makeProgress, makeRequest } from "./fixture.ts";
 import { createPaceTable } from "./pace.ts";
 import { createPlacer } from "./placing.ts";
 
 /** A VM in oslo, one server in oslo and one in bergen. */
-function startPlacer(bergenColdMs: number) {
+function startPlacer(bergenColdMs: number, permits = makeOpenPermits()) {
   const clock = createFakeClock();
   const log = createSilentLog();
   const registry = makeRegistry(clock);
@@ -44,6 +45,7 @@
     ranking: createRanking(registry),
     plan,
     coldLimit: { take: () => false },
+    permits,
     pace: createPaceTable(),
     memory: createObjectMemory(),
     retention: createRetention(),
@@ -57,7 +59,7 @@
       request: makeRequest({ homeRegions }),
     }),
   );
-  return typeof placed === "string" ? placed : placed.server.listed.id;
+  return placed.kind === "not_placed" ? placed.reason : placed.server.listed.id;
 }
 
 test("a request stays in the regions that may serve it", () => {
@@ -72,4 +74,17 @@
   assert.is(placeIn(2_000, ["bergen", "oslo"]), "oslo-1");
 });
 
+test("where servers ask for fewer requests, callers learn when to come back", () => {
+  const permits = {
+    ...makeOpenPermits(),
+    take: () => false,
+    getWaitMs: (servers: readonly ListedServer[]) => 700 * servers.length,
+  };
+  const placed = startPlacer(0, permits).place(
+    makeProgress({ request: makeRequest({ homeRegions: ["oslo"] }) }),
+  );
+  const reason = "held_back";
+  assert.equal(placed, { kind: "not_placed", reason, retryAfterMs: 700 });
+});
+
 test.run();
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -112,6 +112,8 @@
   | "no_configuration"
   | "no_server"
   | "all_full"
+  /** Servers with room asked for fewer requests than there are. */
+  | "held_back"
   | "not_run_anywhere"
   | "too_late"
   /** Too long ago that the caller's key was known to be valid. */
