Send nothing more to a backend server that says it leaves

What callers saw: their requests ran, but at a server on its way out; one that ends at once would have cut them. Two requests reached it 2,680 and 2,772 ms after it had told their VM, bound 2,500.

Cause: the register alone said who leaves. Its row came 12.6 s after the server's own word, since the store was away. Ruled out: a row "ready" that brought it back (none came), requests that waited for a connection (the late ones were sent by their clients 2.7 s after the word).

Now the word binds the start of the server: an update of its row, or the row gone and listed anew as after an outage of the store, doesn't bring it back; another start does. What was placed before and waits for a connection is looked at again when one is free (`withdrawn`), which holds for servers that the register drains or drops as well.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -236,6 +236,7 @@
       retention,
       runTimes,
       rateLimits,
+      registry,
     }),
     budget,
     splitter: createSplitter(),
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -44,6 +44,11 @@
       help: "Part of each account's limit that the VMs heard here hold",
       read: () => core.limitPool.getPart(),
     },
+    leaving_servers: {
+      help: "Backend servers that said that they leave and are still listed",
+      read: () =>
+        core.registry.listAll().filter(core.registry.isLeaving).length,
+    },
     limited_servers: {
       help: "Backend servers that named a rate lately",
       read: () => core.serverLimits.rateLimits.count(),
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -9,7 +9,7 @@
 import type { Knowledge } from "../news/knowledge.ts";
 import { SOURCE_TOPICS } from "../news/types.ts";
 import type { Configuration } from "../routing/types.ts";
-import type { KnownServer } from "../servers/registry.ts";
+import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { Core } from "./core.ts";
 
 /** A dump is for a person to read. */
@@ -44,7 +44,9 @@
     serverRates: core.serverLimits.rateLimits.list(),
     serverRatesPart: core.serverLimits.pool.getPart(),
     evacuated: core.registry.listEvacuated(),
-    servers: core.registry.listAll().map(dumpServer),
+    servers: core.registry.listAll().map((server) =>
+      dumpServer(server, core.registry)
+    ),
     suspects: core.suspects.list(),
     members: table.listKnown(),
     openRequests,
@@ -62,7 +64,10 @@
   return { ...configuration, accounts };
 }
 
-function dumpServer(server: KnownServer): Record<string, unknown> {
+function dumpServer(
+  server: KnownServer,
+  registry: ServerRegistry,
+): Record<string, unknown> {
   const { listed, load, health } = server;
   return {
     ...listed,
@@ -71,5 +76,6 @@
     failureShare: health.getFailureShare(),
     isEjected: health.isEjected(),
     isReplaced: server.isReplaced,
+    isLeaving: registry.isLeaving(server),
   };
 }
--- /dev/null
+++ b/src/servers/leaving_starts.ts
@@ -0,0 +1,56 @@
+/**
+ * Starts of backend servers that said themselves that they leave.
+ *
+ * A server's own word goes before the register's, which may say "ready" for
+ * long where the store is away, and lists the server anew after that.
+ *
+ * @module
+ */
+import type { Clock } from "../runtime/clock.ts";
+
+/** Starts that leave. */
+export interface LeavingStarts {
+  /**
+   * @param start The start of a server.
+   * @returns Whether this is new.
+   */
+  add(start: string): boolean;
+  has(start: string): boolean;
+  /** @returns How many there are. */
+  count(): number;
+}
+
+/** A server that leaves is gone by then; one that isn't says so again. */
+const FORGET_MS = 600_000;
+const MAX_STARTS = 4_096;
+
+/**
+ * @param clock The clock.
+ * @returns A set without starts.
+ */
+export function createLeavingStarts(clock: Clock): LeavingStarts {
+  /** When each was added, the oldest first. */
+  const addedAtMs = new Map<string, number>();
+
+  function forgetOld(): void {
+    const limitMs = clock.monotonicMs() - FORGET_MS;
+    for (const [start, atMs] of addedAtMs) {
+      if (atMs > limitMs && addedAtMs.size <= MAX_STARTS) return;
+      addedAtMs.delete(start);
+    }
+  }
+
+  return {
+    add(start) {
+      if (addedAtMs.has(start)) return false;
+      addedAtMs.set(start, clock.monotonicMs());
+      forgetOld();
+      return true;
+    },
+    has: (start) => addedAtMs.has(start),
+    count() {
+      forgetOld();
+      return addedAtMs.size;
+    },
+  };
+}
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -62,12 +62,15 @@
    * @param server The server.
    * @param request The request.
    * @param remainingMs Time that the server has.
+   * @param isWanted Whether it may still be sent, asked when a connection is
+   *   free for it.
    * @returns The running attempt.
    */
   send(
     server: ListedServer,
     request: CallerRequest,
     remainingMs: number,
+    isWanted: () => boolean,
   ): Attempt;
   /** Closes connections to servers that are not listed any more. */
   forget(serverId: string): void;
@@ -107,7 +110,7 @@
   }
 
   return {
-    send(server, request, remainingMs) {
+    send(server, request, remainingMs, isWanted) {
       const headers = codec.encodeRequest(copyEndToEnd(request.headers), {
         serverName: server.registeredName,
         remainingMs: Math.max(1, Math.floor(remainingMs)),
@@ -116,6 +119,7 @@
       return startAttempt(getPool(server), request, headers, {
         codec,
         isConnectionFailing: failing.isFailing,
+        isWanted,
       });
     },
     forget(serverId) {
@@ -178,16 +182,18 @@
 interface AttemptParts {
   codec: WireCodec;
   isConnectionFailing: () => boolean;
+  isWanted: () => boolean;
 }
 
 function startAttempt(
   pool: Pool,
   request: CallerRequest,
   headers: Record<string, string | string[]>,
-  { codec, isConnectionFailing }: AttemptParts,
+  { codec, isConnectionFailing, isWanted }: AttemptParts,
 ): Attempt {
   let controller: Dispatcher.DispatchController | undefined;
   let abortReason: LossReason | undefined;
+  let isWithdrawn = false;
   const result = new Promise<ExchangeResult>((resolve) => {
     const chunks: Buffer[] = [];
     let status = 0;
@@ -200,7 +206,10 @@
     }, {
       onRequestStart(started) {
         controller = started;
-        if (abortReason !== undefined) started.abort(new Error(abortReason));
+        isWithdrawn = !isWanted();
+        if (abortReason !== undefined || isWithdrawn) {
+          started.abort(new Error(abortReason ?? "withdrawn"));
+        }
       },
       onResponseStart(_controller, statusCode, received) {
         status = statusCode;
@@ -218,6 +227,7 @@
         resolve(judgeAnswer(mark, { status, headers, body }, request));
       },
       onResponseError(_controller, error) {
+        if (isWithdrawn) return resolve({ kind: "withdrawn" });
         resolve(judgeError(error, abortReason));
       },
     });
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -188,7 +188,12 @@
       ? memory.note(server.listed.id, nameObject(progress))
       : undefined;
     server.load.begin();
-    const running = exchange.send(server.listed, request, remainingMs);
+    const running = exchange.send(
+      server.listed,
+      request,
+      remainingMs,
+      () => registry.isUsable(server),
+    );
     const leave = () => running.abort("client_left");
     request.signal.addEventListener("abort", leave);
     const timer = clock.after(remainingMs, () => running.abort("timeout"));
@@ -256,8 +261,9 @@
     server: KnownServer,
     result: ExchangeResult,
   ): Step {
-    if (result.kind === "not_sent") {
+    if (result.kind === "not_sent" || result.kind === "withdrawn") {
       parts.permits.giveBack(server.listed);
+      if (result.kind === "withdrawn") progress.tried.delete(server.listed.id);
       return { kind: "again" };
     }
     if (result.kind === "answer") {
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -7,7 +7,7 @@
 import type { ObjectMemory } from "../placement/memory.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Retention } from "../placement/retention.ts";
-import type { KnownServer } from "../servers/registry.ts";
+import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { ServerRateLimits } from "../servers/rate_limits.ts";
 import type { RunTimes } from "../servers/run_times.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -28,6 +28,7 @@
   retention: Retention;
   runTimes: RunTimes;
   rateLimits: Pick<ServerRateLimits, "note">;
+  registry: Pick<ServerRegistry, "markLeaving">;
 }
 
 /** How one attempt ended. */
@@ -100,9 +101,10 @@
   function noteSignals(server: KnownServer, result: ExchangeResult): void {
     if (result.kind !== "answer" && result.kind !== "not_run") return;
     if (result.kind === "not_run" && result.reason === "other_server") return;
-    const { load, limitPerS } = result.signals;
+    const { load, limitPerS, isLeaving } = result.signals;
     if (load !== undefined) server.load.report(load);
     parts.rateLimits.note(server.listed.id, limitPerS);
+    if (isLeaving) parts.registry.markLeaving(server);
   }
 
   function noteAnswer(
@@ -184,6 +186,7 @@
   if (result.kind === "lost") {
     return { outcome: result.reason, detail: result.detail };
   }
+  if (result.kind === "withdrawn") return { outcome: result.kind };
   return { outcome: result.kind, reason: result.reason };
 }
 
--- a/src/serving/observing_test.ts
+++ b/src/serving/observing_test.ts
@@ -33,6 +33,7 @@
     retention,
     runTimes: createRunTimes(),
     rateLimits: { note() {} },
+    registry,
   });
   return { memory, retention, observer, server };
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -102,6 +102,8 @@
     reason: "shed" | "other_server";
     signals: ServerSignals;
   }
+  /** Not sent, since its server wants nothing any more. */
+  | { kind: "withdrawn" }
   /** No byte of the request can have reached the server. */
   | { kind: "not_sent"; reason: string }
   /** It may have run. */
