Leave backend servers alone that asked for rest

What callers saw: 20 to 25 of 150 class look-ups a second refused for nine seconds, while eight of twelve servers had room; four turned all away with 503 and three seconds of rest, and got up to 38 requests from one VM in that time.

Cause: a refusal counted as chance. The time that the server named was read for nothing, the server looked idle and was chosen again; each send spent the retry budget that callers of the other servers needed (222 of 403 refusals were not sent on for lack of it). Ruled out: the time read for the request alone (it was read nowhere), retries before the VM could know (they went on until its logs end).

Now a server that turned this VM away rests for the time that it named, of several ends until the latest; then one request tries it, and the others follow once that is taken. What waits for a connection to it is withdrawn. It has no slots in the shares of regions while it rests; a region whose servers all rest is passed over; where none is left the caller is refused at once and told when one will be back. A 503 with rest is no failure of the server. VMs don't tell each other: the time is asked of one VM, and learning it costs each one request.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -114,7 +114,7 @@
     countKnown,
     runTimes,
   });
-  const { permits, rateLimits } = serverLimits;
+  const { permits, rateLimits, backoffs } = serverLimits;
   const retention = createRetention();
   const registry = createServerRegistry({
     clock,
@@ -236,6 +236,7 @@
       retention,
       runTimes,
       rateLimits,
+      backoffs,
       registry,
     }),
     budget,
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -49,6 +49,10 @@
       read: () =>
         core.registry.listAll().filter(core.registry.isLeaving).length,
     },
+    resting_servers: {
+      help: "Backend servers that asked this VM for rest",
+      read: () => core.serverLimits.backoffs.list().length,
+    },
     limited_servers: {
       help: "Backend servers that named a rate lately",
       read: () => core.serverLimits.rateLimits.count(),
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps the rates that backend servers name over all VMs: what is known of
- * them, what all VMs spend of them, and telling others of both.
+ * Keeps what backend servers ask for: rates over all VMs, what VMs spend of
+ * them, telling others of both; and rest, which each VM keeps by itself.
  *
  * @module
  */
@@ -16,6 +16,10 @@
 import type { VmIdentity } from "../members/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Random } from "../runtime/random.ts";
+import {
+  createServerBackoffs,
+  type ServerBackoffs,
+} from "../servers/backoffs.ts";
 import {
   createServerPermits,
   type ServerPermits,
@@ -34,6 +38,7 @@
   rateLimits: ServerRateLimits;
   limiter: RateLimiter;
   pool: LimitPool;
+  backoffs: ServerBackoffs;
   permits: ServerPermits;
 }
 
@@ -74,8 +79,15 @@
       return ratePerS === undefined ? undefined : toLimitHolder(name, ratePerS);
     },
   });
-  const permits = createServerPermits({ rateLimits, limiter, runTimes });
-  return { rateLimits, limiter, pool, permits };
+  const backoffs = createServerBackoffs(clock, log);
+  const permits = createServerPermits({
+    rateLimits,
+    limiter,
+    backoffs,
+    random,
+    runTimes,
+  });
+  return { rateLimits, limiter, pool, backoffs, permits };
 }
 
 /** What telling others needs. */
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -42,6 +42,7 @@
     limitPart: core.limitPool.getPart(),
     limits: core.limiter.list(),
     serverRates: core.serverLimits.rateLimits.list(),
+    restingServers: core.serverLimits.backoffs.list(),
     serverRatesPart: core.serverLimits.pool.getPart(),
     evacuated: core.registry.listEvacuated(),
     servers: core.registry.listAll().map((server) =>
--- /dev/null
+++ b/src/servers/backoffs_test.ts
@@ -0,0 +1,69 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createServerBackoffs } from "./backoffs.ts";
+
+function startResting() {
+  const clock = createFakeClock();
+  const backoffs = createServerBackoffs(clock, createSilentLog());
+  backoffs.begin("i-1", 3_000);
+  return { clock, backoffs };
+}
+
+test("a server that rests gets nothing, others do", () => {
+  const { clock, backoffs } = startResting();
+  assert.not(backoffs.take("i-1"));
+  assert.ok(backoffs.take("i-2"));
+  clock.advance(2_999);
+  assert.not(backoffs.take("i-1"));
+  assert.equal(backoffs.list(), [{ server: "i-1", leftMs: 1 }]);
+});
+
+test("of several ends the latest holds", () => {
+  const { clock, backoffs } = startResting();
+  clock.advance(1_000);
+  backoffs.begin("i-1", 500);
+  assert.is(backoffs.getLeftMs("i-1"), 2_000);
+  backoffs.begin("i-1", 5_000);
+  assert.is(backoffs.getLeftMs("i-1"), 5_000);
+});
+
+test("after its rest one request tries it, the others follow if it is taken", () => {
+  const { clock, backoffs } = startResting();
+  clock.advance(3_000);
+  assert.ok(backoffs.take("i-1"));
+  assert.not(backoffs.take("i-1"));
+  backoffs.end("i-1", true);
+  assert.ok(backoffs.take("i-1"));
+  assert.ok(backoffs.take("i-1"));
+});
+
+test("one that is turned away begins the next rest, or lets another try", () => {
+  const { clock, backoffs } = startResting();
+  clock.advance(3_000);
+  backoffs.take("i-1");
+  backoffs.begin("i-1", 1_000);
+  backoffs.end("i-1", false);
+  assert.not(backoffs.take("i-1"));
+  clock.advance(1_000);
+  assert.ok(backoffs.take("i-1"));
+  backoffs.end("i-1", false);
+  assert.ok(backoffs.take("i-1"));
+});
+
+test("what was sent before and ends meanwhile doesn't end the rest", () => {
+  const { backoffs } = startResting();
+  backoffs.end("i-1", true);
+  assert.not(backoffs.take("i-1"));
+});
+
+test("a server that is not tried again is forgotten", () => {
+  const { clock, backoffs } = startResting();
+  clock.advance(64_000);
+  backoffs.begin("i-2", 1_000);
+  assert.ok(backoffs.take("i-1"));
+  assert.ok(backoffs.take("i-1"));
+});
+
+test.run();
--- a/src/servers/permits.ts
+++ b/src/servers/permits.ts
@@ -1,17 +1,30 @@
 /**
  * Leave to send one more request to a backend server.
  *
- * Load pattern: a server in need names a rate far below what it is sent. Each
+ * Load patterns: a server that turned requests away asked for rest; a server in
+ * need names a rate far below what it is sent. Each
  * VM that kept to the whole rate by itself would send it as many times that as
  * there are VMs.
  *
  * @module
  */
 import type { LimitedHolder, RateLimiter } from "../limits/limiter.ts";
+import type { Random } from "../runtime/random.ts";
+import type { ServerBackoffs } from "./backoffs.ts";
 import type { RunTimes } from "./run_times.ts";
 import type { ServerRateLimits } from "./rate_limits.ts";
 import type { ListedServer } from "./types.ts";
 
+/** How a request ended, as far as leave to send hangs on it. */
+export type PermitEnd =
+  | "taken"
+  /** The server did not run it. */
+  | "turned_away"
+  /** It was not sent: what was taken is given back. */
+  | "not_sent"
+  /** Nobody knows. */
+  | "lost";
+
 /** Gives leave to send. */
 export interface ServerPermits {
   /**
@@ -21,8 +34,13 @@
    * @returns Whether a request may be sent.
    */
   take(server: ListedServer): boolean;
-  /** Gives back what was taken for a request that was not sent. */
-  giveBack(server: ListedServer): void;
+  /**
+   * @param server A server for which leave was taken.
+   * @returns Whether it holds yet.
+   */
+  holds(server: ListedServer): boolean;
+  /** Notes how a request ended for which leave was taken. */
+  end(server: ListedServer, end: PermitEnd): void;
   /** @returns Slots that a server's rate leaves of its own. */
   getSlots(server: ListedServer): number;
   /**
@@ -39,13 +57,17 @@
   rateLimits: Pick<ServerRateLimits, "getRatePerS" | "describe">;
   /** Spends rates with all other VMs. */
   limiter: RateLimiter;
+  backoffs: ServerBackoffs;
+  random: Random;
   runTimes: RunTimes;
 }
 
 /** Time of a rate that may be saved up. */
 const BURST_S = 1;
 const MIN_WAIT_MS = 100;
-const MAX_WAIT_MS = 5_000;
+const MAX_WAIT_MS = 10_000;
+/** Part by which callers that are refused together are told different times. */
+const MAX_SPREAD = 0.25;
 
 /**
  * @param server The start of a server.
@@ -64,29 +86,53 @@
  * @returns Permits for all servers.
  */
 export function createServerPermits(
-  { rateLimits, limiter, runTimes }: ServerPermitParts,
+  { rateLimits, limiter, backoffs, random, runTimes }: ServerPermitParts,
 ): ServerPermits {
+  function takeOfRate(id: string): boolean {
+    const ratePerS = rateLimits.getRatePerS(id);
+    if (ratePerS === undefined) return true;
+    return limiter.take(toLimitHolder(id, ratePerS)).kind === "within";
+  }
+
+  function giveBack(id: string): void {
+    const ratePerS = rateLimits.getRatePerS(id);
+    if (ratePerS !== undefined) limiter.giveBack(toLimitHolder(id, ratePerS));
+  }
+
+  function getOwnWaitMs({ id }: ListedServer): number {
+    const ratePerS = rateLimits.getRatePerS(id);
+    const rateWaitMs = ratePerS === undefined ? 0 : 1_000 / ratePerS;
+    return Math.max(backoffs.getLeftMs(id), rateWaitMs);
+  }
+
   return {
     take({ id }) {
-      const ratePerS = rateLimits.getRatePerS(id);
-      if (ratePerS === undefined) return true;
-      return limiter.take(toLimitHolder(id, ratePerS)).kind === "within";
+      if (!backoffs.take(id)) return false;
+      const isTaken = takeOfRate(id);
+      if (!isTaken) backoffs.end(id, false);
+      return isTaken;
     },
-    giveBack({ id }) {
-      const ratePerS = rateLimits.getRatePerS(id);
-      if (ratePerS !== undefined) limiter.giveBack(toLimitHolder(id, ratePerS));
+    holds: ({ id }) => backoffs.getLeftMs(id) === 0,
+    end({ id }, end) {
+      if (end === "not_sent") giveBack(id);
+      backoffs.end(id, end === "taken");
     },
     getSlots({ id, service, slots }) {
+      if (backoffs.getLeftMs(id) > 0) return 0;
       const ratePerS = rateLimits.getRatePerS(id);
       const runMs = runTimes.getMs(service);
       if (ratePerS === undefined || runMs === undefined) return slots;
       return Math.min(slots, ratePerS * runMs / 1_000);
     },
     getWaitMs(servers) {
-      const rates = servers.map(({ id }) => rateLimits.getRatePerS(id) ?? 0);
-      const waitMs = 1_000 / Math.max(...rates);
-      return Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, waitMs));
+      const waitMs = Math.min(...servers.map(getOwnWaitMs));
+      const boundMs = Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, waitMs));
+      return Math.round(boundMs * (1 + MAX_SPREAD * random()));
+    },
+    describe({ id }) {
+      const backoffMs = Math.round(backoffs.getLeftMs(id));
+      const rest = backoffMs > 0 ? { backoffMs } : {};
+      return { server: id, ...rest, ...rateLimits.describe(id) };
     },
-    describe: ({ id }) => ({ server: id, ...rateLimits.describe(id) }),
   };
 }
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -35,7 +35,8 @@
 export function makeOpenPermits(): ServerPermits {
   return {
     take: () => true,
-    giveBack() {},
+    holds: () => true,
+    end() {},
     getSlots: ({ slots }) => slots,
     getWaitMs: () => 0,
     describe: ({ id }) => ({ server: id }),
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -18,7 +18,7 @@
 import type { Random } from "../runtime/random.ts";
 import type { EndCheck } from "../servers/end_check.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
-import type { ServerPermits } from "../servers/permits.ts";
+import type { PermitEnd, ServerPermits } from "../servers/permits.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { DemandMeter } from "./demand.ts";
 import type { Attempt, Exchange } from "./exchange.ts";
@@ -93,6 +93,13 @@
   return fallback !== undefined || lost !== undefined;
 }
 
+function toPermitEnd(result: ExchangeResult): PermitEnd {
+  if (result.kind === "lost") return "lost";
+  if (result.kind === "not_run") return "turned_away";
+  if (result.kind !== "answer") return "not_sent";
+  return result.signals.backoffMs === undefined ? "taken" : "turned_away";
+}
+
 type Step = { kind: "again" } | { kind: "done"; result: ServeResult };
 
 /**
@@ -192,7 +199,7 @@
       server.listed,
       request,
       remainingMs,
-      () => registry.isUsable(server),
+      () => registry.isUsable(server) && parts.permits.holds(server.listed),
     );
     const leave = () => running.abort("client_left");
     request.signal.addEventListener("abort", leave);
@@ -211,6 +218,7 @@
       isKnown,
     });
     server.load.end();
+    parts.permits.end(server.listed, toPermitEnd(result));
     if (result.kind === "lost" && result.reason === "cut") {
       const isChecked = noteCut(progress, server);
       // What must not run twice waits for nothing more.
@@ -261,9 +269,9 @@
     server: KnownServer,
     result: ExchangeResult,
   ): Step {
-    if (result.kind === "not_sent" || result.kind === "withdrawn") {
-      parts.permits.giveBack(server.listed);
-      if (result.kind === "withdrawn") progress.tried.delete(server.listed.id);
+    if (result.kind === "not_sent") return { kind: "again" };
+    if (result.kind === "withdrawn") {
+      progress.tried.delete(server.listed.id);
       return { kind: "again" };
     }
     if (result.kind === "answer") {
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { Retention } from "../placement/retention.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import type { ServerBackoffs } from "../servers/backoffs.ts";
 import type { ServerRateLimits } from "../servers/rate_limits.ts";
 import type { RunTimes } from "../servers/run_times.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -29,6 +30,7 @@
   runTimes: RunTimes;
   rateLimits: Pick<ServerRateLimits, "note">;
   registry: Pick<ServerRegistry, "markLeaving">;
+  backoffs: Pick<ServerBackoffs, "begin">;
 }
 
 /** How one attempt ended. */
@@ -101,10 +103,13 @@
   function noteSignals(server: KnownServer, result: ExchangeResult): void {
     if (result.kind !== "answer" && result.kind !== "not_run") return;
     if (result.kind === "not_run" && result.reason === "other_server") return;
-    const { load, limitPerS, isLeaving } = result.signals;
+    const { load, limitPerS, isLeaving, backoffMs } = result.signals;
     if (load !== undefined) server.load.report(load);
     parts.rateLimits.note(server.listed.id, limitPerS);
     if (isLeaving) parts.registry.markLeaving(server);
+    if (backoffMs !== undefined) {
+      parts.backoffs.begin(server.listed.id, backoffMs);
+    }
   }
 
   function noteAnswer(
@@ -114,6 +119,9 @@
   ): void {
     const { result, tookMs, useAtStart } = end;
     if (result.kind !== "answer") return;
+    if (result.signals.backoffMs !== undefined) {
+      return server.health.note("shed");
+    }
     if (result.answer.status >= FIRST_SERVER_ERROR) {
       return server.health.note("failed");
     }
--- a/src/serving/observing_test.ts
+++ b/src/serving/observing_test.ts
@@ -10,7 +10,7 @@
 import { createRetention } from "../placement/retention.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createRunTimes } from "../servers/run_times.ts";
-import { NO_SIGNALS } from "../servers/signals.ts";
+import { NO_SIGNALS, type ServerSignals } from "../servers/signals.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { createObserver } from "./observing.ts";
 import { createPaceTable } from "./pace.ts";
@@ -33,6 +33,7 @@
     retention,
     runTimes: createRunTimes(),
     rateLimits: { note() {} },
+    backoffs: { begin() {} },
     registry,
   });
   return { memory, retention, observer, server };
@@ -80,6 +81,23 @@
   assert.not(knowsAfter(shed, 0.5));
 });
 
+test("a server that asks for rest with its 503 has not failed", () => {
+  const { observer, server } = startObserver();
+  const answer = { status: 503, headers: {}, body: Buffer.alloc(0) };
+  const note = (signals: ServerSignals) =>
+    observer.note(makeProgress(), server, {
+      result: { kind: "answer", answer, signals },
+      tookMs: 5,
+      useAtStart: 0,
+      depth: undefined,
+      isKnown: false,
+    });
+  note({ ...NO_SIGNALS, backoffMs: 3_000 });
+  assert.is(server.health.getFailureShare(), 0);
+  note(NO_SIGNALS);
+  assert.ok(server.health.getFailureShare() > 0);
+});
+
 test("how many objects are kept is learned from answers of free servers", () => {
   const { memory, retention, observer, server } = startObserver();
   const ask = (objectKey: string, tookMs: number, useAtStart = 0.3) => {
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -160,7 +160,8 @@
   ): boolean {
     const nowMs = clock.monotonicMs();
     return ranking.rank(service, region, objectKey).some((server) =>
-      server.coldUntilMs <= nowMs && !server.health.isEjected()
+      server.coldUntilMs <= nowMs && !server.health.isEjected() &&
+      permits.holds(server.listed)
     );
   }
 
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -74,6 +74,18 @@
   assert.is(placeIn(2_000, ["bergen", "oslo"]), "oslo-1");
 });
 
+test("a region whose servers all rest is passed over", () => {
+  const permits = {
+    ...makeOpenPermits(),
+    holds: ({ id }: ListedServer) => id !== "bergen-1",
+  };
+  const placed = startPlacer(0, permits).place(
+    makeProgress({ request: makeRequest({ homeRegions: ["bergen", "oslo"] }) }),
+  );
+  assert.ok(placed.kind === "placed");
+  assert.is(placed.server.listed.id, "oslo-1");
+});
+
 test("where servers ask for fewer requests, callers learn when to come back", () => {
   const permits = {
     ...makeOpenPermits(),
