Heed in entries, too, what backend servers say with their answers

Two tests failed before: a server that says with an answer that it leaves got 2 of 12 requests instead of 1, one that asks for 3 s of rest 3 in 3 s instead of 1.

--- a/src/forwarding/backend_client.ts
+++ b/src/forwarding/backend_client.ts
@@ -3,14 +3,16 @@
  *
  * A backend server says that it did not run a request by the header
  * `hawthorngw-outcome: not_run` or by a status that the service's document
- * lists in `shedStatuses`; `hawthorngw-state: leaving` adds that it takes no
- * more work.
+ * lists in `shedStatuses`; `Retry-After` adds for how long it wants no more from
+ * this entry, `hawthorngw-state: leaving`, with any answer, that it takes no more
+ * work.
  *
  * @module
  */
 import { Buffer } from "node:buffer";
 import { type Dispatcher, Pool } from "undici";
 import type { BackendServer, ServiceDocument } from "../config/schema.ts";
+import { parseRetryAfterMs } from "../runtime/retry_after.ts";
 import { classifyTransportError, describeError } from "../runtime/errors.ts";
 import type { HealthReport } from "../control/messages.ts";
 import type { ExchangeResult, ForwardRequest } from "./types.ts";
@@ -147,13 +149,15 @@
   }
   const isShed = response.headers[HEADERS.outcome] === "not_run" ||
     document.shedStatuses.includes(response.statusCode);
+  const leaving = response.headers[HEADERS.state] === "leaving";
   if (isShed) {
-    const leaving = response.headers[HEADERS.state] === "leaving";
-    return { kind: "shed", leaving };
+    const backoffMs = readBackoffMs(response.headers);
+    return { kind: "shed", leaving, ...(backoffMs ? { backoffMs } : {}) };
   }
   const contentType = response.headers["content-type"];
   return {
     kind: "answer",
+    ...(leaving ? { leaving } : {}),
     answer: {
       status: response.statusCode,
       contentType: Array.isArray(contentType) ? contentType[0] : contentType,
@@ -163,6 +167,13 @@
   };
 }
 
+function readBackoffMs(
+  headers: Dispatcher.ResponseData["headers"],
+): number | undefined {
+  const text = headers["retry-after"];
+  return typeof text === "string" ? parseRetryAfterMs(text) : undefined;
+}
+
 /** undici throws where the body ends before its stated length. */
 async function readWhole(
   body: Dispatcher.ResponseData["body"],
--- a/src/forwarding/local_runner.ts
+++ b/src/forwarding/local_runner.ts
@@ -29,6 +29,7 @@
   createServerSet,
   endRequest,
   markLeaving,
+  markResting,
   type ServerSet,
   type ServerState,
 } from "./servers.ts";
@@ -257,15 +258,23 @@
     const ok = result.kind === "answer" || result.kind === "shed" ||
       cutOff.isHungUp();
     endRequest(state, { ok, durationMs, nowMs });
+    noteWishes(state, result);
     if (result.kind === "answer") own.serviceMs.add(durationMs);
-    else noteTrouble(state, result);
+    else logTrouble(state, result);
     return result;
   }
 
-  function noteTrouble(state: ServerState, result: ExchangeResult): void {
-    if (result.kind === "shed" && result.leaving) {
-      markLeaving(state, "refusal", clock.monotonicMs());
+  /** Takes in what a server says of itself. */
+  function noteWishes(state: ServerState, result: ExchangeResult): void {
+    if (result.kind !== "answer" && result.kind !== "shed") return;
+    const nowMs = clock.monotonicMs();
+    if (result.leaving) markLeaving(state, "answer", nowMs);
+    if (result.kind === "shed" && result.backoffMs !== undefined) {
+      markResting(state, result.backoffMs, nowMs);
     }
+  }
+
+  function logTrouble(state: ServerState, result: ExchangeResult): void {
     log.info("Exchange without answer", {
       step: "backend.exchange",
       peer: state.server.id,
--- a/src/forwarding/local_runner_test.ts
+++ b/src/forwarding/local_runner_test.ts
@@ -15,12 +15,21 @@
 import type { ExchangeResult, ForwardRequest, Outcome } from "./types.ts";
 
 const SEED = 20261202;
-type Mode = "answer" | "shed" | "not_sent" | "dies_before" | "dies_after";
+type Mode =
+  | "answer"
+  | "answer_leaving"
+  | "shed"
+  | "shed_resting"
+  | "not_sent"
+  | "dies_before"
+  | "dies_after";
 
 /** Servers that behave as told, and remember what they ran. */
 class FakeBackends extends BackendClient {
   readonly runs = new Map<string, number>();
   readonly inFlight = new Map<string, number>();
+  /** Requests that reached each server. */
+  readonly arrivals = new Map<string, number>();
   peak = 0;
   readonly #clock: FakeClock;
   readonly #random: Random;
@@ -37,6 +46,8 @@
     const { server, request, signal } = exchange;
     const mode = this.#modeOf();
     this.#add(server.id, 1);
+    const arrived = this.arrivals.get(server.id) ?? 0;
+    this.arrivals.set(server.id, arrived + 1);
     const durationMs = 20 + 100 * this.#random();
     return new Promise((resolve) => {
       const finish = (result: ExchangeResult) => {
@@ -60,6 +71,8 @@
     switch (mode) {
       case "shed":
         return { kind: "shed", leaving: false };
+      case "shed_resting":
+        return { kind: "shed", leaving: false, backoffMs: 3_000 };
       case "not_sent":
         return { kind: "not_sent", reason: "refused" };
       case "dies_before":
@@ -67,12 +80,14 @@
       case "dies_after":
         this.#noteRun(request.id);
         return { kind: "failed", reason: "reset" };
-      case "answer": {
+      case "answer":
+      case "answer_leaving": {
         this.#noteRun(request.id);
         const body = Buffer.from(request.id);
         const serverId = server.id;
         const answer = { status: 200, contentType: undefined, body, serverId };
-        return { kind: "answer", answer };
+        const leaving = mode === "answer_leaving";
+        return { kind: "answer", answer, leaving };
       }
     }
   }
@@ -293,4 +308,28 @@
   assert.is(backends.inFlight.get("s-0"), undefined);
 });
 
+/** Runs requests one after the other, and counts what reached each server. */
+async function countArrivals(mode: Mode, requests: number) {
+  const { clock, runner, backends } = setUp(() => mode);
+  const options = { clock, idempotent: true, timeMs: 900 };
+  for (let index = 0; index < requests; index++) {
+    const run = runner.run(document, makeRequest(`r${index}`, options));
+    await advance(clock, 1_000);
+    await run;
+  }
+  return [...backends.arrivals.values()];
+}
+
+test("a server that says with an answer that it leaves gets no new work", async () => {
+  for (const arrivals of await countArrivals("answer_leaving", 12)) {
+    assert.is(arrivals, 1);
+  }
+});
+
+test("a server that asks for rest gets no new work in that time", async () => {
+  for (const arrivals of await countArrivals("shed_resting", 3)) {
+    assert.is(arrivals, 1);
+  }
+});
+
 test.run();
--- a/src/forwarding/server_judgement.ts
+++ b/src/forwarding/server_judgement.ts
@@ -27,7 +27,8 @@
  */
 export function listEligible(set: ServerSet, nowMs: number): ServerState[] {
   const staying = [...set.servers.values()].filter((state) =>
-    state.leaving === undefined && state.share > 0
+    state.leaving === undefined && state.share > 0 &&
+    nowMs >= state.restsUntilMs
   );
   const sound = staying.filter((state) => isSound(state, nowMs));
   const enough = sound.length >= staying.length * EJECTION_FLOOR_SHARE;
--- a/src/forwarding/servers.ts
+++ b/src/forwarding/servers.ts
@@ -20,7 +20,7 @@
 export const GROWTH_DELAY_MS = 15_000;
 
 /** Why a server takes no new work. */
-export type LeavingReason = "document" | "vm_list" | "health" | "refusal";
+export type LeavingReason = "document" | "vm_list" | "health" | "answer";
 
 /** One backend server. */
 export interface ServerState {
@@ -35,6 +35,8 @@
   failures: number;
   ejections: number;
   ejectedUntilMs: number;
+  /** It asked for rest until then. */
+  restsUntilMs: number;
   /** When it began to take work after being away; undefined: long ago. */
   coldSinceMs: number | undefined;
   health: HealthReport["state"];
@@ -161,6 +163,7 @@
     failures: 0,
     ejections: 0,
     ejectedUntilMs: 0,
+    restsUntilMs: 0,
     coldSinceMs,
     health: "healthy",
     healthAtMs: -Infinity,
@@ -180,9 +183,9 @@
   const told = reason ?? (state.health === "draining" ? "health" : undefined);
   if (told !== undefined) return markLeaving(state, told, nowMs);
   if (state.leaving === undefined) return;
-  const refusedLately = state.leaving === "refusal" &&
+  const saidLately = state.leaving === "answer" &&
     nowMs - state.leavingSinceMs < PROBE_EXPIRY_MS;
-  if (refusedLately) return;
+  if (saidLately) return;
   state.leaving = undefined;
   state.drainMs = undefined;
   state.coldSinceMs = nowMs;
@@ -207,6 +210,22 @@
   state.leaving = reason;
 }
 
+/**
+ * Stops new work for a server until it has rested; of several ends the latest
+ * holds.
+ *
+ * @param state Changed in place.
+ * @param backoffMs For how long it wants no more.
+ * @param nowMs Monotonic time, in ms.
+ */
+export function markResting(
+  state: ServerState,
+  backoffMs: number,
+  nowMs: number,
+): void {
+  state.restsUntilMs = Math.max(state.restsUntilMs, nowMs + backoffMs);
+}
+
 /**
  * Takes in a probe.
  *
--- a/src/forwarding/servers_test.ts
+++ b/src/forwarding/servers_test.ts
@@ -165,7 +165,7 @@
   ],
   [
     "its own refusal",
-    (set) => markLeaving(set.servers.get("s-0")!, "refusal", 100),
+    (set) => markLeaving(set.servers.get("s-0")!, "answer", 100),
   ],
   ["its removal from the document", (set) => {
     const document = makeDocument(4);
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -50,9 +50,10 @@
 
 /** How one exchange with a backend server or another entry ended. */
 export type ExchangeResult =
-  | { kind: "answer"; answer: Answer }
-  /** It refused before running; `leaving`: it takes no more work at all. */
-  | { kind: "shed"; leaving: boolean }
+  /** `leaving`: the server takes no more work at all. */
+  | { kind: "answer"; answer: Answer; leaving?: boolean }
+  /** It refused before running, and wants nothing from this entry for a time. */
+  | { kind: "shed"; leaving: boolean; backoffMs?: number }
   /** Nothing was sent. */
   | { kind: "not_sent"; reason: string }
   /** Something was sent, and no whole answer of this request came. */
