--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -50,7 +50,7 @@
 ];
 const SEEDS = [1, 2, 3, 4, 5];
 
-/** Plays loads of a server that named a limit, in each way. */
+/** Plays loads of a server with a rate limit, in each way. */
 export function benchServerLimits(): void {
   const rows: Row[] = [];
   for (const { vms, ratePerS } of SERVER_FLEETS) {
--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -26,8 +26,8 @@
   | "refused by servers"
   /** Its VM could not prove that the caller's key was still there. */
   | "refused, key unproven"
-  /** Its servers asked for fewer requests. */
-  | "refused, held back"
+  /** Rate limits or backoffs of its servers left no room. */
+  | "refused, throttled"
   | "refused, other"
   | "over the account's limit"
   | "unknown caller"
@@ -48,7 +48,7 @@
   "refused, all full",
   "refused by servers",
   "refused, key unproven",
-  "refused, held back",
+  "refused, throttled",
   "refused, other",
   "over the account's limit",
   "unknown caller",
@@ -119,7 +119,7 @@
 ): Cause {
   if (reason === "not_run_anywhere") return "refused by servers";
   if (reason === "key_unproven") return "refused, key unproven";
-  if (reason === "held_back") return "refused, held back";
+  if (reason === "throttled") return "refused, throttled";
   const last = choices.at(-1);
   if (reason !== "all_full" || last?.uses === undefined) {
     return "refused, other";
--- a/src/forwarding/local_runner.ts
+++ b/src/forwarding/local_runner.ts
@@ -28,8 +28,8 @@
   beginRequest,
   createServerSet,
   endRequest,
+  markBackoff,
   markLeaving,
-  markResting,
   type ServerSet,
   type ServerState,
 } from "./servers.ts";
@@ -258,19 +258,19 @@
     const ok = result.kind === "answer" || result.kind === "shed" ||
       cutOff.isHungUp();
     endRequest(state, { ok, durationMs, nowMs });
-    noteWishes(state, result);
+    noteSignals(state, result);
     if (result.kind === "answer") own.serviceMs.add(durationMs);
     else logTrouble(state, result);
     return result;
   }
 
   /** Takes in what a server says of itself. */
-  function noteWishes(state: ServerState, result: ExchangeResult): void {
+  function noteSignals(state: ServerState, result: ExchangeResult): void {
     if (result.kind !== "answer" && result.kind !== "shed") return;
     const nowMs = clock.monotonicMs();
     if (result.leaving) markLeaving(state, "answer", nowMs);
     if (result.kind === "shed" && result.backoffMs !== undefined) {
-      markResting(state, result.backoffMs, nowMs);
+      markBackoff(state, result.backoffMs, nowMs);
     }
   }
 
--- a/src/forwarding/server_judgement.ts
+++ b/src/forwarding/server_judgement.ts
@@ -28,7 +28,7 @@
 export function listEligible(set: ServerSet, nowMs: number): ServerState[] {
   const staying = [...set.servers.values()].filter((state) =>
     state.leaving === undefined && state.share > 0 &&
-    nowMs >= state.restsUntilMs
+    nowMs >= state.backoffUntilMs
   );
   const sound = staying.filter((state) => isSound(state, nowMs));
   const enough = sound.length >= staying.length * EJECTION_FLOOR_SHARE;
--- a/src/forwarding/servers.ts
+++ b/src/forwarding/servers.ts
@@ -36,7 +36,7 @@
   ejections: number;
   ejectedUntilMs: number;
   /** It asked for rest until then. */
-  restsUntilMs: number;
+  backoffUntilMs: number;
   /** When it began to take work after being away; undefined: long ago. */
   coldSinceMs: number | undefined;
   health: HealthReport["state"];
@@ -163,7 +163,7 @@
     failures: 0,
     ejections: 0,
     ejectedUntilMs: 0,
-    restsUntilMs: 0,
+    backoffUntilMs: 0,
     coldSinceMs,
     health: "healthy",
     healthAtMs: -Infinity,
@@ -218,12 +218,12 @@
  * @param backoffMs For how long it wants no more.
  * @param nowMs Monotonic time, in ms.
  */
-export function markResting(
+export function markBackoff(
   state: ServerState,
   backoffMs: number,
   nowMs: number,
 ): void {
-  state.restsUntilMs = Math.max(state.restsUntilMs, nowMs + backoffMs);
+  state.backoffUntilMs = Math.max(state.backoffUntilMs, nowMs + backoffMs);
 }
 
 /**
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -164,7 +164,7 @@
       sharing.receive(from, scope, activity),
     onUsage: (from, news) => usageSharing.receive(from, news),
     onServerUsage: (from, news) => limitSharing.receive(from, news),
-    onServerRates: ({ id }, rates) =>
+    onServerRateLimits: ({ id }, rates) =>
       core.serverLimits.rateLimits.receive(id, rates),
   });
   const usageSharing = startUsageSharing({
@@ -196,7 +196,7 @@
         vms,
         usage: packUsage(usage),
       }),
-    tellRates: mesh.tellServerRates,
+    tellRates: mesh.tellServerRateLimits,
   });
   const sharing = startSharing({
     self,
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -44,17 +44,17 @@
       help: "Part of each account's limit that the VMs heard here hold",
       read: () => core.limitPool.getPart(),
     },
-    leaving_servers: {
-      help: "Backend servers that said that they leave and are still listed",
+    draining_servers: {
+      help: "Backend servers that announced their drain and are still listed",
       read: () =>
-        core.registry.listAll().filter(core.registry.isLeaving).length,
+        core.registry.listAll().filter(core.registry.isDraining).length,
     },
-    resting_servers: {
-      help: "Backend servers that asked this VM for rest",
+    backoff_servers: {
+      help: "Backend servers that asked this VM to back off",
       read: () => core.serverLimits.backoffs.list().length,
     },
     limited_servers: {
-      help: "Backend servers that named a rate lately",
+      help: "Backend servers with a rate limit",
       read: () => core.serverLimits.rateLimits.count(),
     },
     vms: { help: "VMs that serve, as seen here", read: countVms },
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps what backend servers ask for: rates over all VMs, what VMs spend of
- * them, telling others of both; and rest, which each VM keeps by itself.
+ * What backend servers ask for in their answers: rate limits, which all VMs spend
+ * together and tell each other of, and backoffs, which each VM keeps by itself.
  *
  * @module
  */
@@ -33,7 +33,7 @@
 import type { RunTimes } from "../servers/run_times.ts";
 import type { Log } from "../telemetry/log.ts";
 
-/** Keeps rates that servers named. */
+/** What servers asked for. */
 export interface ServerLimits {
   rateLimits: ServerRateLimits;
   limiter: RateLimiter;
@@ -42,7 +42,7 @@
   permits: ServerPermits;
 }
 
-/** What keeping them needs. */
+/** What keeping it needs. */
 export interface ServerLimitParts {
   clock: Clock;
   log: Log;
@@ -53,14 +53,14 @@
   runTimes: RunTimes;
 }
 
-/** A server takes its rate and nothing beyond, also of VMs that are cut off. */
+/** VMs that are cut off don't exceed a limit together either. */
 const MARGIN: LimitMargin = { windowMs: 4_000, ratio: 0, allowance: 0 };
-/** Pause in which rates gather that others have to know. */
+/** Pause in which news of limits gather. */
 const TELL_MS = 100;
 
 /**
- * @param parts What keeping rates needs.
- * @returns The rates, of which none was named.
+ * @param parts What keeping it needs.
+ * @returns Limits and backoffs, of which there are none yet.
  */
 export function createServerLimits(parts: ServerLimitParts): ServerLimits {
   const { clock, log, random, ownId, countKnown, runTimes } = parts;
@@ -71,7 +71,7 @@
     random,
     getPart: pool.getPart,
     getOwnPart: pool.getOwnPart,
-    // A server names a rate while it is in use: nothing of it is saved up.
+    // A limit begins while its server is in use: no burst is saved up.
     getSettledMs: () => 0,
     margin: MARGIN,
     findHolder(name) {
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -41,9 +41,9 @@
     factAgesMs: Object.fromEntries(ages),
     limitPart: core.limitPool.getPart(),
     limits: core.limiter.list(),
-    serverRates: core.serverLimits.rateLimits.list(),
-    restingServers: core.serverLimits.backoffs.list(),
-    serverRatesPart: core.serverLimits.pool.getPart(),
+    serverRateLimits: core.serverLimits.rateLimits.list(),
+    serverBackoffs: core.serverLimits.backoffs.list(),
+    serverLimitPart: core.serverLimits.pool.getPart(),
     evacuated: core.registry.listEvacuated(),
     servers: core.registry.listAll().map((server) =>
       dumpServer(server, core.registry)
@@ -77,6 +77,6 @@
     failureShare: health.getFailureShare(),
     isEjected: health.isEjected(),
     isReplaced: server.isReplaced,
-    isLeaving: registry.isLeaving(server),
+    isDraining: registry.isDraining(server),
   };
 }
--- a/src/limits/model/scenarios.ts
+++ b/src/limits/model/scenarios.ts
@@ -125,20 +125,20 @@
   ];
 }
 
-/** What a server that named a limit may get beyond it, at the most. */
+/** What a server may get beyond the rate limit that it advertised. */
 const SERVER_MARGIN: LimitMargin = {
   windowMs: 4_000,
   ratio: 0.5,
   allowance: 5,
 };
-/** What a server got before it named a limit, of that limit. */
+/** What a server got before, as a part of its limit. */
 const SERVER_DEMAND = 5;
 /** Part of it that VMs of the server's own region send. */
 const NEAR_PART = 0.9;
 
 /**
  * @param vms VMs of the fleet.
- * @param ratePerS What a server names, which stands in the first VM's region.
+ * @param ratePerS Limit of a server in the first VM's region.
  * @returns Loads that the server's limit has to answer.
  */
 export function listServerScenarios(
--- a/src/members/hub_mesh_test.ts
+++ b/src/members/hub_mesh_test.ts
@@ -72,7 +72,7 @@
     onActivity: () => {},
     onUsage: () => {},
     onServerUsage: () => {},
-    onServerRates: ({ id }, rates) => rateLimits.receive(id, rates),
+    onServerRateLimits: ({ id }, rates) => rateLimits.receive(id, rates),
   });
   return {
     self,
@@ -150,11 +150,11 @@
   await stop();
 });
 
-test("a rate that a server named is known to all VMs of a large fleet", async () => {
+test("a rate limit of a server is known to all VMs of a large fleet", async () => {
   const { vms, others, stop } = await startFleet();
   const [told] = others;
   told.rateLimits.note("1", 3.5);
-  told.mesh.tellServerRates(told.rateLimits.takeNews());
+  told.mesh.tellServerRateLimits(told.rateLimits.takeNews());
   await waitUntil(() =>
     vms.every(({ rateLimits }) => rateLimits.getRatePerS("1") === 3.5)
   );
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -65,22 +65,25 @@
   ) => void;
   /** Told of what client accounts used at other VMs. */
   onUsage: (from: VmIdentity, news: UsageNews) => void;
-  /** Told of what was sent from other VMs to servers that named a rate. */
+  /** Told of what other VMs sent to servers with a rate limit. */
   onServerUsage: (from: VmIdentity, news: UsageNews) => void;
   /**
-   * Told of rates that servers named at other VMs.
+   * Told of rate limits of servers.
    *
    * @returns Those that are new here.
    */
-  onServerRates: (from: VmIdentity, rates: RateLimitNews[]) => RateLimitNews[];
+  onServerRateLimits: (
+    from: VmIdentity,
+    rates: RateLimitNews[],
+  ) => RateLimitNews[];
 }
 
 /** The links of this VM. */
 export interface Mesh {
   /** Passes facts on to every VM that is linked. */
   passOn(items: NewsItem[]): void;
-  /** Tells every VM that is linked of rates that servers named. */
-  tellServerRates(rates: RateLimitNews[]): void;
+  /** Tells every VM that is linked of rate limits of servers. */
+  tellServerRateLimits(rates: RateLimitNews[]): void;
   /** Tells every VM that this one read a topic from its source. */
   noteRead(topic: SourceTopic): void;
   /** Tells every VM how this one is, now. */
@@ -187,8 +190,8 @@
     if (message.kind === "server_usage") {
       receiveUsage(state, message, parts.onServerUsage);
     }
-    if (message.kind === "server_rates") {
-      receiveRates(link, state, message.rates);
+    if (message.kind === "server_rate_limits") {
+      receiveRateLimits(link, state, message.rates);
     }
     if (message.kind === "read") receiveRead(state, message);
     if (message.kind === "view") receiveView(link, state, message);
@@ -261,14 +264,18 @@
     receive(identity, { scope, vms, usage: unpackUsage(usage) });
   }
 
-  function receiveRates(
+  function receiveRateLimits(
     from: VmLink,
     { identity }: LinkState,
     rates: RateLimitNews[],
   ): void {
     if (identity === undefined) return;
-    const news = parts.onServerRates(identity, rates);
-    passToOthers({ kind: "server_rates", rates: news }, news.length, from);
+    const news = parts.onServerRateLimits(identity, rates);
+    passToOthers(
+      { kind: "server_rate_limits", rates: news },
+      news.length,
+      from,
+    );
   }
 
   /** What VMs that only hubs are linked to have to know reaches them so. */
@@ -374,7 +381,8 @@
 
   return {
     passOn: (items) => links.send({ kind: "news", items }),
-    tellServerRates: (rates) => links.send({ kind: "server_rates", rates }),
+    tellServerRateLimits: (rates) =>
+      links.send({ kind: "server_rate_limits", rates }),
     noteRead(topic) {
       tellRead(topic, true);
       if (topic === "operations") proofs.tell();
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -66,7 +66,7 @@
       void told.push({ id, scope, activity }),
     onUsage: () => {},
     onServerUsage: () => {},
-    onServerRates: () => [],
+    onServerRateLimits: () => [],
   });
   const stop = async () => {
     mesh.stop();
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -94,14 +94,14 @@
     kind: z.literal("usage"),
     ...usageFields,
   }),
-  /** The same of limits that backend servers named. */
+  /** The same of rate limits of backend servers. */
   z.object({
     kind: z.literal("server_usage"),
     ...usageFields,
   }),
-  /** Rates that backend servers named, or name no more. */
+  /** Rate limits of backend servers, or that they were lifted. */
   z.object({
-    kind: z.literal("server_rates"),
+    kind: z.literal("server_rate_limits"),
     rates: z.array(z.object({
       server: z.string().max(MAX_SERVER_NAME),
       ratePerS: z.number().nonnegative().optional(),
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -30,7 +30,7 @@
   coldRatePerS: number;
   /** Whether a server was asked for the object not long ago. */
   knowsObject: (serverId: string) => boolean;
-  /** Takes one request's worth of what a server allows; whether it may go. */
+  /** Takes a permit to send one request to a server; whether there is one. */
   takePermit: (server: KnownServer) => boolean;
 }
 
@@ -74,7 +74,7 @@
  * was the same for 0.55, with half as many again refused.
  */
 const KEPT_FREE_SLOTS = 1.35;
-/** Servers that are asked for leave for one attempt, at the most. */
+/** Servers whose permits are asked for in one attempt, at the most. */
 const MAX_PERMITS_ASKED = 8;
 /** A server that failed this share of recent requests is asked last. */
 const POOR_FAILURE_SHARE = 0.35;
@@ -149,7 +149,7 @@
   return { kind: "server", server: first, rank: 0, use, isKnown };
 }
 
-/** What a server that holds back can't take goes to the next in the order. */
+/** A request that gets no permit for a server goes to the next in the order. */
 function choosePermitted(
   servers: readonly KnownServer[],
   placement: Placement,
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -88,7 +88,7 @@
   assert.is(idOf(choose(servers, clock, { tried })), "2");
 });
 
-test("a server that asks for fewer requests makes room in the circle", () => {
+test("a server without a permit makes room in the circle", () => {
   const { clock, servers } = startFour();
   const takePermit = (server: KnownServer) => server !== servers[0];
   const knowsObject = () => false;
@@ -97,7 +97,7 @@
   assert.is(idOf(choose(servers, clock, { takePermit, knowsObject })), "2");
 });
 
-test("leave is asked for no more than some times", () => {
+test("permits are asked for no more than some times", () => {
   const { clock } = startFour();
   const servers = [...listServers(clock, 40).listUsable("s")];
   let asked = 0;
--- a/src/servers/backoffs.ts
+++ b/src/servers/backoffs.ts
@@ -1,33 +1,32 @@
 /**
- * Backend servers that turned this VM away and asked for rest.
+ * Backend servers that shed this VM's requests and asked it to back off.
  *
- * Load pattern: a third of a service's servers turns every request away for
- * seconds. They look idle, so that they are chosen again and again; what they
- * turn away spends the retry budget, and callers are refused while the other
- * servers have room.
+ * Load pattern: a third of a service's servers sheds every request for seconds.
+ * They look idle, so that they are chosen again and again; what they shed spends
+ * the retry budget, and callers are refused while the other servers have room.
  *
- * Once the time is over a single request tries the server. Only when that was
- * not turned away do the others follow.
+ * Once a backoff is over the server is half-open: a single request probes it, and
+ * the others follow when that is taken.
  *
  * @module
  */
 import type { Clock } from "../runtime/clock.ts";
 import type { Log } from "../telemetry/log.ts";
 
-/** Servers that rest. */
+/** Backoffs of servers. */
 export interface ServerBackoffs {
   /**
-   * Notes that a server asked for rest; of several ends the latest holds.
+   * Notes that a server backoff began; of several ends the latest holds.
    *
    * @param server The start of the server.
    * @param backoffMs For how long, from now on.
    */
   begin(server: string, backoffMs: number): void;
-  /** @returns How long a server rests yet; 0 where it doesn't. */
+  /** @returns Time until a server's backoff ends; 0 where it has none. */
   getLeftMs(server: string): number;
   /**
    * @param server The start of a server that is to get a request.
-   * @returns Whether it may be sent: it is the one that tries, or none has to.
+   * @returns Whether it may be sent, as a probe or since none is needed.
    */
   take(server: string): boolean;
   /**
@@ -37,16 +36,16 @@
    * @param wasTaken Whether the server took it.
    */
   end(server: string, wasTaken: boolean): void;
-  /** @returns Servers that rest, and for how long yet. */
+  /** @returns Servers with a backoff, and the time until it ends. */
   list(): { server: string; leftMs: number }[];
 }
 
-/** A server that nobody tried for so long after its rest is taken for rested. */
+/** A server that was not probed for so long needs no probe. */
 const FORGET_MS = 60_000;
 
 interface Backoff {
   untilMs: number;
-  isTried: boolean;
+  isProbed: boolean;
 }
 
 /**
@@ -72,29 +71,31 @@
   return {
     begin(server, backoffMs) {
       forgetOld();
-      const wasResting = getLeftMs(server) > 0;
+      const wasBackingOff = getLeftMs(server) > 0;
       const untilMs = Math.max(
         clock.monotonicMs() + backoffMs,
         backoffs.get(server)?.untilMs ?? 0,
       );
-      backoffs.set(server, { untilMs, isTried: false });
-      if (!wasResting) log.info({ server, backoffMs }, "server asked for rest");
+      backoffs.set(server, { untilMs, isProbed: false });
+      if (!wasBackingOff) {
+        log.info({ server, backoffMs }, "server backoff began");
+      }
     },
     getLeftMs,
     take(server) {
       const backoff = backoffs.get(server);
       if (backoff === undefined) return true;
-      if (getLeftMs(server) > 0 || backoff.isTried) return false;
-      backoff.isTried = true;
+      if (getLeftMs(server) > 0 || backoff.isProbed) return false;
+      backoff.isProbed = true;
       return true;
     },
     end(server, wasTaken) {
       const backoff = backoffs.get(server);
       if (backoff === undefined || getLeftMs(server) > 0) return;
-      backoff.isTried = false;
+      backoff.isProbed = false;
       if (!wasTaken) return;
       backoffs.delete(server);
-      log.info({ server }, "server takes requests again");
+      log.info({ server }, "server backoff ended");
     },
     list: () =>
       [...backoffs.keys()]
--- a/src/servers/backoffs_test.ts
+++ b/src/servers/backoffs_test.ts
@@ -4,15 +4,15 @@
 import { createSilentLog } from "../telemetry/log.ts";
 import { createServerBackoffs } from "./backoffs.ts";
 
-function startResting() {
+function startBackoff() {
   const clock = createFakeClock();
   const backoffs = createServerBackoffs(clock, createSilentLog());
   backoffs.begin("i-1", 3_000);
   return { clock, backoffs };
 }
 
-test("a server that rests gets nothing, others do", () => {
-  const { clock, backoffs } = startResting();
+test("a server in backoff gets nothing, others do", () => {
+  const { clock, backoffs } = startBackoff();
   assert.not(backoffs.take("i-1"));
   assert.ok(backoffs.take("i-2"));
   clock.advance(2_999);
@@ -21,7 +21,7 @@
 });
 
 test("of several ends the latest holds", () => {
-  const { clock, backoffs } = startResting();
+  const { clock, backoffs } = startBackoff();
   clock.advance(1_000);
   backoffs.begin("i-1", 500);
   assert.is(backoffs.getLeftMs("i-1"), 2_000);
@@ -29,8 +29,8 @@
   assert.is(backoffs.getLeftMs("i-1"), 5_000);
 });
 
-test("after its rest one request tries it, the others follow if it is taken", () => {
-  const { clock, backoffs } = startResting();
+test("after a backoff one request probes the server, the others follow if it is taken", () => {
+  const { clock, backoffs } = startBackoff();
   clock.advance(3_000);
   assert.ok(backoffs.take("i-1"));
   assert.not(backoffs.take("i-1"));
@@ -39,8 +39,8 @@
   assert.ok(backoffs.take("i-1"));
 });
 
-test("one that is turned away begins the next rest, or lets another try", () => {
-  const { clock, backoffs } = startResting();
+test("a probe that is shed begins the next backoff, or lets another probe", () => {
+  const { clock, backoffs } = startBackoff();
   clock.advance(3_000);
   backoffs.take("i-1");
   backoffs.begin("i-1", 1_000);
@@ -52,14 +52,14 @@
   assert.ok(backoffs.take("i-1"));
 });
 
-test("what was sent before and ends meanwhile doesn't end the rest", () => {
-  const { backoffs } = startResting();
+test("what was sent before and ends meanwhile doesn't end the backoff", () => {
+  const { backoffs } = startBackoff();
   backoffs.end("i-1", true);
   assert.not(backoffs.take("i-1"));
 });
 
-test("a server that is not tried again is forgotten", () => {
-  const { clock, backoffs } = startResting();
+test("a backoff whose server is not probed is forgotten", () => {
+  const { clock, backoffs } = startBackoff();
   clock.advance(64_000);
   backoffs.begin("i-2", 1_000);
   assert.ok(backoffs.take("i-1"));
--- a/src/servers/leaving_starts.ts
+++ b/src/servers/draining_starts.ts
@@ -1,15 +1,15 @@
 /**
- * Starts of backend servers that said themselves that they leave.
+ * Starts of backend servers that announced in an answer that they drain.
  *
- * A server's own word goes before the register's, which may say "ready" for
- * long where the store is away, and lists the server anew after that.
+ * An announcement overrides the register, which may list the server as ready
+ * while the store is away, and anew once it is back.
  *
  * @module
  */
 import type { Clock } from "../runtime/clock.ts";
 
-/** Starts that leave. */
-export interface LeavingStarts {
+/** Starts that drain. */
+export interface DrainingStarts {
   /**
    * @param start The start of a server.
    * @returns Whether this is new.
@@ -20,7 +20,7 @@
   count(): number;
 }
 
-/** A server that leaves is gone by then; one that isn't says so again. */
+/** A server that drains is gone by then; one that isn't announces it again. */
 const FORGET_MS = 600_000;
 const MAX_STARTS = 4_096;
 
@@ -28,7 +28,7 @@
  * @param clock The clock.
  * @returns A set without starts.
  */
-export function createLeavingStarts(clock: Clock): LeavingStarts {
+export function createDrainingStarts(clock: Clock): DrainingStarts {
   /** When each was added, the oldest first. */
   const addedAtMs = new Map<string, number>();
 
--- a/src/servers/permits.ts
+++ b/src/servers/permits.ts
@@ -1,8 +1,8 @@
 /**
- * Leave to send one more request to a backend server.
+ * Permits to send one more request to a backend server.
  *
- * Load patterns: a server that turned requests away asked for rest; a server in
- * need names a rate far below what it is sent. Each
+ * Load patterns: a server that shed requests asked for a backoff; a server in
+ * need advertises a rate limit far below what it is sent. Each
  * VM that kept to the whole rate by itself would send it as many times that as
  * there are VMs.
  *
@@ -15,7 +15,7 @@
 import type { ServerRateLimits } from "./rate_limits.ts";
 import type { ListedServer } from "./types.ts";
 
-/** How a request ended, as far as leave to send hangs on it. */
+/** How a request ended for which a permit was taken. */
 export type PermitEnd =
   | "taken"
   /** The server did not run it. */
@@ -25,7 +25,7 @@
   /** Nobody knows. */
   | "lost";
 
-/** Gives leave to send. */
+/** Gives permits. */
 export interface ServerPermits {
   /**
    * Takes one request's worth of what a server allows.
@@ -35,20 +35,20 @@
    */
   take(server: ListedServer): boolean;
   /**
-   * @param server A server for which leave was taken.
-   * @returns Whether it holds yet.
+   * @param server A server for which a permit was taken.
+   * @returns Whether the permit still holds.
    */
   holds(server: ListedServer): boolean;
-  /** Notes how a request ended for which leave was taken. */
+  /** Notes how a request ended for which a permit was taken. */
   end(server: ListedServer, end: PermitEnd): void;
-  /** @returns Slots that a server's rate leaves of its own. */
+  /** @returns Slots that a server can be used with, by its rate limit. */
   getSlots(server: ListedServer): number;
   /**
-   * @param servers Servers that gave no leave.
+   * @param servers Servers that gave no permit.
    * @returns When one of them may, in ms.
    */
   getWaitMs(servers: readonly ListedServer[]): number;
-  /** @returns Why a server gives no leave, for a log line. */
+  /** @returns Why a server gives no permit, for a log line. */
   describe(server: ListedServer): Record<string, unknown>;
 }
 
@@ -66,8 +66,8 @@
 const BURST_S = 1;
 const MIN_WAIT_MS = 100;
 const MAX_WAIT_MS = 10_000;
-/** Part by which callers that are refused together are told different times. */
-const MAX_SPREAD = 0.25;
+/** Jitter: callers that are refused together come back at different times. */
+const MAX_JITTER = 0.25;
 
 /**
  * @param server The start of a server.
@@ -127,12 +127,12 @@
     getWaitMs(servers) {
       const waitMs = Math.min(...servers.map(getOwnWaitMs));
       const boundMs = Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, waitMs));
-      return Math.round(boundMs * (1 + MAX_SPREAD * random()));
+      return Math.round(boundMs * (1 + MAX_JITTER * random()));
     },
     describe({ id }) {
       const backoffMs = Math.round(backoffs.getLeftMs(id));
-      const rest = backoffMs > 0 ? { backoffMs } : {};
-      return { server: id, ...rest, ...rateLimits.describe(id) };
+      const backoff = backoffMs > 0 ? { backoffMs } : {};
+      return { server: id, ...backoff, ...rateLimits.describe(id) };
     },
   };
 }
--- a/src/servers/permits_test.ts
+++ b/src/servers/permits_test.ts
@@ -8,7 +8,7 @@
 
 const SERVER = makeServer("i-1", { slots: 4 });
 
-/** One VM alone, to which a server that runs for 100 ms named a rate. */
+/** One VM alone, to which a server that runs for 100 ms advertised a rate limit. */
 function startLimited(ratePerS: number) {
   const clock = createFakeClock();
   const runTimes = createRunTimes();
@@ -29,7 +29,7 @@
       if (!permits.take(SERVER)) continue;
       taken++;
       permits.end(SERVER, isSent ? "taken" : "not_sent");
-      // The server names its rate with each answer.
+      // The server advertises its limit with each answer.
       rateLimits.note(SERVER.id, ratePerS);
     }
     return taken;
@@ -37,13 +37,13 @@
   return { permits, backoffs, takeFor };
 }
 
-test("a server that named no rate takes all", () => {
+test("a server without a rate limit takes all", () => {
   const { permits } = startLimited(4);
   const other = makeServer("i-2");
   for (let count = 0; count < 100; count++) assert.ok(permits.take(other));
 });
 
-test("one that named a rate gets it, and not more", () => {
+test("one with a rate limit gets that, and not more", () => {
   const { takeFor } = startLimited(4);
   const taken = takeFor(20_000);
   assert.ok(taken >= 0.9 * 80 && taken <= 84, `${taken}`);
@@ -55,18 +55,18 @@
   assert.ok(notSent > 2 * sent, `${notSent}, ${sent}`);
 });
 
-test("a rate leaves as many slots as its requests take up", () => {
+test("a rate limit leaves as many slots as its requests take up", () => {
   assert.is(startLimited(4).permits.getSlots(SERVER), 0.4);
   assert.is(startLimited(400).permits.getSlots(SERVER), 4);
 });
 
-test("callers that find no leave come back when there may be some", () => {
+test("callers that find no permit come back when there may be one", () => {
   const { permits } = startLimited(2);
   assert.is(permits.getWaitMs([SERVER]), Math.round(562.5));
   assert.is(startLimited(0).permits.getWaitMs([SERVER]), 11_250);
 });
 
-test("a server that rests has no slots, and gets nothing that waits for it", () => {
+test("a server in backoff has no slots, and gets nothing that waits for it", () => {
   const { permits, backoffs } = startLimited(4);
   assert.ok(permits.holds(SERVER));
   backoffs.begin(SERVER.id, 3_000);
@@ -77,7 +77,7 @@
   assert.is(permits.describe(SERVER).backoffMs, 3_000);
 });
 
-test("a try that its rate doesn't allow leaves the try to another", () => {
+test("a probe that the rate limit doesn't allow leaves the probe to another", () => {
   const { permits, backoffs, takeFor } = startLimited(4);
   backoffs.begin(SERVER.id, 50);
   const taken = takeFor(10_000);
--- a/src/servers/rate_limits.ts
+++ b/src/servers/rate_limits.ts
@@ -1,10 +1,10 @@
 /**
- * Rates that backend servers in need name in their answers, as far as any VM
+ * Rate limits that backend servers advertise in their answers, as far as any VM
  * heard of them.
  *
- * A server is believed by its newest answer at any VM. A rate holds until an
- * answer names none, or until none has come for long; then it grows step by
- * step, so that the load doesn't come back as one wave.
+ * The newest answer at any VM counts. A limit holds until an answer carries none,
+ * or none has come for long; then it is ramped up, so that the load doesn't come
+ * back as one wave.
  *
  * @module
  */
@@ -15,31 +15,31 @@
 export interface RateLimitNews {
   /** The start of the server. */
   server: string;
-  /** Absent where it names no rate any more. */
+  /** Absent where the limit was lifted. */
   ratePerS?: number;
   /** How long ago the answer came. */
   ageMs: number;
 }
 
-/** A rate that is in force. */
+/** A rate limit in force. */
 export interface RateLimitState {
   server: string;
-  /** The rate that the server named last. */
-  namedPerS: number;
-  /** The rate that holds now, from all VMs together. */
+  /** The limit that the server advertised last. */
+  advertisedPerS: number;
+  /** The limit that holds now, ramped up where it was lifted. */
   ratePerS: number;
-  /** How long ago it was named, and the VM that was told. */
+  /** How long ago it was advertised, and to which VM. */
   ageMs: number;
   by: string;
 }
 
-/** The rates that servers named. */
+/** Rate limits of servers. */
 export interface ServerRateLimits {
   /**
    * Notes what an answer at this VM said.
    *
    * @param server The start of the server.
-   * @param ratePerS The rate that it named, if it named one.
+   * @param ratePerS The limit that it carried, if any.
    */
   note(server: string, ratePerS: number | undefined): void;
   /**
@@ -54,31 +54,31 @@
   takeNews(): RateLimitNews[];
   /** @returns Requests a second from all VMs; undefined where there is no limit. */
   getRatePerS(server: string): number | undefined;
-  /** @returns A server's rate, its age and who was told; for a log line. */
+  /** @returns A server's limit, its age and who was told; for a log line. */
   describe(server: string): Partial<RateLimitState>;
-  /** @returns The rates in force. */
+  /** @returns The limits in force. */
   list(): RateLimitState[];
   /** @returns How many servers have one. */
   count(): number;
 }
 
-/** What the rates need. */
+/** What rate limits need. */
 export interface RateLimitParts {
   clock: Clock;
   log: Log;
   ownId: string;
 }
 
-/** A rate holds at least this long after the last answer that named it. */
+/** A limit holds at least this long after the last answer that carried it. */
 const MIN_HOLD_MS = 5_000;
 const MAX_HOLD_MS = 60_000;
-/** Answers that may be missing where requests come as seldom as the rate says. */
+/** Answers that may be missing at a rate as low as the limit. */
 const HELD_ANSWERS = 3;
-/** A rate that is over doubles in this time, until it limits nothing. */
+/** A lifted limit doubles in this time, until it is dropped. */
 const DOUBLING_MS = 1_000;
 const MAX_DOUBLINGS = 6;
-/** A rate near zero grows from here. */
-const MIN_GROWING_PER_S = 0.5;
+/** A limit near zero is ramped up from here. */
+const MIN_RAMP_PER_S = 0.5;
 /** What others know is told anew this often. */
 const RENEW_MS = 1_000;
 /** A change by less than this part waits for the next renewal. */
@@ -88,18 +88,18 @@
 /** Changes by less than this factor are not logged. */
 const LOGGED_FACTOR = 1.5;
 const LOG_PAUSE_MS = 5_000;
-/** Servers beyond this many are taken for unlimited; of 700 a third is 230. */
+/** Limits of servers beyond this many are not kept. */
 const MAX_SERVERS = 4_096;
 
 interface Entry {
   server: string;
-  namedPerS: number;
-  namedAtMs: number;
-  /** When an answer named no rate; undefined while the last one did. */
-  endedAtMs: number | undefined;
+  advertisedPerS: number;
+  advertisedAtMs: number;
+  /** When an answer carried none; undefined while the last one did. */
+  liftedAtMs: number | undefined;
   by: string;
   isNews: boolean;
-  /** The rate that others were told, or told of; undefined after its end. */
+  /** The limit that other VMs know; undefined where they know of none. */
   sharedPerS: number | undefined;
   sharedAtMs: number;
   loggedPerS: number;
@@ -107,22 +107,22 @@
 }
 
 /**
- * @param parts What the rates need.
- * @returns Rates of which none was named.
+ * @param parts What rate limits need.
+ * @returns Rate limits of which none was advertised.
  */
 export function createServerRateLimits(
   { clock, log, ownId }: RateLimitParts,
 ): ServerRateLimits {
   const entries = new Map<string, Entry>();
 
-  function begin(server: string, namedPerS: number): Entry | undefined {
+  function begin(server: string, advertisedPerS: number): Entry | undefined {
     if (entries.size >= MAX_SERVERS) sweep();
     if (entries.size >= MAX_SERVERS) return undefined;
     const entry: Entry = {
       server,
-      namedPerS,
-      namedAtMs: -Infinity,
-      endedAtMs: undefined,
+      advertisedPerS,
+      advertisedAtMs: -Infinity,
+      liftedAtMs: undefined,
       by: ownId,
       isNews: false,
       sharedPerS: undefined,
@@ -134,21 +134,23 @@
     return entry;
   }
 
-  function getReleasedAtMs({ endedAtMs, namedAtMs, namedPerS }: Entry): number {
+  function getReleasedAtMs(
+    { liftedAtMs, advertisedAtMs, advertisedPerS }: Entry,
+  ): number {
     const holdMs = Math.min(
       MAX_HOLD_MS,
-      Math.max(MIN_HOLD_MS, HELD_ANSWERS * 1_000 / namedPerS),
+      Math.max(MIN_HOLD_MS, HELD_ANSWERS * 1_000 / advertisedPerS),
     );
-    return endedAtMs ?? namedAtMs + holdMs;
+    return liftedAtMs ?? advertisedAtMs + holdMs;
   }
 
-  /** @returns The rate in force; undefined where it limits nothing any more. */
+  /** @returns The limit in force; undefined once it is ramped up. */
   function getCurrentPerS(entry: Entry): number | undefined {
-    const grownMs = clock.monotonicMs() - getReleasedAtMs(entry);
-    if (grownMs <= 0) return entry.namedPerS;
-    const doublings = grownMs / DOUBLING_MS;
+    const rampedMs = clock.monotonicMs() - getReleasedAtMs(entry);
+    if (rampedMs <= 0) return entry.advertisedPerS;
+    const doublings = rampedMs / DOUBLING_MS;
     if (doublings > MAX_DOUBLINGS) return undefined;
-    return Math.max(entry.namedPerS, MIN_GROWING_PER_S) * 2 ** doublings;
+    return Math.max(entry.advertisedPerS, MIN_RAMP_PER_S) * 2 ** doublings;
   }
 
   function sweep(): void {
@@ -157,12 +159,12 @@
     }
   }
 
-  function setNamed(entry: Entry, by: string, perS: number, atMs: number) {
-    const isNew = entry.namedAtMs === -Infinity ||
-      entry.endedAtMs !== undefined;
-    entry.namedPerS = perS;
-    entry.namedAtMs = atMs;
-    entry.endedAtMs = undefined;
+  function setAdvertised(entry: Entry, by: string, perS: number, atMs: number) {
+    const isNew = entry.advertisedAtMs === -Infinity ||
+      entry.liftedAtMs !== undefined;
+    entry.advertisedPerS = perS;
+    entry.advertisedAtMs = atMs;
+    entry.liftedAtMs = undefined;
     entry.by = by;
     if (isNew || isFarFrom(perS, entry.loggedPerS)) logRate(entry, isNew);
   }
@@ -170,35 +172,35 @@
   function logRate(entry: Entry, isNew: boolean): void {
     const nowMs = clock.monotonicMs();
     if (!isNew && nowMs - entry.loggedAtMs < LOG_PAUSE_MS) return;
-    entry.loggedPerS = entry.namedPerS;
+    entry.loggedPerS = entry.advertisedPerS;
     entry.loggedAtMs = nowMs;
-    const { server, namedPerS: ratePerS, by, namedAtMs } = entry;
-    const ageMs = Math.round(nowMs - namedAtMs);
-    log.info({ server, ratePerS, by, ageMs }, "server named a rate");
+    const { server, advertisedPerS: ratePerS, by, advertisedAtMs } = entry;
+    const ageMs = Math.round(nowMs - advertisedAtMs);
+    log.info({ server, ratePerS, by, ageMs }, "server rate limit");
   }
 
-  function setEnded(entry: Entry, by: string, atMs: number): void {
-    entry.endedAtMs = atMs;
+  function setLifted(entry: Entry, by: string, atMs: number): void {
+    entry.liftedAtMs = atMs;
     entry.by = by;
-    const { server, namedPerS: ratePerS } = entry;
-    log.info({ server, ratePerS, by }, "server named no rate any more");
+    const { server, advertisedPerS: ratePerS } = entry;
+    log.info({ server, ratePerS, by }, "server rate limit lifted");
   }
 
-  function noteNamed(server: string, perS: number): void {
+  function noteAdvertised(server: string, perS: number): void {
     const entry = entries.get(server) ?? begin(server, perS);
     if (entry === undefined) return;
     const nowMs = clock.monotonicMs();
-    setNamed(entry, ownId, perS, nowMs);
+    setAdvertised(entry, ownId, perS, nowMs);
     const { sharedPerS, sharedAtMs } = entry;
     const isChanged = sharedPerS === undefined ||
       Math.abs(perS - sharedPerS) > TOLD_CHANGE * sharedPerS;
     if (isChanged || nowMs - sharedAtMs >= RENEW_MS) entry.isNews = true;
   }
 
-  function noteNone(server: string): void {
+  function noteLifted(server: string): void {
     const entry = entries.get(server);
-    if (entry === undefined || entry.endedAtMs !== undefined) return;
-    setEnded(entry, ownId, clock.monotonicMs());
+    if (entry === undefined || entry.liftedAtMs !== undefined) return;
+    setLifted(entry, ownId, clock.monotonicMs());
     entry.isNews = true;
   }
 
@@ -211,15 +213,15 @@
     const atMs = nowMs - ageMs;
     const known = entries.get(server);
     const knownAtMs = Math.max(
-      known?.namedAtMs ?? -Infinity,
-      known?.endedAtMs ?? -Infinity,
+      known?.advertisedAtMs ?? -Infinity,
+      known?.liftedAtMs ?? -Infinity,
     );
     if (atMs < knownAtMs + SAME_NEWS_MS) return false;
     const entry = known ??
       (ratePerS === undefined ? undefined : begin(server, ratePerS));
     if (entry === undefined) return false;
-    if (ratePerS !== undefined) setNamed(entry, vm, ratePerS, atMs);
-    else if (entry.endedAtMs === undefined) setEnded(entry, vm, atMs);
+    if (ratePerS !== undefined) setAdvertised(entry, vm, ratePerS, atMs);
+    else if (entry.liftedAtMs === undefined) setLifted(entry, vm, atMs);
     entry.isNews = false;
     entry.sharedPerS = ratePerS;
     entry.sharedAtMs = nowMs;
@@ -229,29 +231,29 @@
   function toState(entry: Entry): RateLimitState {
     return {
       server: entry.server,
-      namedPerS: entry.namedPerS,
+      advertisedPerS: entry.advertisedPerS,
       ratePerS: getCurrentPerS(entry) ?? Infinity,
-      ageMs: Math.round(clock.monotonicMs() - entry.namedAtMs),
+      ageMs: Math.round(clock.monotonicMs() - entry.advertisedAtMs),
       by: entry.by,
     };
   }
 
   function toNews(entry: Entry): RateLimitNews {
-    const { server, namedPerS, namedAtMs, endedAtMs } = entry;
+    const { server, advertisedPerS, advertisedAtMs, liftedAtMs } = entry;
     const nowMs = clock.monotonicMs();
     entry.isNews = false;
     entry.sharedAtMs = nowMs;
-    entry.sharedPerS = endedAtMs === undefined ? namedPerS : undefined;
-    const ageMs = nowMs - (endedAtMs ?? namedAtMs);
-    return endedAtMs === undefined
-      ? { server, ratePerS: namedPerS, ageMs }
+    entry.sharedPerS = liftedAtMs === undefined ? advertisedPerS : undefined;
+    const ageMs = nowMs - (liftedAtMs ?? advertisedAtMs);
+    return liftedAtMs === undefined
+      ? { server, ratePerS: advertisedPerS, ageMs }
       : { server, ageMs };
   }
 
   return {
     note(server, ratePerS) {
-      if (ratePerS === undefined) noteNone(server);
-      else noteNamed(server, ratePerS);
+      if (ratePerS === undefined) noteLifted(server);
+      else noteAdvertised(server, ratePerS);
     },
     receive: (vm, news) => news.filter((one) => receiveOne(vm, one)),
     takeNews() {
--- a/src/servers/rate_limits_test.ts
+++ b/src/servers/rate_limits_test.ts
@@ -11,7 +11,7 @@
   return createServerRateLimits({ clock, log: createSilentLog(), ownId });
 }
 
-/** A server that named 4 a second just now. */
+/** A server that advertised 4 a second just now. */
 function startLimited() {
   const clock = createFakeClock();
   const rates = start(clock);
@@ -19,14 +19,14 @@
   return { clock, rates };
 }
 
-test("a server has no limit until it names one", () => {
+test("a server has no limit until it advertises one", () => {
   const rates = start(createFakeClock());
   rates.note("i-1", undefined);
   assert.is(rates.getRatePerS("i-1"), undefined);
   assert.equal(rates.takeNews(), []);
 });
 
-test("the rate that was named last holds", () => {
+test("the limit that was advertised last holds", () => {
   const { rates } = startLimited();
   assert.is(rates.getRatePerS("i-1"), 4);
   rates.note("i-1", 2.5);
@@ -34,7 +34,7 @@
   assert.is(rates.getRatePerS("i-1@2"), undefined);
 });
 
-test("once it is named no more, a rate grows until it limits nothing", () => {
+test("a lifted limit is ramped up until it is dropped", () => {
   const { clock, rates } = startLimited();
   rates.note("i-1", undefined);
   clock.advance(1_000);
@@ -47,7 +47,7 @@
   assert.is(rates.count(), 0);
 });
 
-test("while it grows, the server may name a rate again", () => {
+test("while it is ramped up, the server may advertise a limit again", () => {
   const { clock, rates } = startLimited();
   rates.note("i-1", undefined);
   clock.advance(2_000);
@@ -67,7 +67,7 @@
   assert.ok(rates.getRatePerS("i-0")! <= 1);
 });
 
-test("a rate of one request in ten seconds outlives the time between answers", () => {
+test("a limit of one request in ten seconds outlives the time between answers", () => {
   const clock = createFakeClock();
   const rates = start(clock);
   rates.note("i-1", 0.1);
@@ -75,7 +75,7 @@
   assert.is(rates.getRatePerS("i-1"), 0.1);
 });
 
-test("other VMs are told of a rate at once, then each second", () => {
+test("other VMs are told of a limit at once, then each second", () => {
   const { clock, rates } = startLimited();
   assert.equal(rates.takeNews(), [{ server: "i-1", ratePerS: 4, ageMs: 0 }]);
   clock.advance(300);
--- a/src/servers/registry.ts
+++ b/src/servers/registry.ts
@@ -11,7 +11,7 @@
 import { hashToUint32 } from "../runtime/hash.ts";
 import { createServerHealth, type ServerHealth } from "./health.ts";
 import { createServerLoad, type ServerLoad } from "./load.ts";
-import { createLeavingStarts } from "./leaving_starts.ts";
+import { createDrainingStarts } from "./draining_starts.ts";
 import type { RunTimes } from "./run_times.ts";
 import type { ListedServer } from "./types.ts";
 
@@ -43,12 +43,12 @@
   /** Notes that a server's address belongs to another one now. */
   markReplaced(id: string): void;
   /**
-   * Notes that a server said that it leaves. That holds for this start of it,
-   * whatever the register says later.
+   * Notes that a server announced its drain. That holds for this start of it,
+   * whatever the register lists later.
    */
-  markLeaving(server: KnownServer): void;
-  /** @returns Whether a server said that it leaves. */
-  isLeaving(server: KnownServer): boolean;
+  markDraining(server: KnownServer): void;
+  /** @returns Whether a server announced its drain. */
+  isDraining(server: KnownServer): boolean;
   /** Changes whenever `listUsable` would list other servers. */
   getRevision(): number;
   /** @returns Failure domains that are to get no requests. */
@@ -94,7 +94,7 @@
   const servers = new Map<string, KnownServer>();
   const regionByKey = new Map<number, string>();
   const evacuated = new Set<string>();
-  const leaving = createLeavingStarts(clock);
+  const drainingStarts = createDrainingStarts(clock);
   const usableByService = new Map<string, KnownServer[]>();
   let revision = 0;
   let firstListedAtMs: number | undefined;
@@ -106,7 +106,7 @@
 
   function isUsableServer(server: KnownServer): boolean {
     return server.listed.state === "ready" && !server.isReplaced &&
-      !leaving.has(server.listed.id) &&
+      !drainingStarts.has(server.listed.id) &&
       !evacuated.has(server.listed.failureDomain);
   }
 
@@ -237,12 +237,12 @@
       log.warn({ server: id }, "address belongs to another server now");
       touch();
     },
-    markLeaving({ listed }) {
-      if (!leaving.add(listed.id)) return;
-      log.info(describe(listed), "server says that it leaves");
+    markDraining({ listed }) {
+      if (!drainingStarts.add(listed.id)) return;
+      log.info(describe(listed), "server announced its drain");
       touch();
     },
-    isLeaving: ({ listed }) => leaving.has(listed.id),
+    isDraining: ({ listed }) => drainingStarts.has(listed.id),
     getRevision: () => revision,
     listEvacuated: () => [...evacuated],
     getRegion: (serverKey) => regionByKey.get(serverKey),
--- a/src/servers/servers_test.ts
+++ b/src/servers/servers_test.ts
@@ -8,7 +8,7 @@
 import { createFakeClock } from "../runtime/clock.ts";
 import { createColdLimit } from "./cold_limit.ts";
 import { createServerHealth } from "./health.ts";
-import { createLeavingStarts } from "./leaving_starts.ts";
+import { createDrainingStarts } from "./draining_starts.ts";
 import { createServerLoad } from "./load.ts";
 
 function listIds(registry: ReturnType<typeof makeRegistry>): string[] {
@@ -35,12 +35,12 @@
   assert.equal(listIds(registry), []);
 });
 
-test("a server that says it leaves is not usable, whatever the register says", () => {
+test("a server that announced its drain is not usable, whatever is listed", () => {
   const registry = makeRegistry(createFakeClock());
   const server = makeServer("i-1@1", { registeredName: "i-1" });
   registry.apply(makeServerNews(server, 1));
   const [known] = registry.listUsable("s");
-  registry.markLeaving(known);
+  registry.markDraining(known);
   assert.not(registry.isUsable(known));
   registry.apply(makeServerNews(server, 2));
   assert.equal(listIds(registry), []);
@@ -51,18 +51,18 @@
   assert.equal(listIds(registry), ["i-1@2"]);
 });
 
-test("starts that leave are forgotten after ten minutes, or beyond 4,096", () => {
+test("starts that drain are forgotten after ten minutes, or beyond 4,096", () => {
   const clock = createFakeClock();
-  const leaving = createLeavingStarts(clock);
-  assert.ok(leaving.add("1"));
-  assert.not(leaving.add("1"));
+  const draining = createDrainingStarts(clock);
+  assert.ok(draining.add("1"));
+  assert.not(draining.add("1"));
   clock.advance(599_000);
-  for (let index = 0; index < 5_000; index++) leaving.add(`other ${index}`);
-  assert.is(leaving.count(), 4_096);
-  assert.not(leaving.has("1"));
-  assert.ok(leaving.has("other 4999"));
+  for (let index = 0; index < 5_000; index++) draining.add(`other ${index}`);
+  assert.is(draining.count(), 4_096);
+  assert.not(draining.has("1"));
+  assert.ok(draining.has("other 4999"));
   clock.advance(600_000);
-  assert.is(leaving.count(), 0);
+  assert.is(draining.count(), 0);
 });
 
 test("nothing of a server's former start holds after it started again", () => {
--- a/src/servers/signals.ts
+++ b/src/servers/signals.ts
@@ -11,8 +11,8 @@
   /** Requests a second that it takes from all VMs together. */
   limitPerS: number | undefined;
   /** Whether this start of the server takes no new work any more. */
-  isLeaving: boolean;
-  /** How long it wants nothing from this VM, from the answer on. */
+  isDraining: boolean;
+  /** How long this VM is to send it nothing, from the answer on. */
   backoffMs: number | undefined;
 }
 
@@ -20,6 +20,6 @@
 export const NO_SIGNALS: ServerSignals = {
   load: undefined,
   limitPerS: undefined,
-  isLeaving: false,
+  isDraining: false,
   backoffMs: undefined,
 };
--- a/src/serving/flow.ts
+++ b/src/serving/flow.ts
@@ -259,7 +259,7 @@
       },
       "connection cut",
     );
-    // One that was leaving would have ended under whatever it ran.
+    // One that drained would have ended under whatever it ran.
     if (verdict !== "ended" || !registry.isUsable(server)) return;
     suspects.noteEnd(fingerprint, server.listed.id);
   }
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -74,7 +74,7 @@
  */
 export function startFront(parts: FrontParts): Promise<Front> {
   const { codec, flow, callerCheck, clock, log, metrics } = parts;
-  let isLeaving = false;
+  let isDraining = false;
   let open = 0;
 
   const server = createServer({
@@ -90,7 +90,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = clock.monotonicMs();
-    if (isLeaving) response.setHeader("connection", "close");
+    if (isDraining) response.setHeader("connection", "close");
     open++;
     try {
       await serve(message, response, arrivedAtMs);
@@ -209,7 +209,7 @@
     server.once("error", reject);
     server.listen(parts.address.port, parts.address.host, () => {
       resolve({
-        startLeaving: () => void (isLeaving = true),
+        startLeaving: () => void (isDraining = true),
         close: () =>
           new Promise((closed) => {
             server.close(() => closed());
--- a/src/serving/observing.ts
+++ b/src/serving/observing.ts
@@ -29,7 +29,7 @@
   retention: Retention;
   runTimes: RunTimes;
   rateLimits: Pick<ServerRateLimits, "note">;
-  registry: Pick<ServerRegistry, "markLeaving">;
+  registry: Pick<ServerRegistry, "markDraining">;
   backoffs: Pick<ServerBackoffs, "begin">;
 }
 
@@ -103,10 +103,10 @@
   function noteSignals(server: KnownServer, result: ExchangeResult): void {
     if (result.kind !== "answer" && result.kind !== "not_run") return;
     if (result.kind === "not_run" && result.reason === "other_server") return;
-    const { load, limitPerS, isLeaving, backoffMs } = result.signals;
+    const { load, limitPerS, isDraining, backoffMs } = result.signals;
     if (load !== undefined) server.load.report(load);
     parts.rateLimits.note(server.listed.id, limitPerS);
-    if (isLeaving) parts.registry.markLeaving(server);
+    if (isDraining) parts.registry.markDraining(server);
     if (backoffMs !== undefined) {
       parts.backoffs.begin(server.listed.id, backoffMs);
     }
@@ -201,6 +201,6 @@
 /** What the server asked for; nothing where it asked for nothing. */
 function describeSignals(result: ExchangeResult): Record<string, unknown> {
   if (result.kind !== "answer" && result.kind !== "not_run") return {};
-  const { limitPerS, isLeaving, backoffMs } = result.signals;
-  return { limitPerS, backoffMs, ...(isLeaving ? { isLeaving } : {}) };
+  const { limitPerS, isDraining, backoffMs } = result.signals;
+  return { limitPerS, backoffMs, ...(isDraining ? { isDraining } : {}) };
 }
--- a/src/serving/observing_test.ts
+++ b/src/serving/observing_test.ts
@@ -81,7 +81,7 @@
   assert.not(knowsAfter(shed, 0.5));
 });
 
-test("a server that asks for rest with its 503 has not failed", () => {
+test("a server that asks for a backoff has not failed", () => {
   const { observer, server } = startObserver();
   const answer = { status: 503, headers: {}, body: Buffer.alloc(0) };
   const note = (signals: ServerSignals) =>
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -79,7 +79,7 @@
     const candidates = region === undefined
       ? []
       : [ranking.rank(service, region, objectKey)];
-    const heldBack: ListedServer[] = [];
+    const throttled: ListedServer[] = [];
     const placement = {
       candidates,
       tried,
@@ -91,7 +91,7 @@
       knowsObject: (id: string) => knowsObject(progress, id),
       takePermit({ listed }: KnownServer) {
         const isTaken = permits.take(listed);
-        if (!isTaken) heldBack.push(listed);
+        if (!isTaken) throttled.push(listed);
         return isTaken;
       },
     };
@@ -101,16 +101,16 @@
       service,
       objectKey,
       region,
-      ...(heldBack.length > 0
-        ? { heldBack: heldBack.map(permits.describe) }
+      ...(throttled.length > 0
+        ? { throttled: throttled.map(permits.describe) }
         : {}),
     };
     if (choice.kind !== "server") {
       const uses = readUses(service);
       const { maxUse } = placement;
       log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
-      if (heldBack.length > 0) {
-        return refuse("held_back", permits.getWaitMs(heldBack));
+      if (throttled.length > 0) {
+        return refuse("throttled", permits.getWaitMs(throttled));
       }
       return refuse(choice.kind === "full" ? "all_full" : "no_server");
     }
--- a/src/serving/placing_test.ts
+++ b/src/serving/placing_test.ts
@@ -74,7 +74,7 @@
   assert.is(placeIn(2_000, ["bergen", "oslo"]), "oslo-1");
 });
 
-test("a region whose servers all rest is passed over", () => {
+test("a region whose servers are all in backoff is passed over", () => {
   const permits = {
     ...makeOpenPermits(),
     holds: ({ id }: ListedServer) => id !== "bergen-1",
@@ -86,7 +86,7 @@
   assert.is(placed.server.listed.id, "oslo-1");
 });
 
-test("where servers ask for fewer requests, callers learn when to come back", () => {
+test("where no server gives a permit, callers learn when to come back", () => {
   const permits = {
     ...makeOpenPermits(),
     take: () => false,
@@ -95,7 +95,7 @@
   const placed = startPlacer(0, permits).place(
     makeProgress({ request: makeRequest({ homeRegions: ["oslo"] }) }),
   );
-  const reason = "held_back";
+  const reason = "throttled";
   assert.equal(placed, { kind: "not_placed", reason, retryAfterMs: 700 });
 });
 
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -102,7 +102,7 @@
     reason: "shed" | "other_server";
     signals: ServerSignals;
   }
-  /** Not sent, since its server wants nothing any more. */
+  /** Not sent: its server drained or backed off before a connection was free. */
   | { kind: "withdrawn" }
   /** No byte of the request can have reached the server. */
   | { kind: "not_sent"; reason: string }
@@ -114,8 +114,8 @@
   | "no_configuration"
   | "no_server"
   | "all_full"
-  /** Servers with room asked for fewer requests than there are. */
-  | "held_back"
+  /** Rate limits or backoffs of servers leave no room. */
+  | "throttled"
   | "not_run_anywhere"
   | "too_late"
   /** Too long ago that the caller's key was known to be valid. */
