--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -4,9 +4,6 @@
  * @module
  */
 import type { Server } from "node:http";
-import { unpackUsage } from "../limits/usage_form.ts";
-import type { UsageNews } from "../limits/usage_sharing.ts";
-import type { Activity, ActivityScope } from "../activity/types.ts";
 import type { NewsBoard } from "../news/board.ts";
 import {
   type NewsItem,
@@ -25,6 +22,7 @@
 import { isHub, type Topology } from "./hubs.ts";
 import { createLinkSet, type LinkState, type VmLink } from "./link_set.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
+import { createPayloadReceiver, type PayloadListeners } from "./payloads.ts";
 import { createProofTeller } from "./proofs.ts";
 import { createFactRepair } from "./repair.ts";
 import { mergeParts, pickChangedParts } from "./report_parts.ts";
@@ -37,7 +35,7 @@
 } from "./types.ts";
 
 /** What a mesh needs. */
-export interface MeshParts {
+export interface MeshParts extends PayloadListeners {
   self: VmIdentity;
   table: MemberTable;
   board: NewsBoard;
@@ -57,25 +55,6 @@
   makeReport: () => VmReport;
   /** Told of each VM that says who it is. */
   onFound: (identity: VmIdentity) => void;
-  /** Told of what other VMs do at backend servers. */
-  onActivity: (
-    from: VmIdentity,
-    scope: ActivityScope,
-    activity: Activity,
-  ) => void;
-  /** Told of what client accounts used at other VMs. */
-  onUsage: (from: VmIdentity, news: UsageNews) => void;
-  /** Told of what other VMs sent to servers with a rate limit. */
-  onServerUsage: (from: VmIdentity, news: UsageNews) => void;
-  /**
-   * Told of rate limits of servers.
-   *
-   * @returns Those that are new here.
-   */
-  onServerRateLimits: (
-    from: VmIdentity,
-    rates: RateLimitNews[],
-  ) => RateLimitNews[];
 }
 
 /** The links of this VM. */
@@ -155,6 +134,11 @@
     isNeeded: parts.needsProofs,
     isRelay: () => dialing.actsAsHub(),
   });
+  const payloads = createPayloadReceiver({
+    ...parts,
+    links,
+    isRelay: () => !dialing.getTopology().isFullMesh && dialing.actsAsHub(),
+  });
   /** What every linked VM was told of this one. */
   let told: VmReport | undefined;
   const listAfterMs = parts.startsWithAll ? FIRST_LIST_MS : 0;
@@ -182,21 +166,13 @@
     state.heardAtMs = clock.monotonicMs();
     if (message.kind === "hello") receiveHello(link, state, message);
     if (message.kind === "members") receiveMembers(message.members);
-    if (message.kind === "news") receiveNews(link, message.items);
     if (message.kind === "want") sendTopic(link, message.topic);
     if (message.kind === "report") receiveReport(link, state, message);
     if (message.kind === "proof") proofs.receiveProof(link, message);
-    if (message.kind === "usage") receiveUsage(state, message, parts.onUsage);
-    if (message.kind === "server_usage") {
-      receiveUsage(state, message, parts.onServerUsage);
-    }
-    if (message.kind === "server_rate_limits") {
-      receiveRateLimits(link, state, message.rates);
-    }
     if (message.kind === "read") receiveRead(state, message);
     if (message.kind === "view") receiveView(link, state, message);
     if (message.kind === "want_view") sendWholeView(link, state);
-    if (message.kind === "activity") receiveActivity(state, message);
+    payloads.receive(link, state.identity, message);
   }
 
   function receiveHello(
@@ -225,11 +201,6 @@
     views.tellSoon();
   }
 
-  function receiveNews(from: VmLink, items: NewsItem[]): void {
-    const news = board.apply(items);
-    passToOthers({ kind: "news", items: news }, news.length, from);
-  }
-
   function receiveView(
     link: VmLink,
     { identity }: LinkState,
@@ -243,52 +214,6 @@
     views.tellSoon();
   }
 
-  function receiveActivity(
-    { identity }: LinkState,
-    message: Extract<VmMessage, { kind: "activity" }>,
-  ): void {
-    const { scope, asked, forgotten, running } = message;
-    if (identity === undefined) return;
-    parts.onActivity(identity, scope, { asked, forgotten, running });
-  }
-
-  function receiveUsage(
-    { identity }: LinkState,
-    { scope, vms, usage }: Extract<
-      VmMessage,
-      { kind: "usage" | "server_usage" }
-    >,
-    receive: (from: VmIdentity, news: UsageNews) => void,
-  ): void {
-    if (identity === undefined) return;
-    receive(identity, { scope, vms, usage: unpackUsage(usage) });
-  }
-
-  function receiveRateLimits(
-    from: VmLink,
-    { identity }: LinkState,
-    rates: RateLimitNews[],
-  ): void {
-    if (identity === undefined) return;
-    const news = parts.onServerRateLimits(identity, rates);
-    passToOthers(
-      { kind: "server_rate_limits", rates: news },
-      news.length,
-      from,
-    );
-  }
-
-  /** What VMs that only hubs are linked to have to know reaches them so. */
-  function passToOthers(
-    message: VmMessage,
-    items: number,
-    from: VmLink,
-  ): void {
-    const isPassedOn = items > 0 && !dialing.getTopology().isFullMesh &&
-      dialing.actsAsHub();
-    if (isPassedOn) links.sendWhere(message, () => true, from);
-  }
-
   function receiveMembers(members: readonly VmIdentity[]): void {
     const found = members.filter((identity) => table.noteHeardOf(identity));
     if (found.length > 0) dialing.look();
--- /dev/null
+++ b/src/members/payloads.ts
@@ -0,0 +1,116 @@
+/**
+ * Messages between VMs that speak of requests, facts and limits, not of who is
+ * up.
+ *
+ * @module
+ */
+import type { Activity, ActivityScope } from "../activity/types.ts";
+import { unpackUsage } from "../limits/usage_form.ts";
+import type { UsageNews } from "../limits/usage_sharing.ts";
+import type { NewsBoard } from "../news/board.ts";
+import type { NewsItem } from "../news/types.ts";
+import type { RateLimitNews } from "../servers/rate_limits.ts";
+import type { LinkSet, VmLink } from "./link_set.ts";
+import type { VmMessage } from "./messages.ts";
+import type { VmIdentity } from "./types.ts";
+
+/** Who is told of what came. */
+export interface PayloadListeners {
+  /** Told of what other VMs do at backend servers. */
+  onActivity: (
+    from: VmIdentity,
+    scope: ActivityScope,
+    activity: Activity,
+  ) => void;
+  /** Told of what client accounts used at other VMs. */
+  onUsage: (from: VmIdentity, news: UsageNews) => void;
+  /** Told of what other VMs sent to servers with a rate limit. */
+  onServerUsage: (from: VmIdentity, news: UsageNews) => void;
+  /**
+   * Told of rate limits of servers.
+   *
+   * @returns Those that are new here.
+   */
+  onServerRateLimits: (
+    from: VmIdentity,
+    rates: RateLimitNews[],
+  ) => RateLimitNews[];
+}
+
+/** What receiving needs. */
+export interface PayloadParts extends PayloadListeners {
+  board: NewsBoard;
+  links: LinkSet;
+  /** Whether VMs hear of what others told by way of this one. */
+  isRelay: () => boolean;
+}
+
+/** Receives payloads. */
+export interface PayloadReceiver {
+  /**
+   * @param link The link that it came on.
+   * @param sender The VM at its other end, once it said who it is.
+   * @param message Any message; those of other kinds are left alone.
+   */
+  receive(
+    link: VmLink,
+    sender: VmIdentity | undefined,
+    message: VmMessage,
+  ): void;
+}
+
+/**
+ * @param parts What receiving needs.
+ * @returns The receiver.
+ */
+export function createPayloadReceiver(parts: PayloadParts): PayloadReceiver {
+  const { board, links } = parts;
+
+  function receiveNews(link: VmLink, items: NewsItem[]): void {
+    const news = board.apply(items);
+    if (news.length > 0) passOn(link, { kind: "news", items: news });
+  }
+
+  function receiveRateLimits(
+    link: VmLink,
+    sender: VmIdentity,
+    rates: RateLimitNews[],
+  ): void {
+    const news = parts.onServerRateLimits(sender, rates);
+    if (news.length === 0) return;
+    passOn(link, { kind: "server_rate_limits", rates: news });
+  }
+
+  function passOn(from: VmLink, message: VmMessage): void {
+    if (parts.isRelay()) links.sendWhere(message, () => true, from);
+  }
+
+  function toUsageNews(
+    { scope, vms, usage }: Extract<
+      VmMessage,
+      { kind: "usage" | "server_usage" }
+    >,
+  ): UsageNews {
+    return { scope, vms, usage: unpackUsage(usage) };
+  }
+
+  return {
+    receive(link, sender, message) {
+      if (message.kind === "news") return receiveNews(link, message.items);
+      if (sender === undefined) return;
+      switch (message.kind) {
+        case "usage":
+          return parts.onUsage(sender, toUsageNews(message));
+        case "server_usage":
+          return parts.onServerUsage(sender, toUsageNews(message));
+        case "server_rate_limits":
+          return receiveRateLimits(link, sender, message.rates);
+        case "activity": {
+          const { scope, asked, forgotten, running } = message;
+          const activity = { asked, forgotten, running };
+          return parts.onActivity(sender, scope, activity);
+        }
+      }
+    },
+  };
+}
