--- a/src/servers/permits.ts
+++ b/src/servers/permits.ts
@@ -2,9 +2,8 @@
  * Permits to send one more request to a backend server.
  *
  * Load patterns: a server that shed requests asked for a backoff; a server in
- * need advertises a rate limit far below what it is sent. Each
- * VM that kept to the whole rate by itself would send it as many times that as
- * there are VMs.
+ * need advertises a rate limit far below what it is sent. VMs that each kept to
+ * the whole rate would send it as many times that as there are VMs.
  *
  * @module
  */
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -74,7 +74,7 @@
  */
 export function startFront(parts: FrontParts): Promise<Front> {
   const { codec, flow, callerCheck, clock, log, metrics } = parts;
-  let isDraining = false;
+  let isLeaving = false;
   let open = 0;
 
   const server = createServer({
@@ -90,7 +90,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = clock.monotonicMs();
-    if (isDraining) response.setHeader("connection", "close");
+    if (isLeaving) response.setHeader("connection", "close");
     open++;
     try {
       await serve(message, response, arrivedAtMs);
@@ -209,7 +209,7 @@
     server.once("error", reject);
     server.listen(parts.address.port, parts.address.host, () => {
       resolve({
-        startLeaving: () => void (isDraining = true),
+        startLeaving: () => void (isLeaving = true),
         close: () =>
           new Promise((closed) => {
             server.close(() => closed());
