Keep permits of rate-limited servers for objects of their own

Cause found on nine gateways with 18 servers that all advertise 3.5 requests a second: what one server had no permit for went to up to seven others that don't know the object, and each of their few permits bought a first run that was late.

--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -30,6 +30,8 @@
   coldRatePerS: number;
   /** Whether a server was asked for the object not long ago. */
   knowsObject: (serverId: string) => boolean;
+  /** Whether a server has few permits. */
+  isRateLimited: (server: KnownServer) => boolean;
   /** Takes a permit to send one request to a server; whether there is one. */
   takePermit: (server: KnownServer) => boolean;
 }
@@ -149,12 +151,20 @@
   return { kind: "server", server: first, rank: 0, use, isKnown };
 }
 
-/** A request that gets no permit for a server goes to the next in the order. */
+/**
+ * A request that gets no permit for a server goes to the next in the order. The
+ * few permits of a rate-limited server are kept for objects of its own: spent on
+ * others they buy late first runs, and where all servers are limited nothing is
+ * answered in time.
+ */
 function choosePermitted(
   servers: readonly KnownServer[],
   placement: Placement,
 ): Choice | undefined {
-  let left = servers;
+  let left = servers.filter((server, rank) =>
+    rank < CIRCLE || !placement.isRateLimited(server) ||
+    rank < KNOWING_CIRCLE && placement.knowsObject(server.listed.id)
+  );
   for (let asked = 0; asked < MAX_PERMITS_ASKED; asked++) {
     const choice = chooseInCircle(left, placement);
     if (choice === undefined || placement.takePermit(choice.server)) {
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -41,6 +41,7 @@
     firstRunQueue: 2,
     coldRatePerS: 9,
     knowsObject: () => true,
+    isRateLimited: () => false,
     takePermit: () => true,
     ...changes,
   };
@@ -97,6 +98,24 @@
   assert.is(idOf(choose(servers, clock, { takePermit, knowsObject })), "2");
 });
 
+test("a rate-limited server is asked for objects of its own only", () => {
+  const { clock, servers } = startFour();
+  const asked: string[] = [];
+  const takePermit = ({ listed }: KnownServer) => {
+    asked.push(listed.id);
+    return false;
+  };
+  const isRateLimited = () => true;
+  const knowsObject = (id: string) => id === "3";
+  const choice = choose(servers, clock, {
+    isRateLimited,
+    takePermit,
+    knowsObject,
+  });
+  assert.is(idOf(choice), "full");
+  assert.equal(asked.sort(), ["0", "1", "3"]);
+});
+
 test("permits are asked for no more than some times", () => {
   const { clock } = startFour();
   const servers = [...listServers(clock, 40).listUsable("s")];
--- a/src/placement/overload_test.ts
+++ b/src/placement/overload_test.ts
@@ -124,6 +124,7 @@
           : Infinity,
         coldRatePerS: 0,
         knowsObject: (id) => knowsObject(id, objectKey),
+        isRateLimited: () => false,
         takePermit: () => true,
       },
       { take: () => false },
--- a/src/placement/shedding_test.ts
+++ b/src/placement/shedding_test.ts
@@ -67,6 +67,7 @@
         firstRunQueue: 1,
         coldRatePerS: 0,
         knowsObject: () => true,
+        isRateLimited: () => false,
         takePermit: ({ listed }) => permits.take(listed),
       },
       { take: () => false },
--- a/src/servers/permits.ts
+++ b/src/servers/permits.ts
@@ -26,6 +26,8 @@
 
 /** Gives permits. */
 export interface ServerPermits {
+  /** @returns Whether a server has a rate limit. */
+  isRateLimited(server: ListedServer): boolean;
   /**
    * Takes one request's worth of what a server allows.
    *
@@ -105,6 +107,7 @@
   }
 
   return {
+    isRateLimited: ({ id }) => rateLimits.getRatePerS(id) !== undefined,
     take({ id }) {
       if (!backoffs.take(id)) return false;
       const isTaken = takeOfRate(id);
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -34,6 +34,7 @@
 /** @returns Permits of servers that ask for nothing. */
 export function makeOpenPermits(): ServerPermits {
   return {
+    isRateLimited: () => false,
     take: () => true,
     holds: () => true,
     end() {},
--- a/src/serving/placing.ts
+++ b/src/serving/placing.ts
@@ -89,6 +89,7 @@
         : Infinity,
       coldRatePerS: parts.getTerms(service)?.coldRequestsPerS ?? 0,
       knowsObject: (id: string) => knowsObject(progress, id),
+      isRateLimited: ({ listed }: KnownServer) => permits.isRateLimited(listed),
       takePermit({ listed }: KnownServer) {
         const isTaken = permits.take(listed);
         if (!isTaken) throttled.push(listed);
