--- a/bench/mod.ts
+++ b/bench/mod.ts
@@ -6,7 +6,7 @@
 import process from "node:process";
 import { benchLimits, benchServerLimits } from "./limits.ts";
 import { benchRequestPath } from "./request_path.ts";
-import { benchSlopes } from "./slopes.ts";
+import { benchSlopes } from "./slopes/mod.ts";
 import { benchSteering } from "./steering/mod.ts";
 
 const BENCHES: Record<string, () => void | Promise<void>> = {
--- /dev/null
+++ b/bench/slopes/messages.ts
@@ -0,0 +1,108 @@
+/**
+ * Size and cost of messages between processes.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { createControlCodec } from "../../src/control/links.ts";
+import type { PeerMessage } from "../../src/control/messages.ts";
+import type { Row } from "../report.ts";
+import { makeRow, timeUs } from "./points.ts";
+import { makeMember } from "./members.ts";
+
+/** @returns Rows of messages. */
+export function measureMessages(): Row[] {
+  const wire = (make: (size: number) => PeerMessage, sizes: number[]) =>
+    sizes.map((size) => {
+      const codec = createControlCodec();
+      codec.encode(make(size));
+      return { size, value: codec.encode(make(size)).length };
+    });
+  const cpu = (make: (size: number) => PeerMessage, sizes: number[]) =>
+    sizes.map((size) => {
+      const sender = createControlCodec();
+      const receiver = createControlCodec();
+      const message = make(size);
+      const value = timeUs(500, () => {
+        receiver.decode(Buffer.from(sender.encode(message)));
+      });
+      return { size, value };
+    });
+  const makeViews = (members: number): PeerMessage => ({
+    kind: "views",
+    views: [{
+      failureDomain: "domain-1",
+      authorId: "vm-1/steer",
+      authorIncarnation: 1,
+      sequence: 7,
+      lowestVersion: 9,
+      behindCount: 0,
+      members: members === 0
+        ? undefined
+        : Array.from({ length: members }, (_, index) => makeMember(index)),
+    }],
+  });
+  const makeLoad = (services: number): PeerMessage => ({
+    kind: "load",
+    loads: [{
+      entryId: "vm-1/entry",
+      failureDomain: "domain-1",
+      utilization: 0.5,
+      services: Array.from({ length: services }, (_, index) => ({
+        service: `service-${index}`,
+        usableSlots: 40,
+        inFlight: 21,
+        serviceMs: 110,
+        arrivals: [{ region: "region-1", requestsPerS: 210 }],
+        bytesPerRequest: 1_300,
+      })),
+    }],
+  });
+  const rowOf = (index: number) => ({
+    key: `config/service/service-${index}`,
+    version: index + 1,
+    writeId: "0123456789abcdef01234567",
+    value: "x".repeat(2_000),
+  });
+  const makeChanges = (rows: number): PeerMessage => ({
+    kind: "changes",
+    changes: {
+      afterVersion: 0,
+      throughVersion: rows,
+      rows: Array.from({ length: rows }, (_, index) => rowOf(index)),
+    },
+  });
+  const sizes = [1, 8, 16, 30];
+  return [
+    makeRow(
+      "a view with members",
+      "bytes, against members",
+      wire(makeViews, sizes),
+    ),
+    makeRow(
+      "a view with members, both ends",
+      "us, against members",
+      cpu(makeViews, sizes),
+    ),
+    makeRow(
+      "an entry's figures",
+      "bytes, against services",
+      wire(makeLoad, sizes),
+    ),
+    makeRow(
+      "an entry's figures, both ends",
+      "us, against services",
+      cpu(makeLoad, sizes),
+    ),
+    makeRow(
+      "changed documents of 2 kB",
+      "bytes, against documents",
+      wire(makeChanges, sizes),
+    ),
+    makeRow(
+      "changed documents of 2 kB, both ends",
+      "us, against documents",
+      cpu(makeChanges, sizes),
+    ),
+  ];
+}
--- /dev/null
+++ b/bench/slopes/points.ts
@@ -0,0 +1,87 @@
+/**
+ * Measuring at several sizes, and the straight line through the points.
+ *
+ * @module
+ */
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import type { Row } from "../report.ts";
+
+setFlagsFromString("--expose_gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/** A value at a size. */
+export interface Point {
+  size: number;
+  value: number;
+}
+
+/** Least squares; the error is the largest miss as a share of the value. */
+function fit(points: readonly Point[]) {
+  const n = points.length;
+  const meanX = points.reduce((sum, { size }) => sum + size, 0) / n;
+  const meanY = points.reduce((sum, { value }) => sum + value, 0) / n;
+  const over = points.reduce(
+    (sum, { size, value }) => sum + (size - meanX) * (value - meanY),
+    0,
+  );
+  const under = points.reduce((sum, { size }) => sum + (size - meanX) ** 2, 0);
+  const slope = over / under;
+  const base = meanY - slope * meanX;
+  const error = Math.max(
+    ...points.map(({ size, value }) =>
+      Math.abs(base + slope * size - value) / Math.abs(value || 1)
+    ),
+  );
+  return { slope, base, error };
+}
+
+/**
+ * @param what What was measured.
+ * @param unit Its unit, and what it grows with.
+ * @param points Values at sizes.
+ * @returns The row of the table, with a straight line fitted.
+ */
+export function makeRow(what: string, unit: string, points: Point[]): Row {
+  const { slope, base, error } = fit(points);
+  process.stderr.write(`  ${what}\n`);
+  return {
+    what,
+    unit,
+    sizes: points.map(({ size }) => size).join(" "),
+    values: points.map(({ value }) => value.toPrecision(4)).join(" "),
+    "per unit": slope,
+    base,
+    "worst miss": `${(error * 100).toFixed(0)}%`,
+  };
+}
+
+/** @returns Microseconds that a call takes, the best of three runs. */
+export function timeUs(calls: number, run: (index: number) => void): number {
+  let best = Infinity;
+  for (let round = 0; round < 3; round++) {
+    const startMs = performance.now();
+    for (let index = 0; index < calls; index++) run(index);
+    best = Math.min(best, (performance.now() - startMs) * 1_000 / calls);
+  }
+  return best;
+}
+
+/** @returns Bytes that what is made holds on to, buffers included. */
+export function measureBytes(make: () => unknown): number {
+  // What earlier measurements left behind must be gone before the first look.
+  make();
+  collectGarbage();
+  collectGarbage();
+  const used = () => {
+    const { heapUsed, arrayBuffers } = process.memoryUsage();
+    return heapUsed + arrayBuffers;
+  };
+  const before = used();
+  const made = make();
+  collectGarbage();
+  const bytes = used() - before;
+  if (made === undefined) throw new Error("Nothing was made");
+  return bytes;
+}
