Begin first runs of what spills from servers without permits on free slots only

What gets no permit now begins a first run only where a slot is free, known objects queue as before.

--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -165,12 +165,15 @@
     rank < CIRCLE || !placement.isRateLimited(server) ||
     rank < KNOWING_CIRCLE && placement.knowsObject(server.listed.id)
   );
+  let allowed = placement;
   for (let asked = 0; asked < MAX_PERMITS_ASKED; asked++) {
-    const choice = chooseInCircle(left, placement);
+    const choice = chooseInCircle(left, allowed);
     if (choice === undefined || placement.takePermit(choice.server)) {
       return choice;
     }
     left = left.filter((server) => server !== choice.server);
+    // First runs of what spills over would push out what others know.
+    allowed = { ...placement, firstRunQueue: 0 };
   }
   return undefined;
 }
