Log what a source's answers say of its version, and gauges first

The timeline of CONFIG and HOME could not tell whether restored versions were dropped as old or not told at all: no line named the store's position, its epoch, or a fact that was left out. A list of a topic is one line now, and facts that the source tells under an older version than known are a warning with five of them at most.

--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -9,7 +9,7 @@
 import type { Log } from "../telemetry/log.ts";
 import type { NewsBoard } from "./board.ts";
 import type { Instant } from "./knowledge.ts";
-import type { FactSource, NewsItem, SourceTopic } from "./types.ts";
+import type { FactSource, NewsBatch, NewsItem, SourceTopic } from "./types.ts";
 
 /** Times of a reader. */
 export interface ReaderTimes {
@@ -43,6 +43,8 @@
 
 /** How often a VM that does not read checks whether it has to. */
 const IDLE_CHECK_MS = 250;
+/** Facts that one line of the log names. */
+const MAX_SHOWN_FACTS = 5;
 /** A call that found nothing is this much late before it counts as lost. */
 export const SOURCE_SLACK_MS = 700;
 
@@ -89,7 +91,16 @@
     if (position === undefined) {
       const batch = await source.list(topic);
       position = batch.version;
-      publish(board.applyWhole(topic, batch), askedAt);
+      const news = board.applyWhole(topic, batch);
+      log.info({
+        topic,
+        epoch: batch.epoch,
+        position,
+        facts: batch.items.length,
+        news: news.length,
+      }, "topic listed");
+      logOlder(batch);
+      publish(news, askedAt);
       return;
     }
     const result = await source.follow(topic, position, times.waitMs);
@@ -99,7 +110,26 @@
       return;
     }
     position = result.batch.version;
-    publish(board.apply(result.batch.items), askedAt);
+    const news = board.apply(result.batch.items);
+    logOlder(result.batch);
+    publish(news, askedAt);
+  }
+
+  /** Facts of the source that this VM holds a newer version of. */
+  function logOlder({ items, epoch }: NewsBatch): void {
+    const older = items.filter(({ key, version }) =>
+      version < board.getVersion(key)
+    );
+    if (older.length === 0) return;
+    const shown = older.slice(0, MAX_SHOWN_FACTS).map(({ key, version }) => ({
+      key,
+      version,
+      known: board.getVersion(key),
+    }));
+    log.warn(
+      { topic, epoch, position, count: older.length, shown },
+      "source tells older facts",
+    );
   }
 
   function publish(items: NewsItem[], askedAt: Instant): void {
--- a/src/news/types.ts
+++ b/src/news/types.ts
@@ -59,6 +59,8 @@
   items: NewsItem[];
   /** Position in the topic that the items reach. */
   version: number;
+  /** History of the source that it belongs to, where the source says. */
+  epoch?: number;
 }
 
 /**
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -44,6 +44,17 @@
  */
 export function createServingMetrics(gauges: GaugeReaders): ServingMetrics {
   const registry = new Registry();
+  // First, since some collectors cut long texts and histograms are long.
+  for (const [name, { help, read }] of Object.entries(gauges)) {
+    new Gauge({
+      name: `hawthorngw_${name}`,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
   const requests = new Counter({
     name: "hawthorngw_requests_total",
     help: "Requests by kind, outcome and reason",
@@ -57,16 +68,6 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [registry],
   });
-  for (const [name, { help, read }] of Object.entries(gauges)) {
-    new Gauge({
-      name: `hawthorngw_${name}`,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  }
   return {
     noteRequest(route, result, tookMs) {
       const { kind } = route;
