--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -18,6 +18,7 @@
 import type { NewsBoard } from "../news/board.ts";
 import type { Knowledge } from "../news/knowledge.ts";
 import type { NewsItem } from "../news/types.ts";
+import type { FactVersion } from "../news/version.ts";
 import { createDemandTrend } from "../placement/demand_trend.ts";
 import { createFiguresReader } from "../placement/figures.ts";
 import type { ObjectMemory } from "../placement/memory.ts";
@@ -133,18 +134,21 @@
     return Math.max(MIN_CONNECTIONS, Math.floor(part));
   }
 
-  function takeConfiguration(configuration: Configuration): void {
+  function takeConfiguration(
+    configuration: Configuration,
+    source: FactVersion,
+  ): void {
     const { version } = configuration;
     routes = createRouteTable(configuration);
     log.info(
-      { version, routes: configuration.routes.length },
+      { version, source, routes: configuration.routes.length },
       "configuration in force",
     );
   }
 
   board.subscribe((item, previous) => {
     if (item.fact?.kind === "configuration") {
-      takeConfiguration(item.fact.configuration);
+      takeConfiguration(item.fact.configuration, item.version);
     }
     registry.apply(item);
     if (previous?.kind === "server" && !isSameStart(previous.server, item)) {
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -5,6 +5,7 @@
  */
 import type { VmIdentity } from "../members/types.ts";
 import type { NewsItem } from "../news/types.ts";
+import { makeVersion } from "../news/version.ts";
 import type { Configuration, Route } from "../routing/types.ts";
 import { createRunningRequests } from "../activity/running.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -89,17 +90,19 @@
 
 /**
  * @param server A listed server.
- * @param version Version of the news.
+ * @param version Number of the news.
+ * @param epoch Its epoch.
  * @returns The news that it is listed.
  */
 export function makeServerNews(
   server: ListedServer,
   version: number,
+  epoch = 0,
 ): NewsItem {
   return {
     topic: "servers",
     key: `server/${server.registeredName}`,
-    version,
+    version: makeVersion(version, epoch),
     fact: { kind: "server", server },
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -94,7 +94,7 @@
   const board = createNewsBoard(clock);
   const knowledge = createKnowledge({
     clock,
-    getVersion: () => board.getVersion(CONFIGURATION_KEY),
+    getVersion: () => getConfigurationNumber(board),
   });
   const vms = createVmViews(self, table);
   const memory = createObjectMemory();
@@ -221,7 +221,8 @@
       }),
     onNews: (items) => mesh.passOn(items),
     onRead: (topic, askedAt) => {
-      if (topic === "operations") knowledge.noteReading(askedAt);
+      const isProof = topic === "operations" && provesConfiguration(board);
+      if (isProof) knowledge.noteReading(askedAt);
       mesh.noteRead(topic);
     },
     getInstant: knowledge.getInstant,
@@ -295,6 +296,20 @@
   };
 }
 
+function getConfigurationNumber(board: NewsBoard): number {
+  const fact = board.get(CONFIGURATION_KEY)?.fact;
+  return fact?.kind === "configuration" ? fact.configuration.version : 0;
+}
+
+/**
+ * After a restore the source may lack a configuration that no VM has read: until
+ * the operator wrote again a reading proves nothing.
+ */
+function provesConfiguration(board: NewsBoard): boolean {
+  return !board.isRestored("operations") ||
+    board.isOfLatestEpoch(CONFIGURATION_KEY);
+}
+
 function startReaders(
   { source, clock, log, settings }: GatewayParts,
   board: NewsBoard,
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -5,6 +5,7 @@
  */
 import { getOldestAgeMs, type NewsBoard } from "../news/board.ts";
 import type { Knowledge } from "../news/knowledge.ts";
+import { SOURCE_TOPICS } from "../news/types.ts";
 import {
   createServingMetrics,
   type ServingMetrics,
@@ -36,6 +37,14 @@
       help: "Age of the least current facts",
       read: () => Math.min(getOldestAgeMs(board), UNKNOWN_AGE_MS) / 1_000,
     },
+    source_epoch: {
+      help: "Epoch of the source of facts; rises when it is restored",
+      read: () => board.getEpoch("operations"),
+    },
+    source_unsettled: {
+      help: "1 while facts that the source lost may be written again",
+      read: () => Number(SOURCE_TOPICS.some(board.isRestored)),
+    },
     knowledge_age_seconds: {
       help: "Proven age of what is known of the configuration",
       read: () => Math.min(knowledge.getAgeMs(), UNKNOWN_AGE_MS) / 1_000,
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -7,7 +7,7 @@
 import type { VmIdentity, VmState } from "../members/types.ts";
 import type { NewsBoard } from "../news/board.ts";
 import type { Knowledge } from "../news/knowledge.ts";
-import { SOURCE_TOPICS } from "../news/types.ts";
+import { CONFIGURATION_KEY, SOURCE_TOPICS } from "../news/types.ts";
 import type { Configuration } from "../routing/types.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { Core } from "./core.ts";
@@ -39,6 +39,10 @@
     configuration: dumpConfiguration(core.getRoutes()?.configuration),
     knowledgeAgeMs: knowledge.getAgeMs(),
     factAgesMs: Object.fromEntries(ages),
+    epochs: Object.fromEntries(
+      SOURCE_TOPICS.map((topic) => [topic, board.listEpochs(topic)]),
+    ),
+    configurationVersion: board.get(CONFIGURATION_KEY)?.version,
     limitPart: core.limitPool.getPart(),
     limits: core.limiter.list(),
     serverRateLimits: core.serverLimits.rateLimits.list(),
--- a/src/members/hub_mesh_test.ts
+++ b/src/members/hub_mesh_test.ts
@@ -23,9 +23,9 @@
   readonly #vms = new Map<string, VmIdentity>();
   lists = 0;
 
-  override register(identity: VmIdentity): Promise<void> {
+  override register(identity: VmIdentity): Promise<undefined> {
     this.#vms.set(identity.id, identity);
-    return Promise.resolve();
+    return Promise.resolve(undefined);
   }
 
   override list(): Promise<VmIdentity[]> {
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -22,7 +22,12 @@
 import { isHub, type Topology } from "./hubs.ts";
 import { createLinkSet, type LinkState, type VmLink } from "./link_set.ts";
 import { type VmMessage, vmMessageSchema } from "./messages.ts";
-import { createPayloadReceiver, type PayloadListeners } from "./payloads.ts";
+import {
+  createPayloadReceiver,
+  makeNewsMessage,
+  makeTopicMessage,
+  type PayloadListeners,
+} from "./payloads.ts";
 import { createProofTeller } from "./proofs.ts";
 import { createFactRepair } from "./repair.ts";
 import { mergeParts, pickChangedParts } from "./report_parts.ts";
@@ -250,7 +255,7 @@
   }
 
   function sendTopic(link: VmLink, topic: Topic): void {
-    link.send({ kind: "news", items: board.listTopic(topic) });
+    link.send(makeTopicMessage(board, topic));
   }
 
   function sendWholeView(link: VmLink, { identity }: LinkState): void {
@@ -305,7 +310,7 @@
   });
 
   return {
-    passOn: (items) => links.send({ kind: "news", items }),
+    passOn: (items) => links.send(makeNewsMessage(board, items)),
     tellServerRateLimits: (rates) =>
       links.send({ kind: "server_rate_limits", rates }),
     noteRead(topic) {
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -14,13 +14,15 @@
 import { createMemberTable } from "./table.ts";
 import type { TopicDigest } from "../news/types.ts";
 import { type VmIdentity, VmRegister } from "./types.ts";
+import { packNews } from "../news/wire_form.ts";
+import { makeVersion } from "../news/version.ts";
 
 const clock = createSystemClock();
 const ACTIVITY: Activity = { asked: [1, 2], forgotten: [], running: [3, 4] };
 
 class EmptyRegister extends VmRegister {
-  override register(): Promise<void> {
-    return Promise.resolve();
+  override register(): Promise<undefined> {
+    return Promise.resolve(undefined);
   }
   override list(): Promise<VmIdentity[]> {
     return Promise.resolve([]);
@@ -190,7 +192,7 @@
   await waitUntil(() => countAsks() === 1);
   link.send({
     kind: "news",
-    items: [makeServerNews(makeServer("2"), 6)],
+    items: packNews([makeServerNews(makeServer("2"), 6)]),
   });
   await waitUntil(() => board.getDigest("servers").versionSum === 7);
   link.close();
@@ -200,7 +202,7 @@
 test("a VM that asks gets all facts of the topic, removals too", async () => {
   const { address, board, stop } = await startTestMesh();
   board.apply([makeServerNews(makeServer("1"), 1)]);
-  board.apply([{ topic: "servers", key: "server/2", version: 2 }]);
+  board.apply([{ topic: "servers", key: "server/2", version: makeVersion(2) }]);
   const link = await openLink(address, makeIdentity("other", "127.0.0.1:2"));
   link.send({ kind: "want", topic: "servers" });
   await waitUntil(() => hasNews(link.received));
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -10,6 +10,7 @@
 const MAX_MEMBERS = 4_096;
 const MAX_ITEMS = 10_000;
 const MAX_SERVER_NAME = 200;
+const MAX_EPOCHS = 64;
 /** What 4,096 servers were asked for, 128 objects each, and the servers. */
 const MAX_NUMBERS = 1_100_000;
 
@@ -45,9 +46,16 @@
 const sourceTopicSchema = z.enum(["operations", "servers"]);
 const topicSchema = z.enum(["operations", "servers", "suspects"]);
 
+const epochStartsSchema = z.array(z.object({
+  epoch: z.number().int().nonnegative(),
+  copiedThrough: z.number().nonnegative(),
+})).max(MAX_EPOCHS);
+
 const digestSchema = z.object({
   facts: z.number().int().nonnegative(),
   versionSum: z.number(),
+  epochSum: z.number().nonnegative().optional(),
+  epochs: epochStartsSchema.optional(),
 });
 
 const usageFields = {
@@ -84,7 +92,10 @@
   /** How old the sender's knowledge of the configuration is. */
   z.object({
     kind: z.literal("proof"),
+    /** Read by VMs of earlier versions only. */
     version: z.number().nonnegative(),
+    /** The number of the configuration; absent where the VM is older. */
+    configuration: z.number().nonnegative().optional(),
     ageMs: z.number().nonnegative(),
     stamp: z.number().int().nonnegative(),
     heldMs: z.number().nonnegative(),
@@ -139,10 +150,16 @@
     kind: z.literal("want"),
     topic: topicSchema,
   }),
-  /** Facts that the receiver may not know. */
+  /** Facts that the receiver may not know, and the epochs they refer to. */
   z.object({
     kind: z.literal("news"),
     items: z.array(newsItemSchema).max(MAX_ITEMS),
+    epochs: z.object({
+      operations: epochStartsSchema,
+      servers: epochStartsSchema,
+    }).optional(),
+    /** Set where the items are all facts of a topic that there are. */
+    whole: sourceTopicSchema.optional(),
   }),
   /** Requests at backend servers, and what those were asked for. */
   z.object({
--- a/src/members/payloads.ts
+++ b/src/members/payloads.ts
@@ -8,7 +8,8 @@
 import { unpackUsage } from "../limits/usage_form.ts";
 import type { UsageNews } from "../limits/usage_sharing.ts";
 import type { NewsBoard } from "../news/board.ts";
-import type { NewsItem } from "../news/types.ts";
+import { type NewsItem, SOURCE_TOPICS, type Topic } from "../news/types.ts";
+import { packNews, unpackNews } from "../news/wire_form.ts";
 import type { RateLimitNews } from "../servers/rate_limits.ts";
 import type { LinkSet, VmLink } from "./link_set.ts";
 import type { VmMessage } from "./messages.ts";
@@ -37,6 +38,35 @@
   ) => RateLimitNews[];
 }
 
+type NewsMessage = Extract<VmMessage, { kind: "news" }>;
+
+/**
+ * @param board All facts of this VM.
+ * @param items Some of them.
+ * @returns The message that tells them.
+ */
+export function makeNewsMessage(
+  board: NewsBoard,
+  items: readonly NewsItem[],
+): NewsMessage {
+  const epochs = {
+    operations: board.listEpochs("operations"),
+    servers: board.listEpochs("servers"),
+  };
+  return { kind: "news", items: packNews(items), epochs };
+}
+
+/**
+ * @param board All facts of this VM.
+ * @param topic A topic.
+ * @returns The message that tells all of it.
+ */
+export function makeTopicMessage(board: NewsBoard, topic: Topic): NewsMessage {
+  const message = makeNewsMessage(board, board.listTopic(topic));
+  const isWhole = topic !== "suspects" && board.isComplete(topic);
+  return isWhole ? { ...message, whole: topic } : message;
+}
+
 /** What receiving needs. */
 export interface PayloadParts extends PayloadListeners {
   board: NewsBoard;
@@ -66,9 +96,18 @@
 export function createPayloadReceiver(parts: PayloadParts): PayloadReceiver {
   const { board, links } = parts;
 
-  function receiveNews(link: VmLink, items: NewsItem[]): void {
-    const news = board.apply(items);
-    if (news.length > 0) passOn(link, { kind: "news", items: news });
+  function receiveNews(
+    link: VmLink,
+    { items, epochs, whole }: NewsMessage,
+  ): void {
+    for (const topic of SOURCE_TOPICS) {
+      board.noteEpochs(topic, epochs?.[topic] ?? []);
+    }
+    const told = unpackNews(items, board.getEpoch);
+    const news = whole === undefined
+      ? board.apply(told)
+      : board.applySettled(whole, told);
+    if (news.length > 0) passOn(link, makeNewsMessage(board, news));
   }
 
   function receiveRateLimits(
@@ -96,7 +135,7 @@
 
   return {
     receive(link, sender, message) {
-      if (message.kind === "news") return receiveNews(link, message.items);
+      if (message.kind === "news") return receiveNews(link, message);
       if (sender === undefined) return;
       switch (message.kind) {
         case "usage":
--- a/src/members/proofs.ts
+++ b/src/members/proofs.ts
@@ -18,6 +18,9 @@
   knowledgeAgeMs?: number;
 }
 
+/** A proof as VMs send it. */
+export type ProofMessage = Omit<Proof, "version"> & { configuration?: number };
+
 /** What telling needs. */
 export interface ProofTellerParts {
   clock: Clock;
@@ -34,7 +37,7 @@
   /** @returns What a report shows, so that others can answer. */
   makeQuestion(): ProofQuestion;
   receiveQuestion(link: VmLink, question: ProofQuestion): void;
-  receiveProof(link: VmLink, proof: Proof): void;
+  receiveProof(link: VmLink, message: ProofMessage): void;
   /** Tells all VMs that are linked, but for one. */
   tell(except?: VmLink): void;
 }
@@ -46,6 +49,12 @@
 /** A proof is worth a message where it makes knowledge newer by this. */
 const HELPING_GAIN_MS = 500;
 
+/**
+ * VMs of earlier versions take this for a configuration that they lack: they
+ * counted by the source's numbers, which prove nothing after a restore.
+ */
+const NEVER_KNOWN = Number.MAX_SAFE_INTEGER;
+
 interface Question {
   stamp: number;
   arrivedAt: Instant;
@@ -64,7 +73,9 @@
     const question = questions.get(link);
     if (question === undefined) return;
     const proof = knowledge.makeProof(question.stamp, question.arrivedAt);
-    if (proof !== undefined) link.send({ kind: "proof", ...proof });
+    if (proof === undefined) return;
+    const { version: configuration, ...rest } = proof;
+    link.send({ kind: "proof", ...rest, configuration, version: NEVER_KNOWN });
   }
 
   function tell(except?: VmLink): void {
@@ -90,7 +101,9 @@
       const gainMs = knowledgeAgeMs - knowledge.getAgeMs();
       if (isLate && gainMs > HELPING_GAIN_MS) answer(link);
     },
-    receiveProof(link, proof) {
+    receiveProof(link, { configuration, ageMs, stamp, heldMs }) {
+      if (configuration === undefined) return;
+      const proof = { version: configuration, ageMs, stamp, heldMs };
       const isNews = knowledge.noteProof(proof);
       if (isNews && parts.isRelay()) tell(link);
     },
--- a/src/members/repair.ts
+++ b/src/members/repair.ts
@@ -8,6 +8,7 @@
  */
 import type { NewsBoard } from "../news/board.ts";
 import { isSameDigest, type Topic, type TopicDigest } from "../news/types.ts";
+import type { EpochStart } from "../news/version.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Log } from "../telemetry/log.ts";
 
@@ -46,6 +47,15 @@
 /** One VM is asked at a time; an answer takes a round trip. */
 const ASK_AGAIN_MS = 500;
 
+/** Whether another VM has lived through a restore before this one began. */
+function knowsEarlier(
+  { epochs = [] }: TopicDigest,
+  own: readonly EpochStart[],
+): boolean {
+  if (epochs.length === 0 || own.length === 0) return false;
+  return epochs[0].epoch < own[0].epoch;
+}
+
 /**
  * @param parts What the repair needs.
  * @returns A repair that has compared nothing.
@@ -73,6 +83,8 @@
 
   return {
     compare(other, topic, digest) {
+      const startedLater = knowsEarlier(digest, board.listEpochs(topic));
+      board.noteEpochs(topic, digest.epochs ?? []);
       const own = board.getDigest(topic);
       const since = getSince(other);
       if (isSameDigest(own, digest)) {
@@ -82,7 +94,8 @@
       const nowMs = clock.monotonicMs();
       const sinceMs = since.get(topic) ?? nowMs;
       since.set(topic, sinceMs);
-      const isLacking = own.facts === 0 || nowMs - sinceMs >= DIFFERENT_MS;
+      const isLacking = own.facts === 0 || startedLater ||
+        nowMs - sinceMs >= DIFFERENT_MS;
       if (isLacking && digest.facts > 0) ask(other, topic);
       return isLacking;
     },
--- a/src/members/repair_test.ts
+++ b/src/members/repair_test.ts
@@ -58,4 +58,17 @@
   assert.is(asked.length, 1, "only while it had no facts");
 });
 
+test("a VM that began after a restore asks one that has lived through it", () => {
+  const { board, repair, asked, peer } = startRepair();
+  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 50 }]);
+  board.apply([makeServerNews(makeServer("1"), 40, 2)]);
+  const epochs = [
+    { epoch: 1, copiedThrough: 0 },
+    { epoch: 2, copiedThrough: 48 },
+  ];
+  assert.ok(repair.compare(peer, "servers", { ...OTHER, epochs }));
+  assert.equal(asked, ["servers"]);
+  assert.equal(board.listEpochs("servers"), epochs);
+});
+
 test.run();
--- a/src/members/report_parts.ts
+++ b/src/members/report_parts.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { isDeepStrictEqual } from "node:util";
 import { isSameDigest, TOPICS } from "../news/types.ts";
 import type { VmReport } from "./types.ts";
 
@@ -32,7 +33,8 @@
     parts.demandPerS = now.demandPerS;
   }
   const isSame = TOPICS.every((topic) =>
-    isSameDigest(told.digests[topic], now.digests[topic])
+    isSameDigest(told.digests[topic], now.digests[topic]) &&
+    isDeepStrictEqual(told.digests[topic].epochs, now.digests[topic].epochs)
   );
   if (!isSame) parts.digests = now.digests;
   return parts;
--- a/src/members/types.ts
+++ b/src/members/types.ts
@@ -59,8 +59,12 @@
 
 /** Where VMs register so that others find them. Calls throw StepError. */
 export abstract class VmRegister {
-  /** @param identity The VM to register; replaces its earlier entry. */
-  abstract register(identity: VmIdentity): Promise<void>;
+  /**
+   * @param identity The VM to register; replaces its earlier entry.
+   * @returns The epoch of the register that holds it; undefined where the
+   *   register names none.
+   */
+  abstract register(identity: VmIdentity): Promise<number | undefined>;
   /** @returns All VMs that ever registered, those that are gone included. */
   abstract list(): Promise<VmIdentity[]>;
 }
--- a/src/news/board.ts
+++ b/src/news/board.ts
@@ -1,9 +1,10 @@
 /**
- * All facts that this VM knows, by key; the highest version of each holds.
+ * All facts that this VM knows, by key; the newest version of each holds.
  *
  * @module
  */
 import type { Clock } from "../runtime/clock.ts";
+import { createEpochs, type Epochs } from "./epochs.ts";
 import {
   type Fact,
   type NewsBatch,
@@ -11,7 +12,9 @@
   SOURCE_TOPICS,
   type Topic,
   type TopicDigest,
+  TOPICS,
 } from "./types.ts";
+import { type EpochStart, type FactVersion, makeVersion } from "./version.ts";
 
 /** Told of each fact that changed. */
 export type NewsListener = (item: NewsItem, previous: Fact | undefined) => void;
@@ -26,20 +29,51 @@
    */
   apply(items: readonly NewsItem[]): NewsItem[];
   /**
-   * Takes a whole topic in: what it does not list is removed.
+   * Takes a whole topic in: what it does not list is removed, except facts of
+   * earlier epochs while what it lists may stem from a copy.
    *
    * @param topic The topic.
    * @param batch All its facts as of one moment.
    * @returns Those that were new to this VM, removals among them.
    */
   applyWhole(topic: Topic, batch: NewsBatch): NewsItem[];
+  /**
+   * Takes a topic in as another VM knows it, which knows all of it. Facts that
+   * it lacks and that are older than the settled epoch were lost.
+   *
+   * @param topic The topic.
+   * @param items All facts of the other VM.
+   * @returns Those that were new to this VM, removals among them.
+   */
+  applySettled(topic: Topic, items: readonly NewsItem[]): NewsItem[];
   /** @returns All facts and removals of a topic, for a VM that lacks some. */
   listTopic(topic: Topic): NewsItem[];
   /**
    * @param key A key.
-   * @returns The version that is known under it; 0 where none is.
+   * @returns What is known under it.
+   */
+  get(key: string): NewsItem | undefined;
+  /**
+   * Notes when epochs of a topic's source began.
+   *
+   * @returns Whether anything of it was new.
+   */
+  noteEpochs(topic: Topic, starts: readonly EpochStart[]): boolean;
+  /** @returns Those that still matter. */
+  listEpochs(topic: Topic): EpochStart[];
+  /** @returns The latest epoch of a topic's source; 0 where none is known. */
+  getEpoch(topic: Topic): number;
+  /** @returns Whether that epoch is settled; true where none is known. */
+  isSettled(topic: Topic): boolean;
+  /**
+   * @returns Whether the source was restored so lately that facts may be lost
+   *   which this VM never read.
    */
-  getVersion(key: string): number;
+  isRestored(topic: Topic): boolean;
+  /** @returns Whether this VM knows all facts of a topic, of no lost epoch. */
+  isComplete(topic: Topic): boolean;
+  /** @returns Whether a fact was written in the latest epoch of its source. */
+  isOfLatestEpoch(key: string): boolean;
   /** @returns What tells this board's facts of a topic from another's. */
   getDigest(topic: Topic): TopicDigest;
   /** @returns The digests of all topics. */
@@ -66,11 +100,19 @@
  */
 const REMOVAL_MEMORY_MS = 120_000;
 
+/** Facts that were known to be complete by then are complete. */
+const COMPLETE_MS = 1_500;
+
 interface Known {
   item: NewsItem;
   sinceMs: number;
 }
 
+interface TopicState {
+  epochs: Epochs;
+  digest: TopicDigest | undefined;
+}
+
 /**
  * @param clock The clock.
  * @returns A board with no facts.
@@ -78,30 +120,57 @@
 export function createNewsBoard(clock: Clock): NewsBoard {
   const known = new Map<string, Known>();
   const currentAtMs = new Map<Topic, number>();
-  const digests = new Map<Topic, TopicDigest>();
+  const topics = new Map<Topic, TopicState>(
+    TOPICS.map((topic) => [topic, {
+      epochs: createEpochs(),
+      digest: undefined,
+    }]),
+  );
   const listeners: NewsListener[] = [];
 
+  function getEpochs(topic: Topic): Epochs {
+    return topics.get(topic)!.epochs;
+  }
+
+  function isSettled(topic: Topic): boolean {
+    const epochs = getEpochs(topic);
+    return epochs.getSettled() === epochs.getLatest();
+  }
+
+  function getAgeMs(topic: Topic): number {
+    const atMs = currentAtMs.get(topic);
+    return atMs === undefined ? Infinity : clock.monotonicMs() - atMs;
+  }
+
   function getDigest(topic: Topic): TopicDigest {
-    return digests.get(topic) ?? { facts: 0, versionSum: 0 };
+    const state = topics.get(topic)!;
+    return state.digest ??= makeDigest(topic, state.epochs);
   }
 
-  function count(item: NewsItem | undefined, sign: 1 | -1): void {
-    if (item?.fact === undefined) return;
-    const { facts, versionSum } = getDigest(item.topic);
-    digests.set(item.topic, {
-      facts: facts + sign,
-      versionSum: versionSum + sign * item.version,
-    });
+  function makeDigest(topic: Topic, epochs: Epochs): TopicDigest {
+    let facts = 0;
+    let versionSum = 0;
+    let epochSum = 0;
+    for (const { item } of known.values()) {
+      if (item.topic !== topic || item.fact === undefined) continue;
+      facts++;
+      versionSum += item.version.number;
+      epochSum += epochs.getOrigin(item.version);
+    }
+    const starts = epochs.list();
+    if (starts.length === 0) return { facts, versionSum };
+    return { facts, versionSum, epochSum, epochs: starts };
   }
 
   function applyOne(item: NewsItem): boolean {
     const previous = known.get(item.key);
-    if (previous !== undefined && previous.item.version >= item.version) {
-      return false;
-    }
+    const state = topics.get(item.topic)!;
+    const isNewer = previous === undefined
+      ? item.version.epoch >= state.epochs.getSettled()
+      : state.epochs.isNewer(item, previous.item);
+    if (!isNewer) return false;
     known.set(item.key, { item, sinceMs: clock.monotonicMs() });
-    count(previous?.item, -1);
-    count(item, 1);
+    state.digest = undefined;
     if (item.fact === undefined && previous?.item.fact === undefined) {
       return previous === undefined;
     }
@@ -115,15 +184,41 @@
   }
 
   function applyWhole(topic: Topic, batch: NewsBatch): NewsItem[] {
-    const listed = new Set(batch.items.map((item) => item.key));
-    const removed: NewsItem[] = [];
-    for (const { item } of known.values()) {
-      const isMissing = item.topic === topic && item.fact !== undefined &&
-        item.version <= batch.version && !listed.has(item.key);
-      if (!isMissing) continue;
-      removed.push({ topic, key: item.key, version: batch.version });
-    }
-    return apply([...batch.items, ...removed]);
+    const missing = listMissing(topic, batch.items)
+      .filter((item) => covers(topic, batch.version, item.version));
+    const removals = missing.map((item) => remove(item, batch.version));
+    return apply([...batch.items, ...removals]);
+  }
+
+  function applySettled(topic: Topic, items: readonly NewsItem[]): NewsItem[] {
+    const settled = getEpochs(topic).getSettled();
+    const lost = listMissing(topic, items)
+      .filter(({ version }) => version.epoch < settled);
+    // Any number that the settled epoch gives out is higher.
+    const removals = lost.map((item) => remove(item, makeVersion(0, settled)));
+    return apply([...items, ...removals]);
+  }
+
+  function listMissing(topic: Topic, items: readonly NewsItem[]): NewsItem[] {
+    const listed = new Set(items.map((item) => item.key));
+    return [...known.values()].map(({ item }) => item).filter((item) =>
+      item.topic === topic && item.fact !== undefined && !listed.has(item.key)
+    );
+  }
+
+  function remove({ topic, key }: NewsItem, version: FactVersion): NewsItem {
+    return { topic, key, version };
+  }
+
+  /** Whether a list as of one version would show a fact of another. */
+  function covers(
+    topic: Topic,
+    list: FactVersion,
+    version: FactVersion,
+  ): boolean {
+    if (list.epoch === version.epoch) return version.number <= list.number;
+    return version.epoch < list.epoch &&
+      getEpochs(topic).getSettled() >= list.epoch;
   }
 
   function forgetOldRemovals(): void {
@@ -136,10 +231,33 @@
   return {
     apply,
     applyWhole,
+    applySettled,
     listTopic: (topic) =>
       [...known.values()].map(({ item }) => item)
         .filter((item) => item.topic === topic),
-    getVersion: (key) => known.get(key)?.item.version ?? 0,
+    get: (key) => known.get(key)?.item,
+    noteEpochs(topic, starts) {
+      const state = topics.get(topic)!;
+      const isNews = state.epochs.note(starts);
+      if (isNews) state.digest = undefined;
+      return isNews;
+    },
+    listEpochs: (topic) => getEpochs(topic).list(),
+    getEpoch: (topic) => getEpochs(topic).getLatest(),
+    isSettled,
+    isRestored: (topic) =>
+      getEpochs(topic).list().length > 1 && !isSettled(topic),
+    isComplete(topic) {
+      const settled = getEpochs(topic).getSettled();
+      return getAgeMs(topic) <= COMPLETE_MS &&
+        listMissing(topic, []).every(({ version }) => version.epoch >= settled);
+    },
+    isOfLatestEpoch(key) {
+      const item = known.get(key)?.item;
+      if (item === undefined) return false;
+      const epochs = getEpochs(item.topic);
+      return epochs.getOrigin(item.version) === epochs.getLatest();
+    },
     getDigest,
     getDigests: () => ({
       operations: getDigest("operations"),
@@ -151,10 +269,7 @@
       const before = currentAtMs.get(topic) ?? -Infinity;
       if (atMs > before) currentAtMs.set(topic, atMs);
     },
-    getAgeMs(topic) {
-      const atMs = currentAtMs.get(topic);
-      return atMs === undefined ? Infinity : clock.monotonicMs() - atMs;
-    },
+    getAgeMs,
     subscribe: (listener) => void listeners.push(listener),
   };
 }
--- a/src/news/board_test.ts
+++ b/src/news/board_test.ts
@@ -2,11 +2,16 @@
 import { test } from "uvu";
 import { makeServer, makeServerNews } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
-import { createNewsBoard } from "./board.ts";
-import type { NewsItem } from "./types.ts";
+import { createNewsBoard, type NewsBoard } from "./board.ts";
+import { isSameDigest, type NewsItem } from "./types.ts";
+import { makeVersion } from "./version.ts";
 
 function makeRemoval(id: string, version: number): NewsItem {
-  return { topic: "servers", key: `server/${id}`, version };
+  return {
+    topic: "servers",
+    key: `server/${id}`,
+    version: makeVersion(version),
+  };
 }
 
 test("the highest version holds, in whatever order news arrive", () => {
@@ -33,7 +38,10 @@
     makeServerNews(makeServer("newer"), 20),
   ]);
   const kept = makeServerNews(makeServer("kept"), 6);
-  const changed = board.applyWhole("servers", { items: [kept], version: 10 });
+  const changed = board.applyWhole("servers", {
+    items: [kept],
+    version: makeVersion(10),
+  });
   assert.equal(changed.map(({ key }) => key), ["server/old"]);
   const left = board.listTopic("servers").filter(({ fact }) =>
     fact !== undefined
@@ -44,7 +52,7 @@
 test("a whole list leaves the other topic alone", () => {
   const board = createNewsBoard(createFakeClock());
   board.apply([makeServerNews(makeServer("1"), 5)]);
-  board.applyWhole("operations", { items: [], version: 10 });
+  board.applyWhole("operations", { items: [], version: makeVersion(10) });
   assert.is(board.listTopic("servers")[0].fact?.kind, "server");
 });
 
@@ -76,8 +84,93 @@
   assert.not.equal(one.getDigest("servers"), other.getDigest("servers"));
   other.apply(one.listTopic("servers"));
   assert.equal(one.getDigest("servers"), other.getDigest("servers"));
-  one.apply([{ topic: "servers", key: "server/1", version: 3 }]);
+  one.apply([{ topic: "servers", key: "server/1", version: makeVersion(3) }]);
   assert.equal(one.getDigest("servers"), { facts: 1, versionSum: 2 });
 });
 
+const RESTORED = [
+  { epoch: 1, copiedThrough: 0 },
+  { epoch: 2, copiedThrough: 50 },
+];
+
+/** Knows a server of before the copy, one that joined and one that left since. */
+function createRestoredBoard() {
+  const board = createNewsBoard(createFakeClock());
+  board.noteEpochs("servers", RESTORED);
+  board.apply([
+    makeServerNews(makeServer("old"), 40, 1),
+    makeServerNews(makeServer("joined"), 60, 1),
+    { ...makeRemoval("left", 61), version: makeVersion(61, 1) },
+  ]);
+  return board;
+}
+
+function listNames(board: NewsBoard): string[] {
+  return board.listTopic("servers").filter(({ fact }) => fact !== undefined)
+    .map(({ key }) => key).sort();
+}
+
+test("a list of a copy takes nothing back", () => {
+  const board = createRestoredBoard();
+  const left = makeServerNews(makeServer("left"), 45, 2);
+  const old = makeServerNews(makeServer("old"), 40, 2);
+  const batch = { items: [old, left], version: makeVersion(52, 2) };
+  assert.equal(board.applyWhole("servers", batch), []);
+  assert.equal(listNames(board), ["server/joined", "server/old"]);
+});
+
+test("a list of a settled epoch holds, however low its numbers", () => {
+  const board = createRestoredBoard();
+  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  const left = makeServerNews(makeServer("left"), 45, 2);
+  const batch = { items: [left], version: makeVersion(52, 2) };
+  board.applyWhole("servers", batch);
+  assert.equal(listNames(board), ["server/left"]);
+});
+
+test("a VM that reads nothing drops lost facts once another one told all", () => {
+  const board = createRestoredBoard();
+  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  assert.equal(listNames(board), ["server/joined", "server/old"]);
+  board.applySettled("servers", [makeServerNews(makeServer("old"), 40, 2)]);
+  assert.equal(listNames(board), ["server/old"]);
+});
+
+test("a VM that is behind brings no lost fact back", () => {
+  const board = createNewsBoard(createFakeClock());
+  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  assert.equal(board.apply([makeServerNews(makeServer("lost"), 60, 1)]), []);
+});
+
+test("digests tell a lost fact from one that got its number again", () => {
+  const [one, other] = [0, 1].map(() => createNewsBoard(createFakeClock()));
+  for (const board of [one, other]) board.noteEpochs("servers", RESTORED);
+  one.apply([makeServerNews(makeServer("1"), 60, 1)]);
+  other.apply([makeServerNews(makeServer("1"), 60, 2)]);
+  assert.not(
+    isSameDigest(one.getDigest("servers"), other.getDigest("servers")),
+  );
+});
+
+test("the operator's next configuration proves more than a copied one", () => {
+  const board = createRestoredBoard();
+  assert.ok(board.isRestored("servers"));
+  assert.not(board.isOfLatestEpoch("server/old"));
+  board.apply([makeServerNews(makeServer("old"), 55, 2)]);
+  assert.ok(board.isOfLatestEpoch("server/old"));
+  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  assert.not(board.isRestored("servers"));
+});
+
+test("only a VM that read all of it lately knows a whole topic", () => {
+  const clock = createFakeClock();
+  const board = createNewsBoard(clock);
+  board.apply([makeServerNews(makeServer("1"), 1, 1)]);
+  assert.not(board.isComplete("servers"));
+  board.noteCurrent("servers", 0);
+  assert.ok(board.isComplete("servers"));
+  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  assert.not(board.isComplete("servers"), "a fact is of an epoch before");
+});
+
 test.run();
--- /dev/null
+++ b/src/news/epochs_test.ts
@@ -0,0 +1,147 @@
+import fc from "fast-check";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import {
+  makeConfiguration,
+  makeRoute,
+  makeServer,
+  makeServerNews,
+} from "../gateway/fixture.ts";
+import { createEpochs } from "./epochs.ts";
+import { CONFIGURATION_KEY, type NewsItem } from "./types.ts";
+import { type EpochStart, makeVersion } from "./version.ts";
+
+function makeNews(number: number, epoch: number): NewsItem {
+  return makeServerNews(makeServer("1"), number, epoch);
+}
+
+function makeConfigurationNews(
+  configuration: number,
+  number: number,
+  epoch: number,
+): NewsItem {
+  return {
+    topic: "operations",
+    key: CONFIGURATION_KEY,
+    version: makeVersion(number, epoch),
+    fact: {
+      kind: "configuration",
+      configuration: makeConfiguration([makeRoute()], configuration),
+    },
+  };
+}
+
+const RESTORED: EpochStart[] = [
+  { epoch: 1, copiedThrough: 0 },
+  { epoch: 2, copiedThrough: 50 },
+];
+
+function createRestored() {
+  const epochs = createEpochs();
+  epochs.note(RESTORED);
+  return epochs;
+}
+
+// [what is told, what is known, whether that is news, title]
+const orders: [NewsItem, NewsItem, boolean, string][] = [
+  [makeNews(9, 1), makeNews(8, 1), true, "a later number of one epoch"],
+  [makeNews(51, 2), makeNews(60, 1), true, "a write after the restore"],
+  [makeNews(50, 2), makeNews(60, 1), false, "what the copy had"],
+  [makeNews(50, 2), makeNews(40, 1), true, "a copied fact that was missed"],
+  [makeNews(40, 2), makeNews(40, 1), false, "the same fact, read again"],
+  [makeNews(60, 1), makeNews(51, 2), false, "a fact that was lost"],
+  [makeNews(60, 1), makeNews(45, 2), true, "a lost fact beside a copied one"],
+  [
+    makeConfigurationNews(7, 45, 2),
+    makeConfigurationNews(6, 60, 1),
+    true,
+    "a newer configuration under a number that may be copied",
+  ],
+  [
+    makeConfigurationNews(5, 55, 2),
+    makeConfigurationNews(6, 60, 1),
+    false,
+    "an older configuration that is written again first",
+  ],
+];
+
+for (const [told, known, isNews, title] of orders) {
+  test(`after a restore: ${title}`, () => {
+    assert.is(createRestored().isNewer(told, known), isNews);
+  });
+}
+
+test("once settled all that is listed holds, however old it looks", () => {
+  const epochs = createRestored();
+  epochs.note([{ epoch: 2, copiedThrough: 0 }]);
+  assert.ok(epochs.isNewer(makeNews(3, 2), makeNews(60, 1)));
+  assert.not(epochs.isNewer(makeNews(60, 1), makeNews(3, 2)));
+  const older = makeConfigurationNews(5, 45, 2);
+  assert.ok(epochs.isNewer(older, makeConfigurationNews(6, 60, 1)));
+});
+
+test("two restores in a row leave the newest fact in place", () => {
+  const epochs = createRestored();
+  epochs.note([{ epoch: 3, copiedThrough: 55 }]);
+  assert.not(epochs.isNewer(makeNews(50, 3), makeNews(60, 1)));
+  assert.ok(epochs.isNewer(makeNews(54, 3), makeNews(60, 1)), "of epoch 2");
+  assert.ok(epochs.isNewer(makeNews(56, 3), makeNews(54, 2)));
+});
+
+test("an epoch that nobody saw changes nothing", () => {
+  const epochs = createEpochs();
+  epochs.note([RESTORED[0], { epoch: 4, copiedThrough: 50 }]);
+  assert.not(epochs.isNewer(makeNews(45, 4), makeNews(60, 1)));
+  assert.ok(epochs.isNewer(makeNews(51, 4), makeNews(60, 1)));
+});
+
+test("the lowest start that any VM read holds; earlier epochs are over", () => {
+  const epochs = createRestored();
+  assert.not(epochs.note([{ epoch: 2, copiedThrough: 55 }]));
+  assert.ok(epochs.note([{ epoch: 2, copiedThrough: 48 }]));
+  assert.is(epochs.getOrigin(makeVersion(49, 2)), 2);
+  assert.ok(epochs.note([{ epoch: 3, copiedThrough: 0 }]));
+  assert.equal(epochs.list(), [{ epoch: 3, copiedThrough: 0 }]);
+  assert.not(epochs.note(RESTORED));
+});
+
+test("a source that names no epoch orders by its numbers", () => {
+  const epochs = createEpochs();
+  assert.ok(epochs.isNewer(makeNews(2, 0), makeNews(1, 0)));
+  assert.is(epochs.getLatest(), 0);
+  assert.is(epochs.getSettled(), 0);
+});
+
+/** A source with true writes, and VMs that read it at moments of their own. */
+test("VMs that hear of the same facts in any order agree", () => {
+  const versions = fc.record({
+    epoch: fc.integer({ min: 1, max: 3 }),
+    number: fc.integer({ min: 1, max: 30 }),
+  });
+  const starts = fc.array(
+    fc.record({
+      epoch: fc.integer({ min: 1, max: 3 }),
+      copiedThrough: fc.integer({ min: 1, max: 20 }),
+    }),
+    { minLength: 1, maxLength: 6 },
+  );
+  fc.assert(
+    fc.property(starts, fc.array(versions, { minLength: 1 }), (all, told) => {
+      const epochs = createEpochs();
+      epochs.note(all);
+      const other = createEpochs();
+      for (const start of all.toReversed()) other.note([start]);
+      const items = told.map(({ epoch, number }) => makeNews(number, epoch));
+      const keep = (known: NewsItem, news: NewsItem) =>
+        epochs.isNewer(news, known) ? news : known;
+      const keepOther = (known: NewsItem, news: NewsItem) =>
+        other.isNewer(news, known) ? news : known;
+      const one = items.reduce(keep).version;
+      const two = items.toReversed().reduce(keepOther).version;
+      assert.is(one.number, two.number);
+      assert.is(epochs.getOrigin(one), other.getOrigin(two));
+    }),
+  );
+});
+
+test.run();
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -9,7 +9,15 @@
 import type { Log } from "../telemetry/log.ts";
 import type { NewsBoard } from "./board.ts";
 import type { Instant } from "./knowledge.ts";
-import type { FactSource, NewsBatch, NewsItem, SourceTopic } from "./types.ts";
+import { createSettling } from "./settling.ts";
+import type {
+  FactSource,
+  NewsBatch,
+  NewsItem,
+  SourceBatch,
+  SourceTopic,
+} from "./types.ts";
+import { type FactVersion, makeVersion } from "./version.ts";
 
 /** Times of a reader. */
 export interface ReaderTimes {
@@ -83,51 +91,99 @@
 export function startReader(topic: SourceTopic, parts: ReaderParts): Reader {
   const { source, board, clock, log, times } = parts;
   let stopped = false;
-  let position: number | undefined;
+  let position: FactVersion | undefined;
+  const settling = createSettling(topic, board, clock);
   let failures = 0;
 
   async function readOnce(): Promise<void> {
     const askedAt = parts.getInstant();
-    if (position === undefined) {
-      const batch = await source.list(topic);
-      position = batch.version;
-      const news = board.applyWhole(topic, batch);
-      log.info({
-        topic,
-        epoch: batch.epoch,
-        position,
-        facts: batch.items.length,
-        news: news.length,
-      }, "topic listed");
-      logOlder(batch);
-      publish(news, askedAt);
-      return;
-    }
-    const result = await source.follow(topic, position, times.waitMs);
+    if (position === undefined || settling.isDue()) return await list(askedAt);
+    const result = await source.follow(topic, position.number, times.waitMs);
+    settling.noteAnswer();
     if (result.kind === "history_lost") {
       log.info({ topic, position }, "history lost, listing anew");
       position = undefined;
       return;
     }
-    position = result.batch.version;
-    const news = board.apply(result.batch.items);
-    logOlder(result.batch);
-    publish(news, askedAt);
+    const batch = toBatch(result.batch);
+    if (batch.version.epoch !== position.epoch || isEarlier(batch)) {
+      const { epoch } = batch.version;
+      log.info({ topic, epoch, position }, "epoch changed, listing anew");
+      position = undefined;
+      return;
+    }
+    take(batch, board.apply(batch.items), askedAt);
   }
 
-  /** Facts of the source that this VM holds a newer version of. */
-  function logOlder({ items, epoch }: NewsBatch): void {
-    const older = items.filter(({ key, version }) =>
-      version < board.getVersion(key)
+  async function list(askedAt: Instant): Promise<void> {
+    const isSettlingDue = settling.isDue();
+    const batch = toBatch(await source.list(topic));
+    position = undefined;
+    if (isEarlier(batch)) {
+      const { epoch } = batch.version;
+      throw new Error(
+        `The source answers of epoch ${epoch}, known is ${
+          board.getEpoch(topic)
+        }`,
+      );
+    }
+    noteEpoch(batch, isSettlingDue && settling.settles(batch));
+    settling.noteAnswer();
+    const news = board.applyWhole(topic, batch);
+    const facts = batch.items.length;
+    log.info(
+      { topic, position: batch.version, facts, news: news.length },
+      "topic listed",
     );
+    take(batch, news, askedAt);
+  }
+
+  /** An answer that names no epoch is one of the epoch that is known. */
+  function toBatch({ items, version, epoch }: SourceBatch): NewsBatch {
+    const named = epoch ?? board.getEpoch(topic);
+    return {
+      version: makeVersion(version, named),
+      items: items.map((item) => ({
+        ...item,
+        version: makeVersion(item.version, named),
+      })),
+    };
+  }
+
+  /** Whether an answer came late, from before the source was restored. */
+  function isEarlier({ version }: NewsBatch): boolean {
+    return version.epoch < board.getEpoch(topic);
+  }
+
+  function noteEpoch({ version }: NewsBatch, isSettled: boolean): void {
+    const { epoch, number } = version;
+    if (epoch === 0) return;
+    const before = board.getEpoch(topic);
+    const copiedThrough = isSettled ? 0 : number;
+    const isNews = board.noteEpochs(topic, [{ epoch, copiedThrough }]);
+    if (epoch !== before) {
+      log.warn({ topic, epoch, before, copiedThrough }, "epoch began");
+    }
+    if (isNews && isSettled) log.info({ topic, epoch }, "epoch settled");
+  }
+
+  function take(batch: NewsBatch, news: NewsItem[], askedAt: Instant): void {
+    position = batch.version;
+    logOlder(batch);
+    publish(news, askedAt);
+  }
+
+  /** Facts of the source in whose place this VM keeps another one. */
+  function logOlder({ items, version: position }: NewsBatch): void {
+    const older = items.flatMap(({ key, version }) => {
+      const known = board.get(key)?.version;
+      if (known === undefined || known.epoch === version.epoch) return [];
+      return known.number === version.number ? [] : [{ key, version, known }];
+    });
     if (older.length === 0) return;
-    const shown = older.slice(0, MAX_SHOWN_FACTS).map(({ key, version }) => ({
-      key,
-      version,
-      known: board.getVersion(key),
-    }));
+    const shown = older.slice(0, MAX_SHOWN_FACTS);
     log.warn(
-      { topic, epoch, position, count: older.length, shown },
+      { topic, position, count: older.length, shown },
       "source tells older facts",
     );
   }
@@ -147,6 +203,7 @@
 
   async function noteFailure(cause: unknown): Promise<void> {
     failures++;
+    settling.noteFailure();
     if (failures === 1) {
       log.warn({ topic, error: describeError(cause) }, "platform lost");
     }
--- /dev/null
+++ b/src/news/reader_test.ts
@@ -0,0 +1,150 @@
+import pino from "pino";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { makeServer } from "../gateway/fixture.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createNewsBoard } from "./board.ts";
+import { DEFAULT_READER_TIMES, startReader } from "./reader.ts";
+import {
+  FactSource,
+  type FollowResult,
+  type SourceBatch,
+  type SourceItem,
+} from "./types.ts";
+
+/** Answers what a test sets next, one call after the other. */
+class ScriptedSource extends FactSource {
+  answers: (SourceBatch | "history_lost" | Error)[] = [];
+  calls: string[] = [];
+
+  override list(): Promise<SourceBatch> {
+    this.calls.push("list");
+    const answer = this.#next();
+    if (answer === "history_lost") throw new Error("a list is never lost");
+    return Promise.resolve(answer);
+  }
+
+  override follow(_: string, after: number): Promise<FollowResult> {
+    this.calls.push(`follow ${after}`);
+    const answer = this.#next();
+    return Promise.resolve(
+      answer === "history_lost"
+        ? { kind: "history_lost" }
+        : { kind: "changes", batch: answer },
+    );
+  }
+
+  #next(): SourceBatch | "history_lost" {
+    const answer = this.answers.shift();
+    if (answer === undefined) throw new Error("no answer");
+    if (answer instanceof Error) throw answer;
+    return answer;
+  }
+}
+
+function makeItem(name: string, version: number): SourceItem {
+  const server = makeServer(name);
+  const fact = { kind: "server", server } as const;
+  return { topic: "servers", key: `server/${name}`, version, fact };
+}
+
+function makeBatch(
+  version: number,
+  epoch: number | undefined,
+  ...items: SourceItem[]
+): SourceBatch {
+  return { items, version, epoch };
+}
+
+async function play(answers: ScriptedSource["answers"]) {
+  const clock = createFakeClock();
+  const board = createNewsBoard(clock);
+  const source = new ScriptedSource();
+  source.answers = [...answers];
+  const told: string[] = [];
+  const reads: string[] = [];
+  const write = (line: string) => void told.push(JSON.parse(line).msg);
+  const reader = startReader("servers", {
+    source,
+    board,
+    clock,
+    log: pino({}, { write }),
+    times: DEFAULT_READER_TIMES,
+    hasDuty: () => source.answers.length > 0,
+    isOverdue: () => false,
+    onNews: () => {},
+    onRead: () => void reads.push(source.calls.at(-1)!),
+    getInstant: () => ({ monotonicMs: 0, wallMs: 0 }),
+  });
+  for (let step = 0; step < 60; step++) {
+    for (let turn = 0; turn < 8; turn++) await Promise.resolve();
+    clock.advance(200);
+  }
+  reader.stop();
+  const names = board.listTopic("servers")
+    .filter(({ fact }) => fact !== undefined).map(({ key }) => key);
+  return { board, calls: source.calls, told, reads, names };
+}
+
+test("a change is not skipped where numbers passed the old position", async () => {
+  const { calls, names } = await play([
+    makeBatch(10, 1, makeItem("a", 10)),
+    makeBatch(40, 2),
+    makeBatch(40, 2, makeItem("a", 5), makeItem("b", 8)),
+  ]);
+  assert.equal(calls, ["list", "follow 10", "list"]);
+  assert.equal(names, ["server/a", "server/b"]);
+});
+
+test("a position that the source lost is listed anew, in its epoch", async () => {
+  const { board, calls, told } = await play([
+    makeBatch(10, 1, makeItem("a", 10)),
+    "history_lost",
+    makeBatch(4, 2),
+    makeBatch(6, 2, makeItem("b", 6)),
+  ]);
+  assert.equal(calls, ["list", "follow 10", "list", "follow 4"]);
+  assert.is(board.getEpoch("servers"), 2);
+  assert.ok(told.includes("epoch began"));
+});
+
+test("facts of before stay while the copy lacks them", async () => {
+  const { names } = await play([
+    makeBatch(10, 1, makeItem("a", 3), makeItem("joined", 10)),
+    "history_lost",
+    makeBatch(5, 2, makeItem("a", 3)),
+  ]);
+  assert.equal(names, ["server/a", "server/joined"]);
+});
+
+test("an answer of an earlier epoch that comes late changes nothing", async () => {
+  const { board, names, reads } = await play([
+    makeBatch(10, 2, makeItem("a", 10)),
+    makeBatch(90, 1, makeItem("late", 90)),
+    makeBatch(90, 1, makeItem("late", 90)),
+  ]);
+  assert.equal(names, ["server/a"]);
+  assert.equal(reads, ["list"]);
+  assert.is(board.getEpoch("servers"), 2);
+});
+
+test("a source that names no epoch is followed by its numbers", async () => {
+  const { calls, names } = await play([
+    makeBatch(10, undefined, makeItem("a", 10)),
+    makeBatch(12, undefined, makeItem("b", 12)),
+    makeBatch(12, undefined),
+  ]);
+  assert.equal(calls, ["list", "follow 10", "follow 12"]);
+  assert.equal(names, ["server/a", "server/b"]);
+});
+
+test("an answer that names no epoch is one of the epoch known", async () => {
+  const { calls, names } = await play([
+    makeBatch(10, 3, makeItem("a", 10)),
+    makeBatch(12, undefined, makeItem("b", 12)),
+  ]);
+  assert.equal(calls, ["list", "follow 10"]);
+  assert.equal(names, ["server/a", "server/b"]);
+});
+
+test.run();
--- a/src/news/schema.ts
+++ b/src/news/schema.ts
@@ -69,11 +69,13 @@
   coldLeftMs: z.number().nonnegative(),
 });
 
-/** Checks one fact. */
+/** Checks one fact as VMs tell it. */
 export const newsItemSchema = z.object({
   topic: z.enum(["operations", "servers", "suspects"]),
   key: z.string().max(2 * MAX_NAME),
   version: z.number().nonnegative(),
+  /** Absent in facts of VMs that are older. */
+  epoch: z.number().int().nonnegative().optional(),
   fact: z.discriminatedUnion("kind", [
     z.object({
       kind: z.literal("configuration"),
--- /dev/null
+++ b/src/news/settling_test.ts
@@ -0,0 +1,93 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { makeConfiguration, makeRoute } from "../gateway/fixture.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createNewsBoard } from "./board.ts";
+import { createSettling } from "./settling.ts";
+import { CONFIGURATION_KEY, type NewsItem } from "./types.ts";
+import { makeVersion } from "./version.ts";
+
+function makeNews(configuration: number, number: number, epoch: number) {
+  const item: NewsItem = {
+    topic: "operations",
+    key: CONFIGURATION_KEY,
+    version: makeVersion(number, epoch),
+    fact: {
+      kind: "configuration",
+      configuration: makeConfiguration([makeRoute()], configuration),
+    },
+  };
+  return item;
+}
+
+function startSettling() {
+  const clock = createFakeClock();
+  const board = createNewsBoard(clock);
+  board.noteEpochs("operations", [
+    { epoch: 1, copiedThrough: 0 },
+    { epoch: 2, copiedThrough: 50 },
+  ]);
+  board.apply([makeNews(6, 60, 1)]);
+  return { clock, board, settling: createSettling("operations", board, clock) };
+}
+
+test("an epoch is settled after it has answered for a while", () => {
+  const { clock, settling } = startSettling();
+  assert.not(settling.isDue());
+  settling.noteAnswer();
+  clock.advance(4_900);
+  assert.not(settling.isDue());
+  clock.advance(100);
+  assert.ok(settling.isDue());
+});
+
+test("a source that is lost meanwhile begins the time anew", () => {
+  const { clock, settling } = startSettling();
+  settling.noteAnswer();
+  clock.advance(4_000);
+  settling.noteFailure();
+  settling.noteAnswer();
+  clock.advance(4_000);
+  assert.not(settling.isDue());
+});
+
+test("another restore begins the time anew", () => {
+  const { clock, board, settling } = startSettling();
+  settling.noteAnswer();
+  clock.advance(4_000);
+  board.noteEpochs("operations", [{ epoch: 3, copiedThrough: 52 }]);
+  settling.noteAnswer();
+  clock.advance(4_000);
+  assert.not(settling.isDue());
+});
+
+test("what another VM settled is not listed again", () => {
+  const { clock, board, settling } = startSettling();
+  settling.noteAnswer();
+  clock.advance(5_000);
+  board.noteEpochs("operations", [{ epoch: 2, copiedThrough: 0 }]);
+  assert.not(settling.isDue());
+});
+
+test("an older configuration waits a minute for the operator", () => {
+  const { clock, settling } = startSettling();
+  const older = { items: [makeNews(5, 50, 2)], version: makeVersion(70, 2) };
+  settling.noteAnswer();
+  clock.advance(5_000);
+  assert.not(settling.settles(older));
+  assert.not(settling.isDue(), "tried just now");
+  clock.advance(5_000);
+  assert.ok(settling.isDue());
+  clock.advance(50_000);
+  assert.ok(settling.settles(older));
+});
+
+test("a configuration that was written again settles the epoch", () => {
+  const { clock, settling } = startSettling();
+  const again = { items: [makeNews(6, 55, 2)], version: makeVersion(70, 2) };
+  settling.noteAnswer();
+  clock.advance(5_000);
+  assert.ok(settling.settles(again));
+});
+
+test.run();
--- a/src/news/types.ts
+++ b/src/news/types.ts
@@ -2,12 +2,13 @@
  * Facts that every VM has to know, and where they come from.
  *
  * A fact has a key and a version that rises with each change, so facts may
- * arrive late, twice and from several sides: the highest version holds.
+ * arrive late, twice and from several sides: the newest version holds.
  *
  * @module
  */
 import type { Configuration } from "../routing/types.ts";
 import type { ListedServer } from "../servers/types.ts";
+import type { EpochStart, FactVersion } from "./version.ts";
 
 /** Streams of facts that are read from their source. */
 export type SourceTopic = "operations" | "servers";
@@ -49,7 +50,7 @@
 export interface NewsItem {
   topic: Topic;
   key: string;
-  version: number;
+  version: FactVersion;
   /** Absent where the fact was removed. */
   fact?: Fact;
 }
@@ -58,8 +59,18 @@
 export interface NewsBatch {
   items: NewsItem[];
   /** Position in the topic that the items reach. */
+  version: FactVersion;
+}
+
+/** News as a source numbers them; their epoch is that of the answer. */
+export type SourceItem = Omit<NewsItem, "version"> & { version: number };
+
+/** What a source answers. */
+export interface SourceBatch {
+  items: SourceItem[];
+  /** Position in the topic that the items reach. */
   version: number;
-  /** History of the source that it belongs to, where the source says. */
+  /** Absent where the source names none. */
   epoch?: number;
 }
 
@@ -70,8 +81,12 @@
 export interface TopicDigest {
   /** Number of facts. */
   facts: number;
-  /** Sum of their versions. */
+  /** Sum of the numbers of their versions. */
   versionSum: number;
+  /** Sum of the epochs in which they were written; absent where it is 0. */
+  epochSum?: number;
+  /** Epochs of the topic's source; absent where it named none. */
+  epochs?: EpochStart[];
 }
 
 /**
@@ -80,12 +95,13 @@
  * @returns Whether their boards know the same facts of the topic.
  */
 export function isSameDigest(a: TopicDigest, b: TopicDigest): boolean {
-  return a.facts === b.facts && a.versionSum === b.versionSum;
+  return a.facts === b.facts && a.versionSum === b.versionSum &&
+    (a.epochSum ?? 0) === (b.epochSum ?? 0);
 }
 
 /** What following a topic brought. */
 export type FollowResult =
-  | { kind: "changes"; batch: NewsBatch }
+  | { kind: "changes"; batch: SourceBatch }
   /** The source no longer knows what changed since; list the topic anew. */
   | { kind: "history_lost" };
 
@@ -95,7 +111,7 @@
    * @param topic The topic.
    * @returns All its facts, as of one moment.
    */
-  abstract list(topic: SourceTopic): Promise<NewsBatch>;
+  abstract list(topic: SourceTopic): Promise<SourceBatch>;
   /**
    * @param topic The topic.
    * @param afterVersion Position up to which changes are known.
--- a/src/placement/ranking_test.ts
+++ b/src/placement/ranking_test.ts
@@ -7,6 +7,7 @@
 } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createRanking } from "./ranking.ts";
+import { makeVersion } from "../news/version.ts";
 
 /** Servers named one after the other, some with twice the slots. */
 function startRanking(count: number, slotsOf: (index: number) => number) {
@@ -43,7 +44,11 @@
 test("a server that goes moves only its own objects, to all others", () => {
   const { registry, listFirst } = startRanking(20, () => 4);
   const before = listFirst(4_000);
-  registry.apply({ topic: "servers", key: "server/i-7", version: 100 });
+  registry.apply({
+    topic: "servers",
+    key: "server/i-7",
+    version: makeVersion(100),
+  });
   const after = listFirst(4_000);
   const moved = after.filter((id, object) => id !== before[object]);
   assert.is(moved.length, before.filter((id) => id === "i-7").length);
--- a/src/quarantine/suspect_facts.ts
+++ b/src/quarantine/suspect_facts.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Fact, NewsItem } from "../news/types.ts";
+import { makeVersion } from "../news/version.ts";
 
 type EndFact = Omit<Extract<Fact, { kind: "server_end" }>, "kind">;
 
@@ -19,7 +20,7 @@
   return {
     topic: "suspects",
     key: nameEnd(end.request, end.round, end.server),
-    version: END_VERSION,
+    version: makeVersion(END_VERSION),
     fact: { kind: "server_end", ...end },
   };
 }
@@ -33,7 +34,7 @@
   return {
     topic: "suspects",
     key: nameAnswer(request),
-    version: 2 * round,
+    version: makeVersion(2 * round),
     fact: { kind: "request_answered", request, round },
   };
 }
@@ -45,12 +46,16 @@
   server: string,
 ): NewsItem {
   const key = nameEnd(request, round, server);
-  return { topic: "suspects", key, version: FORGOTTEN_END_VERSION };
+  return {
+    topic: "suspects",
+    key,
+    version: makeVersion(FORGOTTEN_END_VERSION),
+  };
 }
 
 /** @returns The news that a round is over; a later one is not. */
 export function forgetAnswer(request: string, round: number): NewsItem {
-  const version = 2 * round + 1;
+  const version = makeVersion(2 * round + 1);
   return { topic: "suspects", key: nameAnswer(request), version };
 }
 
--- a/src/servers/servers_test.ts
+++ b/src/servers/servers_test.ts
@@ -10,6 +10,7 @@
 import { createServerHealth } from "./health.ts";
 import { createDrainingStarts } from "./draining_starts.ts";
 import { createServerLoad } from "./load.ts";
+import { makeVersion } from "../news/version.ts";
 
 function listIds(registry: ReturnType<typeof makeRegistry>): string[] {
   return registry.listUsable("s").map(({ listed }) => listed.id);
@@ -22,7 +23,11 @@
   assert.equal(listIds(registry), ["1", "2"]);
   registry.apply(makeServerNews(makeServer("1", { state: "draining" }), 3));
   assert.equal(listIds(registry), ["2"]);
-  registry.apply({ topic: "servers", key: "server/2", version: 4 });
+  registry.apply({
+    topic: "servers",
+    key: "server/2",
+    version: makeVersion(4),
+  });
   assert.equal(listIds(registry), []);
 });
 
@@ -44,7 +49,11 @@
   assert.not(registry.isUsable(known));
   registry.apply(makeServerNews(server, 2));
   assert.equal(listIds(registry), []);
-  registry.apply({ topic: "servers", key: "server/i-1", version: 3 });
+  registry.apply({
+    topic: "servers",
+    key: "server/i-1",
+    version: makeVersion(3),
+  });
   registry.apply(makeServerNews(server, 4));
   assert.equal(listIds(registry), []);
   registry.apply(makeServerNews({ ...server, id: "i-1@2" }, 5));
@@ -96,9 +105,9 @@
   );
   const item = { topic: "operations", key: "evacuation/oslo-a" } as const;
   const fact = { kind: "evacuation", failureDomain: "oslo-a" } as const;
-  registry.apply({ ...item, version: 3, fact });
+  registry.apply({ ...item, version: makeVersion(3), fact });
   assert.equal(listIds(registry), ["2"]);
-  registry.apply({ ...item, version: 4 });
+  registry.apply({ ...item, version: makeVersion(4) });
   const [first, second] = registry.listUsable("s");
   assert.ok(first.coldUntilMs > clock.monotonicMs() + 3_000);
   assert.is(second.coldUntilMs, 0);
