Register VMs again after the register was restored

A VM that started within the seconds that a restored store lost stood in no register: one that starts later, with seeds that are down, could not find it. It never wrote again.

--- a/src/members/discovery.ts
+++ b/src/members/discovery.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
+import { hashToUnit } from "../runtime/hash.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { VmIdentity, VmRegister } from "./types.ts";
 
@@ -16,6 +17,10 @@
   log: Log;
   /** Pause before the first list. */
   listAfterMs: number;
+  /** @returns How many VMs this one knows. */
+  countKnown: () => number;
+  /** @returns The latest epoch of the register that any VM heard of. */
+  getEpoch: () => number;
   /** Whether the register may know VMs that this one doesn't. */
   isWanted: () => boolean;
   /** Whether no VM is linked. */
@@ -37,6 +42,14 @@
 const STARTING_MS = 5_000;
 const SETTLED_LIST_MS = 30_000;
 const REGISTER_RETRY_MS = 1_000;
+/** How often a VM looks whether the register was restored. */
+const EPOCH_CHECK_MS = 1_000;
+/**
+ * All VMs register again after a restore. That is spread, by their number, to a
+ * hundred writes a second.
+ */
+const REGISTER_AGAIN_MS_PER_VM = 10;
+const LEAST_REGISTER_AGAIN_MS = 1_000;
 
 /**
  * @param parts What discovery needs.
@@ -47,17 +60,34 @@
   const startedAtMs = clock.monotonicMs();
   let hasListed = false;
   let stopped = false;
+  /** Epoch of the register that holds this VM; undefined before it does. */
+  let registeredEpoch: number | undefined;
 
   async function registerSelf(): Promise<void> {
     if (stopped) return;
     try {
-      await register.register(self);
+      const epoch = await register.register(self);
+      registeredEpoch = epoch ?? parts.getEpoch();
     } catch (cause) {
       log.warn({ error: describeError(cause) }, "registering failed");
       clock.after(REGISTER_RETRY_MS, () => void registerSelf());
     }
   }
 
+  /** A register that was restored may have lost this VM. */
+  function registerAgain(): void {
+    const epoch = parts.getEpoch();
+    if (registeredEpoch === undefined || registeredEpoch >= epoch) return;
+    registeredEpoch = epoch;
+    const spreadMs = Math.max(
+      LEAST_REGISTER_AGAIN_MS,
+      parts.countKnown() * REGISTER_AGAIN_MS_PER_VM,
+    );
+    const delayMs = hashToUnit(`${self.id} ${epoch}`) * spreadMs;
+    log.info({ epoch, delayMs: Math.round(delayMs) }, "registering again");
+    clock.after(delayMs, () => void registerSelf());
+  }
+
   async function list(): Promise<readonly VmIdentity[]> {
     if (!parts.isWanted()) return [];
     try {
@@ -81,5 +111,12 @@
   }
 
   void registerSelf().then(() => clock.after(parts.listAfterMs, findMembers));
-  return { hasListed: () => hasListed, stop: () => void (stopped = true) };
+  const epochCheck = clock.every(EPOCH_CHECK_MS, registerAgain);
+  return {
+    hasListed: () => hasListed,
+    stop() {
+      stopped = true;
+      epochCheck.cancel();
+    },
+  };
 }
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -301,6 +301,8 @@
   const discovery = startDiscovery({
     ...parts,
     listAfterMs,
+    countKnown: () => table.listKnown().length,
+    getEpoch: () => board.getEpoch("operations"),
     isWanted: mayKnowTooFew,
     isAlone: links.isEmpty,
     onListed: (members) => {
