--- a/src/news/board.ts
+++ b/src/news/board.ts
@@ -245,8 +245,14 @@
     listEpochs: (topic) => getEpochs(topic).list(),
     getEpoch: (topic) => getEpochs(topic).getLatest(),
     isSettled,
-    isRestored: (topic) =>
-      getEpochs(topic).list().length > 1 && !isSettled(topic),
+    isRestored(topic) {
+      if (isSettled(topic)) return false;
+      const epochs = getEpochs(topic);
+      return epochs.list().length > 1 ||
+        listMissing(topic, []).some(({ version }) =>
+          version.epoch < epochs.getLatest()
+        );
+    },
     isComplete(topic) {
       const settled = getEpochs(topic).getSettled();
       return getAgeMs(topic) <= COMPLETE_MS &&
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -117,7 +117,8 @@
 
   async function list(askedAt: Instant): Promise<void> {
     const isSettlingDue = settling.isDue();
-    const batch = toBatch(await source.list(topic));
+    const answer = await source.list(topic);
+    const batch = toBatch(answer);
     position = undefined;
     if (isEarlier(batch)) {
       const { epoch } = batch.version;
@@ -127,7 +128,8 @@
         }`,
       );
     }
-    noteEpoch(batch, isSettlingDue && settling.settles(batch));
+    const isSettled = isSettlingDue && settling.settles(batch);
+    if (answer.epoch !== undefined) noteEpoch(batch.version, isSettled);
     settling.noteAnswer();
     const news = board.applyWhole(topic, batch);
     const facts = batch.items.length;
@@ -155,16 +157,13 @@
     return version.epoch < board.getEpoch(topic);
   }
 
-  function noteEpoch({ version }: NewsBatch, isSettled: boolean): void {
-    const { epoch, number } = version;
-    if (epoch === 0) return;
-    const before = board.getEpoch(topic);
+  function noteEpoch({ epoch, number }: FactVersion, isSettled: boolean): void {
+    const before = board.listEpochs(topic);
     const copiedThrough = isSettled ? 0 : number;
     const isNews = board.noteEpochs(topic, [{ epoch, copiedThrough }]);
-    if (epoch !== before) {
-      log.warn({ topic, epoch, before, copiedThrough }, "epoch began");
-    }
-    if (isNews && isSettled) log.info({ topic, epoch }, "epoch settled");
+    if (!isNews) return;
+    if (isSettled) log.info({ topic, epoch }, "epoch settled");
+    else log.warn({ topic, epoch, before, copiedThrough }, "epoch began");
   }
 
   function take(batch: NewsBatch, news: NewsItem[], askedAt: Instant): void {
--- a/src/news/reader_test.ts
+++ b/src/news/reader_test.ts
@@ -108,6 +108,18 @@
   assert.ok(told.includes("epoch began"));
 });
 
+test("epochs may begin at 0, or be named only after the first restore", async () => {
+  for (const first of [0, undefined]) {
+    const { board, names } = await play([
+      makeBatch(10, first, makeItem("a", 3), makeItem("joined", 10)),
+      "history_lost",
+      makeBatch(5, 1, makeItem("a", 3)),
+    ]);
+    assert.equal(names, ["server/a", "server/joined"]);
+    assert.ok(board.isRestored("servers"));
+  }
+});
+
 test("facts of before stay while the copy lacks them", async () => {
   const { names } = await play([
     makeBatch(10, 1, makeItem("a", 3), makeItem("joined", 10)),
