--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -237,6 +237,7 @@
     metrics,
     isOverloaded: overload.isOverloaded,
     getTable: core.getRoutes,
+    getTableAgeMs: () => board.getAgeMs("operations"),
   });
   const control = await serveControl({
     settings,
--- a/src/members/payloads.ts
+++ b/src/members/payloads.ts
@@ -8,9 +8,15 @@
 import { unpackUsage } from "../limits/usage_form.ts";
 import type { UsageNews } from "../limits/usage_sharing.ts";
 import type { NewsBoard } from "../news/board.ts";
-import { type NewsItem, SOURCE_TOPICS, type Topic } from "../news/types.ts";
+import {
+  CONFIGURATION_KEY,
+  type NewsItem,
+  SOURCE_TOPICS,
+  type Topic,
+} from "../news/types.ts";
 import { packNews, unpackNews } from "../news/wire_form.ts";
 import type { RateLimitNews } from "../servers/rate_limits.ts";
+import type { Log } from "../telemetry/log.ts";
 import type { LinkSet, VmLink } from "./link_set.ts";
 import type { VmMessage } from "./messages.ts";
 import type { VmIdentity } from "./types.ts";
@@ -71,6 +77,7 @@
 export interface PayloadParts extends PayloadListeners {
   board: NewsBoard;
   links: LinkSet;
+  log: Log;
   /** Whether VMs hear of what others told by way of this one. */
   isRelay: () => boolean;
 }
@@ -94,7 +101,7 @@
  * @returns The receiver.
  */
 export function createPayloadReceiver(parts: PayloadParts): PayloadReceiver {
-  const { board, links } = parts;
+  const { board, links, log } = parts;
 
   function receiveNews(
     link: VmLink,
@@ -107,7 +114,16 @@
     const news = whole === undefined
       ? board.apply(told)
       : board.applySettled(whole, told);
-    if (news.length > 0) passOn(link, makeNewsMessage(board, news));
+    if (news.length === 0) return;
+    logConfiguration(link, news);
+    passOn(link, makeNewsMessage(board, news));
+  }
+
+  function logConfiguration(link: VmLink, news: readonly NewsItem[]): void {
+    const told = news.find(({ key }) => key === CONFIGURATION_KEY);
+    if (told === undefined) return;
+    const from = links.get(link)?.identity?.id ?? link.peer;
+    log.info({ from, source: told.version }, "configuration told");
   }
 
   function receiveRateLimits(
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -37,6 +37,8 @@
   isOverloaded: () => boolean;
   /** Routes in force; undefined before the first configuration. */
   getTable: () => RouteTable | undefined;
+  /** @returns How long ago they were known to be the newest. */
+  getTableAgeMs: () => number;
 }
 
 /** The listening front address. */
@@ -119,12 +121,15 @@
     }
     const path = message.url ?? "/";
     const route = table.match(message.headers.host ?? "", path);
-    const { version } = table.configuration;
+    const decidedBy = {
+      version: table.configuration.version,
+      factAgeMs: Math.round(parts.getTableAgeMs()),
+    };
     if (route === undefined || terms.requestId === undefined) {
       const status = route === undefined ? 404 : 400;
       const { host } = message.headers;
       log.info(
-        { requestId: terms.requestId, host, path, version, status },
+        { requestId: terms.requestId, host, path, ...decidedBy, status },
         "request rejected",
       );
       return sendOwn(response, status, {});
@@ -137,7 +142,7 @@
       finish(response, result, {
         requestId: terms.requestId,
         route: route.name,
-        version,
+        ...decidedBy,
         tookMs: Math.round(tookMs),
         targetMs: route.targetLatencyMs,
       });
