Keep copies apart from what a settled epoch confirmed, and drains in place

A VM that drops lost facts on another's word takes that VM's newest number for it, so that no copy brings them back.

--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -49,6 +49,7 @@
 const epochStartsSchema = z.array(z.object({
   epoch: z.number().int().nonnegative(),
   copiedThrough: z.number().nonnegative(),
+  isSettled: z.boolean().optional(),
 })).max(MAX_EPOCHS);
 
 const digestSchema = z.object({
--- a/src/members/repair_test.ts
+++ b/src/members/repair_test.ts
@@ -63,7 +63,7 @@
   board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 50 }]);
   board.apply([makeServerNews(makeServer("1"), 40, 2)]);
   const epochs = [
-    { epoch: 1, copiedThrough: 0 },
+    { epoch: 1, copiedThrough: 0, isSettled: true },
     { epoch: 2, copiedThrough: 48 },
   ];
   assert.ok(repair.compare(peer, "servers", { ...OTHER, epochs }));
--- a/src/news/board.ts
+++ b/src/news/board.ts
@@ -194,8 +194,9 @@
     const settled = getEpochs(topic).getSettled();
     const lost = listMissing(topic, items)
       .filter(({ version }) => version.epoch < settled);
-    // Any number that the settled epoch gives out is higher.
-    const removals = lost.map((item) => remove(item, makeVersion(0, settled)));
+    const removals = lost.map((item) =>
+      remove(item, getNewest(items, settled))
+    );
     return apply([...items, ...removals]);
   }
 
@@ -206,6 +207,14 @@
     );
   }
 
+  /** Whoever knows all of a topic knows all up to its newest fact. */
+  function getNewest(items: readonly NewsItem[], epoch: number): FactVersion {
+    const numbers = items.map(({ version }) => version)
+      .filter((version) => version.epoch === epoch)
+      .map(({ number }) => number);
+    return makeVersion(Math.max(0, ...numbers), epoch);
+  }
+
   function remove({ topic, key }: NewsItem, version: FactVersion): NewsItem {
     return { topic, key, version };
   }
--- a/src/news/board_test.ts
+++ b/src/news/board_test.ts
@@ -89,7 +89,7 @@
 });
 
 const RESTORED = [
-  { epoch: 1, copiedThrough: 0 },
+  { epoch: 1, copiedThrough: 0, isSettled: true },
   { epoch: 2, copiedThrough: 50 },
 ];
 
@@ -121,7 +121,11 @@
 
 test("a list of a settled epoch holds, however low its numbers", () => {
   const board = createRestoredBoard();
-  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  board.noteEpochs("servers", [{
+    epoch: 2,
+    copiedThrough: 0,
+    isSettled: true,
+  }]);
   const left = makeServerNews(makeServer("left"), 45, 2);
   const batch = { items: [left], version: makeVersion(52, 2) };
   board.applyWhole("servers", batch);
@@ -130,7 +134,11 @@
 
 test("a VM that reads nothing drops lost facts once another one told all", () => {
   const board = createRestoredBoard();
-  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  board.noteEpochs("servers", [{
+    epoch: 2,
+    copiedThrough: 0,
+    isSettled: true,
+  }]);
   assert.equal(listNames(board), ["server/joined", "server/old"]);
   board.applySettled("servers", [makeServerNews(makeServer("old"), 40, 2)]);
   assert.equal(listNames(board), ["server/old"]);
@@ -138,7 +146,11 @@
 
 test("a VM that is behind brings no lost fact back", () => {
   const board = createNewsBoard(createFakeClock());
-  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  board.noteEpochs("servers", [{
+    epoch: 2,
+    copiedThrough: 0,
+    isSettled: true,
+  }]);
   assert.equal(board.apply([makeServerNews(makeServer("lost"), 60, 1)]), []);
 });
 
@@ -158,7 +170,11 @@
   assert.not(board.isOfLatestEpoch("server/old"));
   board.apply([makeServerNews(makeServer("old"), 55, 2)]);
   assert.ok(board.isOfLatestEpoch("server/old"));
-  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  board.noteEpochs("servers", [{
+    epoch: 2,
+    copiedThrough: 0,
+    isSettled: true,
+  }]);
   assert.not(board.isRestored("servers"));
 });
 
@@ -169,7 +185,11 @@
   assert.not(board.isComplete("servers"));
   board.noteCurrent("servers", 0);
   assert.ok(board.isComplete("servers"));
-  board.noteEpochs("servers", [{ epoch: 2, copiedThrough: 0 }]);
+  board.noteEpochs("servers", [{
+    epoch: 2,
+    copiedThrough: 0,
+    isSettled: true,
+  }]);
   assert.not(board.isComplete("servers"), "a fact is of an epoch before");
 });
 
--- a/src/news/epochs.ts
+++ b/src/news/epochs.ts
@@ -9,6 +9,7 @@
  *
  * @module
  */
+import type { ListedServer } from "../servers/types.ts";
 import type { NewsItem } from "./types.ts";
 import type { EpochStart, FactVersion } from "./version.ts";
 
@@ -23,10 +24,7 @@
   getLatest(): number;
   /** @returns All starts that still matter, for other VMs. */
   list(): EpochStart[];
-  /**
-   * @returns The latest epoch of which nothing may stem from a copy any more; 0
-   *   where there is none.
-   */
+  /** @returns The latest epoch that is settled; 0 where none is. */
   getSettled(): number;
   /** @returns The epoch in which a version was written, as far as is known. */
   getOrigin(version: FactVersion): number;
@@ -42,26 +40,33 @@
   /** Ascending by epoch. */
   let starts: EpochStart[] = [];
 
-  function noteOne({ epoch, copiedThrough }: EpochStart): boolean {
-    const known = starts.find((start) => start.epoch === epoch);
-    if (known !== undefined && known.copiedThrough <= copiedThrough) {
-      return false;
-    }
-    const isOver = epoch < getSettledBefore(Infinity);
-    if (isOver) return false;
-    const others = starts.filter((start) => start.epoch !== epoch);
-    starts = [...others, { epoch, copiedThrough }]
+  function noteOne(told: EpochStart): boolean {
+    const known = starts.find(({ epoch }) => epoch === told.epoch);
+    const isNews = known === undefined ||
+      told.copiedThrough < known.copiedThrough ||
+      told.isSettled && !known.isSettled;
+    const isOver = told.epoch < getSettled();
+    if (!isNews || isOver) return false;
+    const others = starts.filter((start) => start !== known);
+    starts = [...others, merge(told, known)]
       .sort((a, b) => a.epoch - b.epoch).slice(-MAX_STARTS);
-    // Facts of earlier epochs are older than all of a settled one.
-    const settled = getSettledBefore(Infinity);
-    starts = starts.filter((start) => start.epoch >= settled);
+    const settled = getSettled();
+    starts = starts.filter(({ epoch }) => epoch >= settled);
     return true;
   }
 
-  /** The latest settled epoch up to one; 0 where none is. */
-  function getSettledBefore(epoch: number): number {
-    return starts.findLast((start) =>
-      start.epoch <= epoch && start.copiedThrough === 0
+  function getSettled(): number {
+    return starts.findLast(({ isSettled }) => isSettled)?.epoch ?? 0;
+  }
+
+  /**
+   * The latest settled epoch that confirms a version; 0 where none does. A copy
+   * that is older than the begin of a settled epoch is not confirmed by it.
+   */
+  function getConfirmed(version: FactVersion): number {
+    const origin = getOrigin(version);
+    return starts.findLast(({ epoch, isSettled }) =>
+      isSettled && (epoch === version.epoch || epoch <= origin)
     )?.epoch ?? 0;
   }
 
@@ -75,27 +80,43 @@
     note: (added) => added.map(noteOne).includes(true),
     getLatest: () => starts.at(-1)?.epoch ?? 0,
     list: () => starts,
-    getSettled: () => getSettledBefore(Infinity),
+    getSettled,
     getOrigin,
     isNewer(news, known) {
       const [a, b] = [news.version, known.version];
       if (a.epoch === b.epoch) return a.number > b.number;
-      const settled = getSettledBefore(a.epoch) - getSettledBefore(b.epoch);
-      if (settled !== 0) return settled > 0;
-      const own = compareDocuments(news, known);
-      if (own !== 0) return own > 0;
+      const confirmed = getConfirmed(a) - getConfirmed(b);
+      if (confirmed !== 0) return confirmed > 0;
+      const contents = compareContents(news, known);
+      if (contents !== 0) return contents > 0;
       const origin = getOrigin(a) - getOrigin(b);
       return origin === 0 ? a.number > b.number : origin > 0;
     },
   };
 }
 
+function merge(told: EpochStart, known: EpochStart | undefined): EpochStart {
+  const { epoch } = told;
+  const copiedThrough = Math.min(
+    told.copiedThrough,
+    known?.copiedThrough ?? Infinity,
+  );
+  const isSettled = told.isSettled || known?.isSettled;
+  const start = { epoch, copiedThrough };
+  return isSettled ? { ...start, isSettled } : start;
+}
+
 /**
- * A configuration carries a number that its author raises, and so tells which of
- * two is newer whatever became of the source.
+ * Some facts tell by themselves which of two is newer, whatever became of the
+ * source: a configuration carries a number that its author raises, and a start
+ * of a server that drains is never ready again.
  */
-function compareDocuments(news: NewsItem, known: NewsItem): number {
-  if (news.fact?.kind !== "configuration") return 0;
-  if (known.fact?.kind !== "configuration") return 0;
-  return news.fact.configuration.version - known.fact.configuration.version;
+function compareContents({ fact: a }: NewsItem, { fact: b }: NewsItem): number {
+  if (a?.kind === "configuration" && b?.kind === "configuration") {
+    return a.configuration.version - b.configuration.version;
+  }
+  if (a?.kind !== "server" || b?.kind !== "server") return 0;
+  if (a.server.id !== b.server.id) return 0;
+  const isDraining = ({ state }: ListedServer) => Number(state === "draining");
+  return isDraining(a.server) - isDraining(b.server);
 }
--- a/src/news/epochs_test.ts
+++ b/src/news/epochs_test.ts
@@ -15,6 +15,11 @@
   return makeServerNews(makeServer("1"), number, epoch);
 }
 
+function makeDrainingNews(number: number, epoch: number): NewsItem {
+  const server = makeServer("1", { state: "draining" });
+  return makeServerNews(server, number, epoch);
+}
+
 function makeConfigurationNews(
   configuration: number,
   number: number,
@@ -32,7 +37,7 @@
 }
 
 const RESTORED: EpochStart[] = [
-  { epoch: 1, copiedThrough: 0 },
+  { epoch: 1, copiedThrough: 0, isSettled: true },
   { epoch: 2, copiedThrough: 50 },
 ];
 
@@ -51,6 +56,18 @@
   [makeNews(40, 2), makeNews(40, 1), false, "the same fact, read again"],
   [makeNews(60, 1), makeNews(51, 2), false, "a fact that was lost"],
   [makeNews(60, 1), makeNews(45, 2), true, "a lost fact beside a copied one"],
+  [
+    makeDrainingNews(45, 2),
+    makeNews(60, 1),
+    true,
+    "a drain under a number that may be copied",
+  ],
+  [
+    makeNews(55, 2),
+    makeDrainingNews(60, 1),
+    false,
+    "a server that is listed ready before it says again that it drains",
+  ],
   [
     makeConfigurationNews(7, 45, 2),
     makeConfigurationNews(6, 60, 1),
@@ -73,7 +90,7 @@
 
 test("once settled all that is listed holds, however old it looks", () => {
   const epochs = createRestored();
-  epochs.note([{ epoch: 2, copiedThrough: 0 }]);
+  epochs.note([{ epoch: 2, copiedThrough: 0, isSettled: true }]);
   assert.ok(epochs.isNewer(makeNews(3, 2), makeNews(60, 1)));
   assert.not(epochs.isNewer(makeNews(60, 1), makeNews(3, 2)));
   const older = makeConfigurationNews(5, 45, 2);
@@ -100,8 +117,12 @@
   assert.not(epochs.note([{ epoch: 2, copiedThrough: 55 }]));
   assert.ok(epochs.note([{ epoch: 2, copiedThrough: 48 }]));
   assert.is(epochs.getOrigin(makeVersion(49, 2)), 2);
-  assert.ok(epochs.note([{ epoch: 3, copiedThrough: 0 }]));
-  assert.equal(epochs.list(), [{ epoch: 3, copiedThrough: 0 }]);
+  assert.ok(epochs.note([{ epoch: 3, copiedThrough: 0, isSettled: true }]));
+  assert.equal(epochs.list(), [{
+    epoch: 3,
+    copiedThrough: 0,
+    isSettled: true,
+  }]);
   assert.not(epochs.note(RESTORED));
 });
 
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -159,11 +159,14 @@
 
   function noteEpoch({ epoch, number }: FactVersion, isSettled: boolean): void {
     const before = board.listEpochs(topic);
-    const copiedThrough = isSettled ? 0 : number;
-    const isNews = board.noteEpochs(topic, [{ epoch, copiedThrough }]);
+    const isNews = board.noteEpochs(topic, [{
+      epoch,
+      copiedThrough: number,
+      isSettled,
+    }]);
     if (!isNews) return;
     if (isSettled) log.info({ topic, epoch }, "epoch settled");
-    else log.warn({ topic, epoch, before, copiedThrough }, "epoch began");
+    else log.warn({ topic, epoch, before, position: number }, "epoch began");
   }
 
   function take(batch: NewsBatch, news: NewsItem[], askedAt: Instant): void {
--- a/src/news/settling_test.ts
+++ b/src/news/settling_test.ts
@@ -24,7 +24,7 @@
   const clock = createFakeClock();
   const board = createNewsBoard(clock);
   board.noteEpochs("operations", [
-    { epoch: 1, copiedThrough: 0 },
+    { epoch: 1, copiedThrough: 0, isSettled: true },
     { epoch: 2, copiedThrough: 50 },
   ]);
   board.apply([makeNews(6, 60, 1)]);
@@ -65,7 +65,11 @@
   const { clock, board, settling } = startSettling();
   settling.noteAnswer();
   clock.advance(5_000);
-  board.noteEpochs("operations", [{ epoch: 2, copiedThrough: 0 }]);
+  board.noteEpochs("operations", [{
+    epoch: 2,
+    copiedThrough: 0,
+    isSettled: true,
+  }]);
   assert.not(settling.isDue());
 });
 
--- a/src/news/version.ts
+++ b/src/news/version.ts
@@ -19,10 +19,14 @@
   epoch: number;
   /**
    * Facts of the epoch up to this number may stem from the copy, and be older
-   * than facts of the epoch before. 0 once all that was lost has been written
-   * again: what the source lists then holds.
+   * than facts of the epoch before.
    */
   copiedThrough: number;
+  /**
+   * Set once all that was lost has been written again: what the source lists
+   * from then on holds.
+   */
+  isSettled?: boolean;
 }
 
 /**
