Take no document back where the product's own table was restored

The table's contract says now that a restore begins an epoch, whose versions are all higher and in which every row counts as written anew; the stand-in can be restored.

--- a/src/config/view.ts
+++ b/src/config/view.ts
@@ -4,12 +4,17 @@
  *
  * @module
  */
-import type { Row } from "../platform/types.ts";
+import { getTableEpoch, type Row } from "../platform/types.ts";
 import { createLogger } from "../runtime/logger.ts";
 import { checkFleet, checkService } from "./check.ts";
 import { formatProblem } from "./jsonc.ts";
 import { mapRegions } from "./regions.ts";
-import { FLEET_KEY, parseServiceKey, parseStoredDocument } from "./rows.ts";
+import {
+  FLEET_KEY,
+  parseServiceKey,
+  parseStoredDocument,
+  type StoredDocument,
+} from "./rows.ts";
 import type { DomainName, FleetDocument, ServiceDocument } from "./schema.ts";
 
 const log = createLogger("config");
@@ -21,6 +26,8 @@
   number: number;
   /** Version of its row. */
   rowVersion: number;
+  /** When its author put it, in ms since the epoch of time. */
+  atMs: number;
 }
 
 /** The configuration in force. */
@@ -53,8 +60,7 @@
 }
 
 function applyFleetRow(view: ConfigView, row: Row): boolean {
-  if (row.version <= (view.fleet?.rowVersion ?? 0)) return false;
-  const stored = parseStoredDocument(row);
+  const stored = parseNewer(row, view.fleet);
   if (stored === undefined) return false;
   const checked = checkFleet({ file: row.key, text: stored.text });
   if (checked.isErr()) {
@@ -62,8 +68,8 @@
     return false;
   }
   const { document } = checked.value;
-  const { number } = stored;
-  view.fleet = { document, number, rowVersion: row.version };
+  const { number, atMs } = stored;
+  view.fleet = { document, number, rowVersion: row.version, atMs };
   view.regionOf = mapRegions(document);
   return true;
 }
@@ -73,10 +79,7 @@
   service: string,
   row: Row,
 ): boolean {
-  if (row.version <= (view.services.get(service)?.rowVersion ?? 0)) {
-    return false;
-  }
-  const stored = parseStoredDocument(row);
+  const stored = parseNewer(row, view.services.get(service));
   if (stored === undefined) return false;
   const checked = checkService({ file: row.key, text: stored.text });
   if (checked.isErr()) {
@@ -87,6 +90,25 @@
     document: checked.value.document,
     number: stored.number,
     rowVersion: row.version,
+    atMs: stored.atMs,
   });
   return true;
 }
+
+function parseNewer(
+  row: Row,
+  inForce: InForce<unknown> | undefined,
+): StoredDocument | undefined {
+  if (row.version <= (inForce?.rowVersion ?? 0)) return undefined;
+  const stored = parseStoredDocument(row);
+  if (stored === undefined || inForce === undefined) return stored;
+  const isRestored = getTableEpoch(row.version) >
+    getTableEpoch(inForce.rowVersion);
+  if (!isRestored || stored.atMs >= inForce.atMs) return stored;
+  log.warn(
+    `${row.key}: the restored table holds version ${stored.number}, older ` +
+      `than version ${inForce.number} in force; put the document again`,
+    { step: "config.apply" },
+  );
+  return undefined;
+}
--- /dev/null
+++ b/src/config/view_test.ts
@@ -0,0 +1,49 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { EPOCH_STRIDE, type Row } from "../platform/types.ts";
+import { getServiceKey } from "./rows.ts";
+import { applyConfigRow, createConfigView } from "./view.ts";
+
+const SERVICE = "enrol";
+const TEXT = JSON.stringify({
+  service: SERVICE,
+  regions: ["thies"],
+  backendServers: [{
+    id: "enrol-1",
+    failureDomain: "thies-1",
+    address: "127.0.0.1:8000",
+    slots: 3,
+  }],
+  shiftCap: { maxShare: 0.1, windowS: 10 },
+  classes: [{ name: "lookup", methods: ["GET"], idempotent: true }],
+});
+
+function makeRow(number: number, version: number, atMs: number): Row {
+  const stored = { number, text: TEXT, author: "a", atMs };
+  const value = JSON.stringify(stored);
+  return { key: getServiceKey(SERVICE), version, writeId: "w", value };
+}
+
+function getNumber(...rows: Row[]): number | undefined {
+  const view = createConfigView();
+  for (const row of rows) applyConfigRow(view, row);
+  return view.services.get(SERVICE)?.number;
+}
+
+test("the latest version of a document is in force", () => {
+  assert.is(getNumber(makeRow(1, 3, 100), makeRow(2, 4, 50)), 2);
+  assert.is(getNumber(makeRow(2, 4, 50), makeRow(1, 3, 100)), 2);
+});
+
+// A restored table lists documents that were replaced since its copy.
+test("a restored table takes no document back", () => {
+  const lost = makeRow(2, 9, 200);
+  const copied = makeRow(1, EPOCH_STRIDE + 3, 100);
+  assert.is(getNumber(lost, copied), 2);
+  const putAgain = makeRow(2, EPOCH_STRIDE + 4, 300);
+  assert.is(getNumber(lost, copied, putAgain), 2);
+  const putNext = makeRow(3, EPOCH_STRIDE + 5, 400);
+  assert.is(getNumber(lost, copied, putNext), 3);
+});
+
+test.run();
--- a/src/forwarding/flow_test.ts
+++ b/src/forwarding/flow_test.ts
@@ -98,6 +98,7 @@
   config.fleet = {
     number: 1,
     rowVersion: 1,
+    atMs: 0,
     document: {
       regions: [],
       clientBlocks: [],
--- a/src/platform/contract_test.ts
+++ b/src/platform/contract_test.ts
@@ -8,7 +8,7 @@
   startStandinPlatform,
 } from "../standin/platform.ts";
 import { createPlatformClient, type PlatformClient } from "./http_client.ts";
-import type { TableService } from "./types.ts";
+import { EPOCH_STRIDE, type TableService } from "./types.ts";
 
 const clock = createSystemClock();
 
@@ -126,4 +126,28 @@
   assert.equal(list, [{ id: "vm-1", state: "leaving" }]);
 });
 
+test("table in memory: after a restore no version is given out twice", async () => {
+  const table = new MemoryTable();
+  const put = (key: string, version: number) =>
+    table.transact({
+      writeId: "w",
+      conditions: [{ key, version }],
+      puts: [{ key, value: key }],
+    });
+  await put("config/a", 0);
+  const copy = table.takeCopy();
+  await put("config/a", 1);
+  const known = (await table.changes(0, ["config/"]))._unsafeUnwrap();
+  table.restore(copy);
+  const changes = (await table.changes(known.throughVersion, ["config/"]))
+    ._unsafeUnwrap();
+  assert.equal(changes.rows.map(({ version }) => version), [EPOCH_STRIDE + 1]);
+  const late = (await put("config/a", 2))._unsafeUnwrap();
+  assert.is(late.outcome, "conflict");
+  await put("config/a", EPOCH_STRIDE + 1);
+  const next = (await table.changes(changes.throughVersion, ["config/"]))
+    ._unsafeUnwrap();
+  assert.equal(next.rows.map(({ version }) => version), [EPOCH_STRIDE + 2]);
+});
+
 test.run();
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -8,10 +8,20 @@
 import type { Result } from "neverthrow";
 import type { StepError } from "../runtime/errors.ts";
 
+/**
+ * Distance between the versions of two epochs of the table. A table that is
+ * restored from a copy begins an epoch, in which all its rows count as written
+ * anew: no version is given out twice, and all changes are told.
+ */
+export const EPOCH_STRIDE = 2 ** 32;
+
 /** One row of the table. */
 export interface Row {
   key: string;
-  /** Commit sequence number of the last write; 0 means "no such row". */
+  /**
+   * Commit sequence number of the last write, beyond the begin of the table's
+   * epoch; 0 means "no such row".
+   */
   version: number;
   /** Identity of the write that made this version. */
   writeId: string;
@@ -57,6 +67,14 @@
 /** The result of a call to the platform. */
 export type PlatformResult<T> = Promise<Result<T, StepError>>;
 
+/**
+ * @param version A version.
+ * @returns The table's epoch in which it was given out.
+ */
+export function getTableEpoch(version: number): number {
+  return Math.floor(version / EPOCH_STRIDE);
+}
+
 /** The transactional table. */
 export abstract class TableService {
   /**
--- a/src/standin/memory_table.ts
+++ b/src/standin/memory_table.ts
@@ -7,17 +7,42 @@
 import {
   type ChangeSet,
   type Commit,
+  EPOCH_STRIDE,
+  getTableEpoch,
   type PlatformResult,
   type Row,
   TableService,
   type Transaction,
 } from "../platform/types.ts";
 
+/** Rows of a table at some moment. */
+export interface TableCopy {
+  rows: Row[];
+  version: number;
+}
+
 /** The table; also used directly in tests. */
 export class MemoryTable extends TableService {
-  readonly #rows = new Map<string, Row>();
+  #rows = new Map<string, Row>();
   #version = 0;
 
+  /** @returns What the table holds now. */
+  takeCopy(): TableCopy {
+    return { rows: [...this.#rows.values()], version: this.#version };
+  }
+
+  /** @param copy What the table goes back to; all written since is lost. */
+  restore(copy: TableCopy): void {
+    const start = (getTableEpoch(this.#version) + 1) * EPOCH_STRIDE;
+    const toVersion = (version: number) => start + version % EPOCH_STRIDE;
+    const rows = copy.rows.map((row) => ({
+      ...row,
+      version: toVersion(row.version),
+    }));
+    this.#rows = new Map(rows.map((row) => [row.key, row]));
+    this.#version = toVersion(copy.version);
+  }
+
   override read(key: string): PlatformResult<Row> {
     return Promise.resolve(ok(this.#get(key)));
   }
