--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { VmIdentity } from "../members/types.ts";
-import type { NewsItem } from "../news/types.ts";
+import { CONFIGURATION_KEY, type NewsItem } from "../news/types.ts";
 import { makeVersion } from "../news/version.ts";
 import type { Configuration, Route } from "../routing/types.ts";
 import { createRunningRequests } from "../activity/running.ts";
@@ -107,6 +107,28 @@
   };
 }
 
+/**
+ * @param configuration Number of the configuration, which has one route.
+ * @param version Number of the news.
+ * @param epoch Its epoch.
+ * @returns The news that it is the newest.
+ */
+export function makeConfigurationNews(
+  configuration: number,
+  version: number,
+  epoch = 0,
+): NewsItem {
+  return {
+    topic: "operations",
+    key: CONFIGURATION_KEY,
+    version: makeVersion(version, epoch),
+    fact: {
+      kind: "configuration",
+      configuration: makeConfiguration([makeRoute()], configuration),
+    },
+  };
+}
+
 /**
  * @param id Its name.
  * @param changes Fields that differ from a VM of one core in oslo.
--- a/src/news/epochs_test.ts
+++ b/src/news/epochs_test.ts
@@ -2,13 +2,12 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import {
-  makeConfiguration,
-  makeRoute,
+  makeConfigurationNews,
   makeServer,
   makeServerNews,
 } from "../gateway/fixture.ts";
 import { createEpochs } from "./epochs.ts";
-import { CONFIGURATION_KEY, type NewsItem } from "./types.ts";
+import type { NewsItem } from "./types.ts";
 import { type EpochStart, makeVersion } from "./version.ts";
 
 function makeNews(number: number, epoch: number): NewsItem {
@@ -20,22 +19,6 @@
   return makeServerNews(server, number, epoch);
 }
 
-function makeConfigurationNews(
-  configuration: number,
-  number: number,
-  epoch: number,
-): NewsItem {
-  return {
-    topic: "operations",
-    key: CONFIGURATION_KEY,
-    version: makeVersion(number, epoch),
-    fact: {
-      kind: "configuration",
-      configuration: makeConfiguration([makeRoute()], configuration),
-    },
-  };
-}
-
 const RESTORED: EpochStart[] = [
   { epoch: 1, copiedThrough: 0, isSettled: true },
   { epoch: 2, copiedThrough: 50 },
--- a/src/news/settling_test.ts
+++ b/src/news/settling_test.ts
@@ -1,25 +1,11 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
-import { makeConfiguration, makeRoute } from "../gateway/fixture.ts";
+import { makeConfigurationNews } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import { createNewsBoard } from "./board.ts";
 import { createSettling } from "./settling.ts";
-import { CONFIGURATION_KEY, type NewsItem } from "./types.ts";
 import { makeVersion } from "./version.ts";
 
-function makeNews(configuration: number, number: number, epoch: number) {
-  const item: NewsItem = {
-    topic: "operations",
-    key: CONFIGURATION_KEY,
-    version: makeVersion(number, epoch),
-    fact: {
-      kind: "configuration",
-      configuration: makeConfiguration([makeRoute()], configuration),
-    },
-  };
-  return item;
-}
-
 function startSettling() {
   const clock = createFakeClock();
   const board = createNewsBoard(clock);
@@ -27,7 +13,7 @@
     { epoch: 1, copiedThrough: 0, isSettled: true },
     { epoch: 2, copiedThrough: 50 },
   ]);
-  board.apply([makeNews(6, 60, 1)]);
+  board.apply([makeConfigurationNews(6, 60, 1)]);
   return { clock, board, settling: createSettling("operations", board, clock) };
 }
 
@@ -75,7 +61,10 @@
 
 test("an older configuration waits a minute for the operator", () => {
   const { clock, settling } = startSettling();
-  const older = { items: [makeNews(5, 50, 2)], version: makeVersion(70, 2) };
+  const older = {
+    items: [makeConfigurationNews(5, 50, 2)],
+    version: makeVersion(70, 2),
+  };
   settling.noteAnswer();
   clock.advance(5_000);
   assert.not(settling.settles(older));
@@ -88,7 +77,10 @@
 
 test("a configuration that was written again settles the epoch", () => {
   const { clock, settling } = startSettling();
-  const again = { items: [makeNews(6, 55, 2)], version: makeVersion(70, 2) };
+  const again = {
+    items: [makeConfigurationNews(6, 55, 2)],
+    version: makeVersion(70, 2),
+  };
   settling.noteAnswer();
   clock.advance(5_000);
   assert.ok(settling.settles(again));
