Settle no epoch by a list that a further restore answered

The list that was to settle an epoch may be answered after the source was restored once more: the new epoch then counted as settled at its first sight, and VMs went back to its copy. Found in reading; settling_test failed before.

--- a/src/news/settling.ts
+++ b/src/news/settling.ts
@@ -87,6 +87,7 @@
     },
     settles(batch) {
       triedAtMs = clock.monotonicMs();
+      if (batch.version.epoch !== epoch) return false;
       return getAnsweringMs() >= OLDER_CONFIGURATION_MS || !isOlder(batch);
     },
   };
--- a/src/news/settling_test.ts
+++ b/src/news/settling_test.ts
@@ -75,6 +75,15 @@
   assert.ok(settling.settles(older));
 });
 
+test("a list that a further restore answers settles nothing", () => {
+  const { clock, settling } = startSettling();
+  settling.noteAnswer();
+  clock.advance(5_000);
+  assert.ok(settling.isDue());
+  const items = [makeConfigurationNews(6, 45, 3)];
+  assert.not(settling.settles({ items, version: makeVersion(52, 3) }));
+});
+
 test("a configuration that was written again settles the epoch", () => {
   const { clock, settling } = startSettling();
   const again = {
