--- a/src/news/restore_model_test.ts
+++ b/src/news/restore_model_test.ts
@@ -6,7 +6,7 @@
   makeServer,
 } from "../gateway/fixture.ts";
 import { createFactRepair, type FactPeer } from "../members/repair.ts";
-import { createFakeClock, type FakeClock } from "../runtime/clock.ts";
+import { createFakeClock, type FakeClock, pause } from "../runtime/clock.ts";
 import { createRandom, type Random } from "../runtime/random.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { createNewsBoard, type NewsBoard } from "./board.ts";
@@ -29,6 +29,10 @@
 const SERVERS = 6;
 const VMS = 5;
 const READERS = 2;
+const MAX_CALL_MS = 400;
+const LATE_PART = 0.2;
+/** Part of the messages between VMs that are lost. */
+const LOST_PART = 0.1;
 const log = createSilentLog();
 
 interface StoredRow {
@@ -37,19 +41,32 @@
   fact: Fact | undefined;
 }
 
-/** A source that goes back to a copy. */
+/**
+ * A source that goes back to a copy. Some of its answers come late, also from
+ * before it went back.
+ */
 class RestoredSource extends FactSource {
   rows = new Map<string, StoredRow>();
   counter = 0;
   epoch = 1;
   isAway = false;
+  readonly #clock: FakeClock;
+  readonly #random: Random;
+
+  constructor(clock: FakeClock, random: Random) {
+    super();
+    this.#clock = clock;
+    this.#random = random;
+  }
 
   put(topic: SourceTopic, key: string, fact: Fact | undefined): void {
     this.rows.set(key, { topic, version: ++this.counter, fact });
   }
 
-  override list(topic: SourceTopic): Promise<SourceBatch> {
-    return this.#answer(topic, ({ fact }) => fact !== undefined);
+  override async list(topic: SourceTopic): Promise<SourceBatch> {
+    const answer = this.#answer(topic, ({ fact }) => fact !== undefined);
+    await this.#passTime();
+    return answer;
   }
 
   override async follow(
@@ -57,19 +74,27 @@
     after: number,
   ): Promise<FollowResult> {
     if (!this.isAway && after > this.counter) return { kind: "history_lost" };
-    const batch = await this.#answer(topic, ({ version }) => version > after);
+    const isChange = ({ version }: StoredRow) => version > after;
+    const early = this.#answer(topic, isChange);
+    await this.#passTime();
+    const isLate = this.#random() < LATE_PART;
+    const batch = isLate ? early : this.#answer(topic, isChange);
     return { kind: "changes", batch };
   }
 
+  #passTime(): Promise<void> {
+    return pause(this.#clock, this.#random() * MAX_CALL_MS);
+  }
+
   #answer(
     topic: SourceTopic,
     isAsked: (row: StoredRow) => boolean,
-  ): Promise<SourceBatch> {
-    if (this.isAway) return Promise.reject(new Error("away"));
+  ): SourceBatch {
+    if (this.isAway) throw new Error("away");
     const items = [...this.rows].filter(([, row]) =>
       row.topic === topic && isAsked(row)
     ).map(([key, { version, fact }]) => ({ topic, key, version, fact }));
-    return Promise.resolve({ items, version: this.counter, epoch: this.epoch });
+    return { items, version: this.counter, epoch: this.epoch };
   }
 }
 
@@ -138,6 +163,7 @@
   const messages: Message[] = [];
 
   function send(deliver: () => void): void {
+    if (random() < LOST_PART) return;
     const atMs = clock.monotonicMs() + 40 + random() * 100;
     messages.push({ atMs, deliver });
   }
@@ -245,7 +271,7 @@
 async function play(seed: number): Promise<void> {
   const random = createRandom(seed);
   const clock = createFakeClock();
-  const source = new RestoredSource();
+  const source = new RestoredSource(clock, random);
   const writers = createWriters(source, random);
   const fleet = startVms(source, clock, random);
   const watches = Array.from(
