--- a/src/config/check_test.ts
+++ b/src/config/check_test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import { checkFleet, checkService } from "./check.ts";
+import { makeService } from "./fixture.ts";
 import { formatProblem } from "./jsonc.ts";
 import type { FleetDocument } from "./schema.ts";
 
@@ -8,23 +9,6 @@
   regions: [{ name: "thies", failureDomains: ["thies-1"] }],
 } as FleetDocument;
 
-function makeService(changes: Record<string, unknown> = {}): string {
-  const document = {
-    service: "enrol",
-    regions: ["thies"],
-    backendServers: [{
-      id: "enrol-1",
-      failureDomain: "thies-1",
-      address: "127.0.0.1:8000",
-      slots: 3,
-    }],
-    shiftCap: { maxShare: 0.1, windowS: 10 },
-    classes: [{ name: "lookup", methods: ["GET"], idempotent: true }],
-    ...changes,
-  };
-  return `// a comment\n${JSON.stringify(document, null, 2)}\n`;
-}
-
 test("a document gets its defaults", () => {
   const source = { file: "enrol.jsonc", text: makeService() };
   const { document, warnings } = checkService(source, fleet)._unsafeUnwrap();
--- a/src/config/view_test.ts
+++ b/src/config/view_test.ts
@@ -1,33 +1,20 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import { EPOCH_STRIDE, type Row } from "../platform/types.ts";
+import { makeService, TEST_SERVICE } from "./fixture.ts";
 import { getServiceKey } from "./rows.ts";
 import { applyConfigRow, createConfigView } from "./view.ts";
 
-const SERVICE = "enrol";
-const TEXT = JSON.stringify({
-  service: SERVICE,
-  regions: ["thies"],
-  backendServers: [{
-    id: "enrol-1",
-    failureDomain: "thies-1",
-    address: "127.0.0.1:8000",
-    slots: 3,
-  }],
-  shiftCap: { maxShare: 0.1, windowS: 10 },
-  classes: [{ name: "lookup", methods: ["GET"], idempotent: true }],
-});
-
 function makeRow(number: number, version: number, atMs: number): Row {
-  const stored = { number, text: TEXT, author: "a", atMs };
+  const stored = { number, text: makeService(), author: "a", atMs };
   const value = JSON.stringify(stored);
-  return { key: getServiceKey(SERVICE), version, writeId: "w", value };
+  return { key: getServiceKey(TEST_SERVICE), version, writeId: "w", value };
 }
 
 function getNumber(...rows: Row[]): number | undefined {
   const view = createConfigView();
   for (const row of rows) applyConfigRow(view, row);
-  return view.services.get(SERVICE)?.number;
+  return view.services.get(TEST_SERVICE)?.number;
 }
 
 test("the latest version of a document is in force", () => {
