Divide a server's connections among all VMs that are known, not those up

Cause: a VM's part is 0.8 of what the server accepts over the VMs that serve. With two of six killed the others take three each and keep them; when the two are back it is 18 of 18, and one that is about to close makes 19. The load only made the close come late. VMs that are down count now, as they do for limits: two each, 12 of 18.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -35,6 +35,7 @@
 import { hashToUnit } from "../runtime/hash.ts";
 import { createRandom } from "../runtime/random.ts";
 import { createColdLimit } from "../servers/cold_limit.ts";
+import { getConnectionPart } from "../servers/connection_part.ts";
 import { createEndCheck } from "../servers/end_check.ts";
 import {
   createServerRegistry,
@@ -87,11 +88,6 @@
   getRoutes(): RouteTable | undefined;
 }
 
-/** Part of a server's connections that all VMs together open. */
-const CONNECTION_SHARE = 0.8;
-const MIN_CONNECTIONS = 2;
-/** Used until a configuration tells how many a server accepts. */
-const DEFAULT_CONNECTIONS = 16;
 const MAX_RANDOM_SEED = 0x7fff_ffff;
 
 /**
@@ -106,7 +102,7 @@
   const demand = createDemandMeter(clock);
   const runTimes = createRunTimes();
   const random = createRandom(makeSeed(self));
-  const countKnown = () => table.listKnown().length + 1;
+  const countKnown = () => table.countKnown() + 1;
   const serverLimits = createServerLimits({
     clock,
     log,
@@ -128,10 +124,10 @@
   const exchange = createExchange(codec, getConnectionLimit);
 
   function getConnectionLimit(server: ListedServer): number {
-    const accepted = getTerms(server.service)?.maxConnections;
-    if (accepted === undefined) return DEFAULT_CONNECTIONS;
-    const part = accepted * CONNECTION_SHARE / vms.countServing();
-    return Math.max(MIN_CONNECTIONS, Math.floor(part));
+    return getConnectionPart(getTerms(server.service)?.maxConnections, {
+      serving: vms.countServing(),
+      known: countKnown(),
+    });
   }
 
   function takeConfiguration(
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -150,7 +150,7 @@
 
   function onOpen(link: VmLink): void {
     links.add(link);
-    const members = table.listKnown().length;
+    const members = table.countKnown();
     link.send({ kind: "hello", identity: self, members });
     const report = { ...parts.makeReport(), ...proofs.makeQuestion() };
     link.send({ kind: "report", ...report });
@@ -197,7 +197,7 @@
     ) {
       links.send({ kind: "members", members: [identity] });
     }
-    if (members < table.listKnown().length) {
+    if (members < table.countKnown()) {
       link.send({ kind: "members", members: listIdentities() });
     }
     if (dialing.actsAsHub()) views.sendAll(link, identity);
@@ -301,7 +301,7 @@
   const discovery = startDiscovery({
     ...parts,
     listAfterMs,
-    countKnown: () => table.listKnown().length,
+    countKnown: () => table.countKnown(),
     getEpoch: () => board.getEpoch("operations"),
     isWanted: mayKnowTooFew,
     isAlone: links.isEmpty,
--- a/src/members/table.ts
+++ b/src/members/table.ts
@@ -46,6 +46,8 @@
   get(id: string): Member | undefined;
   /** @returns All VMs heard of, this one not included. */
   listKnown(): Member[];
+  /** @returns How many those are. */
+  countKnown(): number;
   /** @returns VMs that speak to this one now. */
   listLinked(): Member[];
   /** @returns VMs that are up, this one not included. */
@@ -216,6 +218,7 @@
       return known === undefined ? undefined : toMember(known);
     },
     listKnown: () => [...members.values()].map(toMember),
+    countKnown: () => members.size,
     listLinked,
     listAlive,
     listPossible() {
