List a topic's facts by a function of that name, find their newest once

isRestored and isComplete asked for the facts that are missing from an empty list, and applySettled looked for the newest of all items anew for each lost fact. Behaviour is the same.

--- a/src/news/board.ts
+++ b/src/news/board.ts
@@ -194,16 +194,19 @@
     const settled = getEpochs(topic).getSettled();
     const lost = listMissing(topic, items)
       .filter(({ version }) => version.epoch < settled);
-    const removals = lost.map((item) =>
-      remove(item, getNewest(items, settled))
-    );
+    const newest = getNewest(items, settled);
+    const removals = lost.map((item) => remove(item, newest));
     return apply([...items, ...removals]);
   }
 
   function listMissing(topic: Topic, items: readonly NewsItem[]): NewsItem[] {
     const listed = new Set(items.map((item) => item.key));
+    return listFacts(topic).filter(({ key }) => !listed.has(key));
+  }
+
+  function listFacts(topic: Topic): NewsItem[] {
     return [...known.values()].map(({ item }) => item).filter((item) =>
-      item.topic === topic && item.fact !== undefined && !listed.has(item.key)
+      item.topic === topic && item.fact !== undefined
     );
   }
 
@@ -258,14 +261,14 @@
       if (isSettled(topic)) return false;
       const epochs = getEpochs(topic);
       return epochs.list().length > 1 ||
-        listMissing(topic, []).some(({ version }) =>
+        listFacts(topic).some(({ version }) =>
           version.epoch < epochs.getLatest()
         );
     },
     isComplete(topic) {
       const settled = getEpochs(topic).getSettled();
       return getAgeMs(topic) <= COMPLETE_MS &&
-        listMissing(topic, []).every(({ version }) => version.epoch >= settled);
+        listFacts(topic).every(({ version }) => version.epoch >= settled);
     },
     isOfLatestEpoch(key) {
       const item = known.get(key)?.item;
