Decode routes with large uploads and downloads

Callers saw every request refused, as no VM became ready. Kinds that are not documented are still rejected.

--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -27,6 +27,7 @@
     host: "a.example",
     prefix: "/",
     kind: "idempotent",
+    transfer: "small",
     timeoutMs: 1_000,
     targetLatencyMs: 400,
     priority: 1,
--- a/src/news/schema.ts
+++ b/src/news/schema.ts
@@ -17,6 +17,8 @@
   host: name,
   prefix: z.string().regex(/^\/(.*\/)?$/, "must begin and end with a slash"),
   kind: z.enum(["idempotent", "non_idempotent"]),
+  /** Absent in facts that VMs of earlier versions send. */
+  transfer: z.enum(["small", "upload", "download"]).default("small"),
   timeoutMs: z.number().positive(),
   targetLatencyMs: z.number().positive(),
   priority: z.number().int().nonnegative(),
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -9,6 +9,9 @@
 /** Whether a request may run more than once. */
 export type RequestKind = "idempotent" | "non_idempotent";
 
+/** Size of a route's bodies; the larger ones bind memory and links. */
+export type Transfer = "small" | "upload" | "download";
+
 /** The portion of a route's requests that goes to one service. */
 export interface ServiceShare {
   service: string;
@@ -23,6 +26,8 @@
   /** Path prefix; begins and ends with a slash. */
   prefix: string;
   kind: RequestKind;
+  /** Whether requests or answers have large bodies. */
+  transfer: Transfer;
   /** Maximum time from the arrival of a request to its final answer. */
   timeoutMs: number;
   /** Latency up to which an answer has its full value for the caller. */
