Direct clients to VMs in proportion to their cores

Cause: the directory lists all VMs of a region, and clients pick one at random. VMs of 0.27 cores receive as many requests as VMs of 1.35 cores, and their event loops are the first to be saturated when demand peaks. A subset spans two failure domains and changes only by VMs that join or leave. Fleets of equal VMs are listed whole, as before. Ruled out: subsets that change over time, since clients close connections to addresses that an answer omits. Tests: client_subset_test.

--- /dev/null
+++ b/src/directory/client_subset_test.ts
@@ -0,0 +1,74 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { makeVmIdentity } from "../gateway/fixture.ts";
+import type { VmIdentity } from "../members/types.ts";
+import { selectClientSubset } from "./client_subset.ts";
+
+const LARGE_CORES = 1.35;
+const SMALL_CORES = 0.27;
+const CLIENTS = 2_000;
+
+/** A region of 4 large and 18 small VMs in two failure domains. */
+function makeUnevenRegion(): VmIdentity[] {
+  return Array.from(
+    { length: 22 },
+    (_, index) =>
+      makeVmIdentity(`vm-${index}`, {
+        failureDomain: index % 2 === 0 ? "a" : "b",
+        cores: index < 4 ? LARGE_CORES : SMALL_CORES,
+      }),
+  );
+}
+
+/** Expected connections of each VM if each client opens one. */
+function countConnections(vms: readonly VmIdentity[]): Map<string, number> {
+  const connections = new Map(vms.map(({ id }) => [id, 0]));
+  for (let client = 0; client < CLIENTS; client++) {
+    const subset = selectClientSubset(vms, `10.0.0.${client}`);
+    for (const { id } of subset) {
+      connections.set(id, connections.get(id)! + 1 / subset.length);
+    }
+  }
+  return connections;
+}
+
+// Load: 450 new connections a second in a region of uneven VMs. Guards against
+// saturating VMs of a quarter of a core while others are nearly idle.
+test("connections are in proportion to the cores of VMs", () => {
+  const vms = makeUnevenRegion();
+  const connections = countConnections(vms);
+  const loads = vms.map(({ id, cores }) => connections.get(id)! / cores);
+  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+  assert.ok(Math.max(...loads) < 1.5 * mean, `${Math.max(...loads)} ${mean}`);
+  assert.ok(Math.min(...loads) > 0.6 * mean, `${Math.min(...loads)} ${mean}`);
+});
+
+// Guards against clients without an address after a failure domain is lost.
+test("each client has addresses in two failure domains", () => {
+  const vms = makeUnevenRegion();
+  for (let client = 0; client < CLIENTS; client++) {
+    const subset = selectClientSubset(vms, `${client}`);
+    assert.ok(subset.length >= 4);
+    assert.is(new Set(subset.map((vm) => vm.failureDomain)).size, 2);
+  }
+});
+
+// Clients close connections to addresses that a later answer omits.
+test("the loss of a VM changes the subset only by that VM", () => {
+  const vms = makeUnevenRegion();
+  const rest = vms.slice(1);
+  for (let client = 0; client < 200; client++) {
+    const before = selectClientSubset(vms, `${client}`);
+    const after = selectClientSubset(rest, `${client}`);
+    const kept = before.filter(({ id }) => id !== "vm-0");
+    assert.ok(kept.every((vm) => after.includes(vm)));
+    assert.ok(after.length <= Math.max(4, kept.length) + 1);
+  }
+});
+
+test("all VMs are listed where they are of similar size", () => {
+  const vms = makeUnevenRegion().map((vm) => ({ ...vm, cores: 0.54 }));
+  assert.is(selectClientSubset(vms, "client"), vms);
+});
+
+test.run();
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { VmIdentity, VmState } from "../members/types.ts";
+import { selectClientSubset } from "./client_subset.ts";
 
 /** Answer to a client that looks up where to connect. */
 export interface DirectoryAnswer {
@@ -24,28 +25,38 @@
   ttlMs: number;
 }
 
+/** A client that looks up where to connect. */
+export interface DirectoryClient {
+  region: string;
+  /** Identifies the client; the same in each of its look-ups. */
+  key: string;
+}
+
 /** Maximum number of addresses that a client accepts. */
 const MAX_ADDRESSES = 64;
 
 /**
  * Lists the serving VMs of the client's region, or of all regions if it has none.
  * The VMs of all failure domains of the region are listed, so that a client can
- * switch to another one when a failure domain is lost.
+ * switch to another one when a failure domain is lost. Where VMs differ in size,
+ * each client is directed to a subset of them.
  *
  * @param view What this VM knows of the fleet.
- * @param region The client's region.
+ * @param client The client.
  * @returns The answer; undefined if no VM is serving.
  */
 export function answerDirectory(
   view: DirectoryView,
-  region: string,
+  { region, key }: DirectoryClient,
 ): DirectoryAnswer | undefined {
   const serving = [...view.servingPeers];
   if (view.ownState === "serving") serving.push(view.self);
   const inRegion = serving.filter((identity) => identity.region === region);
   const candidates = inRegion.length > 0 ? inRegion : serving;
   if (candidates.length === 0) return undefined;
-  const addresses = candidates.map((identity) => identity.frontAddress);
+  const addresses = selectClientSubset(candidates, key).map((identity) =>
+    identity.frontAddress
+  );
   addresses.sort();
   return { addresses: addresses.slice(0, MAX_ADDRESSES), ttlMs: view.ttlMs };
 }
--- a/src/gateway/control_routes.ts
+++ b/src/gateway/control_routes.ts
@@ -67,7 +67,8 @@
   directoryRouter.get(paths.directory, (request, response) => {
     const region = getQuery(request, paths.regionParameter) ??
       settings.region;
-    const answer = answerDirectory(options.getDirectoryView(), region);
+    const key = request.socket.remoteAddress ?? "";
+    const answer = answerDirectory(options.getDirectoryView(), { region, key });
     if (answer === undefined) return sendEmpty(response, 503);
     sendJson(response, paths.encodeDirectory(answer));
   });
