Keep large bodies inside the failure domain of their client

Cause: the directory lists VMs of all failure domains of a region, and servers are ranked without regard to their domain, so half of the uploads of 60 KB cross between domains, some twice. The links of VMs and between domains are narrow. Change: where a configuration has routes with large bodies, clients are directed to VMs of their own failure domain, with at least one other address as fallback, and large bodies try the servers of the VM's own domain first. Other configurations are served as before. Ruled out: directing clients to their own domain only; after its loss they would have no address until their next look-up. Tests: client_subset_test, placer_test.

--- a/src/directory/client_subset.ts
+++ b/src/directory/client_subset.ts
@@ -1,58 +1,94 @@
 /**
- * Selects the VMs that one client is directed to where VMs differ in size.
+ * Selects the VMs that one client is directed to.
  *
  * Load pattern: clients pick one of the listed addresses at random for each new
  * connection. If all VMs of a fleet are listed, one with a quarter of a core
  * receives as many requests as one with five times the capacity, and its event
- * loop is saturated when demand peaks.
+ * loop is saturated when demand peaks. Uploads of 60 KB that reach a VM in
+ * another failure domain also take the links between domains, twice if their
+ * server is in the first one.
  *
  * @module
  */
 import type { VmIdentity } from "../members/types.ts";
 import { hashToUnit, rankByRendezvous } from "../runtime/hash.ts";
 
+/** The client that a subset is selected for. */
+export interface SubsetClient {
+  /** Identifies the client; the same in each of its look-ups. */
+  key: string;
+  /**
+   * Failure domain whose VMs are preferred; undefined where none is, because
+   * bodies are small or the client named no domain.
+   */
+  preferredDomain: string | undefined;
+}
+
 /** VMs that differ in capacity by less than this factor count as equal. */
 const MIN_SIZE_RATIO = 1.5;
 /** Enough addresses to connect elsewhere when several VMs fail together. */
 const MIN_ADDRESSES = 4;
 /** A client needs addresses outside a failure domain that is lost. */
 const MIN_FAILURE_DOMAINS = 2;
+/**
+ * Weight of VMs outside the preferred domain. They are only a fallback, of which
+ * each client gets at least one.
+ */
+const OTHER_DOMAIN_WEIGHT = 0.05;
 
 /**
  * Selects a subset of VMs so that over all clients each VM is picked in
- * proportion to its cores. The subset of a client changes only by VMs that join
- * or leave: clients close connections to addresses that a later answer omits.
+ * proportion to its cores, within the preferred failure domain if there is one.
+ * The subset of a client changes only by VMs that join or leave: clients close
+ * connections to addresses that a later answer omits.
  *
  * @param vms VMs that serve clients.
- * @param clientKey Identifies the client; the same in each of its look-ups.
- * @returns The VMs for this client; all of them if they are of similar size.
+ * @param client The client.
+ * @returns The VMs for this client; all of them if they are of similar size and
+ *   none is preferred.
  */
 export function selectClientSubset(
   vms: readonly VmIdentity[],
-  clientKey: string,
+  client: SubsetClient,
 ): readonly VmIdentity[] {
-  const maxCores = Math.max(...vms.map(({ cores }) => cores));
-  const minCores = Math.min(...vms.map(({ cores }) => cores));
-  if (vms.length <= MIN_ADDRESSES || maxCores < MIN_SIZE_RATIO * minCores) {
-    return vms;
-  }
+  const domain = findPreferredDomain(vms, client);
+  const candidates = vms.map((vm) => ({
+    id: vm.id,
+    vm,
+    weight: domain === undefined || vm.failureDomain === domain
+      ? vm.cores
+      : OTHER_DOMAIN_WEIGHT * vm.cores,
+  }));
+  const weights = candidates.map(({ weight }) => weight);
+  const maxWeight = Math.max(...weights);
+  const areSimilar = maxWeight < MIN_SIZE_RATIO * Math.min(...weights);
+  if (vms.length <= MIN_ADDRESSES || areSimilar) return vms;
   const selected = new Set(
-    vms.filter(({ id, cores }) =>
-      hashToUnit(`${clientKey} ${id}`) < cores / maxCores
-    ),
+    candidates
+      .filter(({ id, weight }) =>
+        hashToUnit(`${client.key} ${id}`) < weight / maxWeight
+      )
+      .map(({ vm }) => vm),
   );
-  addMissing(selected, vms, clientKey);
+  addMissing(selected, rankByRendezvous(client.key, candidates));
   return [...selected];
 }
 
+/** Returns the preferred domain if it has enough VMs to serve its clients. */
+function findPreferredDomain(
+  vms: readonly VmIdentity[],
+  { preferredDomain }: SubsetClient,
+): string | undefined {
+  const inDomain = vms.filter((vm) => vm.failureDomain === preferredDomain);
+  return inDomain.length >= MIN_ADDRESSES ? preferredDomain : undefined;
+}
+
 /** Adds VMs in the client's order of preference up to the minimum numbers. */
 function addMissing(
   selected: Set<VmIdentity>,
-  vms: readonly VmIdentity[],
-  clientKey: string,
+  ranked: readonly { vm: VmIdentity }[],
 ): void {
-  const candidates = vms.map((vm) => ({ id: vm.id, weight: vm.cores, vm }));
-  for (const { vm } of rankByRendezvous(clientKey, candidates)) {
+  for (const { vm } of ranked) {
     const domains = new Set(
       [...selected].map(({ failureDomain }) => failureDomain),
     );
--- a/src/directory/client_subset_test.ts
+++ b/src/directory/client_subset_test.ts
@@ -2,7 +2,7 @@
 import { test } from "uvu";
 import { makeVmIdentity } from "../gateway/fixture.ts";
 import type { VmIdentity } from "../members/types.ts";
-import { selectClientSubset } from "./client_subset.ts";
+import { selectClientSubset, type SubsetClient } from "./client_subset.ts";
 
 const LARGE_CORES = 1.35;
 const SMALL_CORES = 0.27;
@@ -20,11 +20,15 @@
   );
 }
 
+function makeClient(index: number, preferredDomain?: string): SubsetClient {
+  return { key: `10.0.0.${index}`, preferredDomain };
+}
+
 /** Expected connections of each VM if each client opens one. */
 function countConnections(vms: readonly VmIdentity[]): Map<string, number> {
   const connections = new Map(vms.map(({ id }) => [id, 0]));
   for (let client = 0; client < CLIENTS; client++) {
-    const subset = selectClientSubset(vms, `10.0.0.${client}`);
+    const subset = selectClientSubset(vms, makeClient(client));
     for (const { id } of subset) {
       connections.set(id, connections.get(id)! + 1 / subset.length);
     }
@@ -47,7 +51,7 @@
 test("each client has addresses in two failure domains", () => {
   const vms = makeUnevenRegion();
   for (let client = 0; client < CLIENTS; client++) {
-    const subset = selectClientSubset(vms, `${client}`);
+    const subset = selectClientSubset(vms, makeClient(client));
     assert.ok(subset.length >= 4);
     assert.is(new Set(subset.map((vm) => vm.failureDomain)).size, 2);
   }
@@ -58,8 +62,8 @@
   const vms = makeUnevenRegion();
   const rest = vms.slice(1);
   for (let client = 0; client < 200; client++) {
-    const before = selectClientSubset(vms, `${client}`);
-    const after = selectClientSubset(rest, `${client}`);
+    const before = selectClientSubset(vms, makeClient(client));
+    const after = selectClientSubset(rest, makeClient(client));
     const kept = before.filter(({ id }) => id !== "vm-0");
     assert.ok(kept.every((vm) => after.includes(vm)));
     assert.ok(after.length <= Math.max(4, kept.length) + 1);
@@ -68,7 +72,38 @@
 
 test("all VMs are listed where they are of similar size", () => {
   const vms = makeUnevenRegion().map((vm) => ({ ...vm, cores: 0.54 }));
-  assert.is(selectClientSubset(vms, "client"), vms);
+  assert.is(selectClientSubset(vms, makeClient(1)), vms);
+});
+
+// Load: uploads of 60 KB from clients of both domains. Guards against half of
+// their bytes taking the links between failure domains.
+test("most connections stay in a preferred domain, with a fallback", () => {
+  const vms = makeUnevenRegion();
+  let inDomain = 0;
+  for (let client = 0; client < CLIENTS; client++) {
+    const subset = selectClientSubset(vms, makeClient(client, "b"));
+    const own = subset.filter((vm) => vm.failureDomain === "b").length;
+    assert.ok(own < subset.length, "no address outside the domain");
+    inDomain += own / subset.length;
+  }
+  assert.ok(inDomain > 0.7 * CLIENTS, `${inDomain}`);
+});
+
+// Guards against directing all clients of a domain to the few VMs that remain
+// there after a failure.
+test("a domain with too few VMs is not preferred", () => {
+  const vms = makeUnevenRegion().filter((vm, index) =>
+    vm.failureDomain === "a" || index < 4
+  );
+  const clients = Array.from(
+    { length: 200 },
+    (_, index) => makeClient(index, "b"),
+  );
+  const outside = clients.filter((client) => {
+    const subset = selectClientSubset(vms, client);
+    return subset.filter((vm) => vm.failureDomain === "a").length >= 2;
+  });
+  assert.ok(outside.length > 180, `${outside.length}`);
 });
 
 test.run();
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -23,11 +23,18 @@
   servingPeers: readonly VmIdentity[];
   /** How long a client may use the answer, in ms. */
   ttlMs: number;
+  /**
+   * Whether requests or answers are large, so that clients should connect inside
+   * their failure domain.
+   */
+  hasLargeBodies: boolean;
 }
 
 /** A client that looks up where to connect. */
 export interface DirectoryClient {
   region: string;
+  /** The client's failure domain; undefined if it named none. */
+  failureDomain: string | undefined;
   /** Identifies the client; the same in each of its look-ups. */
   key: string;
 }
@@ -38,8 +45,8 @@
 /**
  * Lists the serving VMs of the client's region, or of all regions if it has none.
  * The VMs of all failure domains of the region are listed, so that a client can
- * switch to another one when a failure domain is lost. Where VMs differ in size,
- * each client is directed to a subset of them.
+ * switch to another one when a failure domain is lost. Where VMs differ in size
+ * or bodies are large, each client is directed to a subset of them.
  *
  * @param view What this VM knows of the fleet.
  * @param client The client.
@@ -47,16 +54,23 @@
  */
 export function answerDirectory(
   view: DirectoryView,
-  { region, key }: DirectoryClient,
+  client: DirectoryClient,
 ): DirectoryAnswer | undefined {
   const serving = [...view.servingPeers];
   if (view.ownState === "serving") serving.push(view.self);
-  const inRegion = serving.filter((identity) => identity.region === region);
+  const inRegion = serving.filter((identity) =>
+    identity.region === client.region
+  );
   const candidates = inRegion.length > 0 ? inRegion : serving;
   if (candidates.length === 0) return undefined;
-  const addresses = selectClientSubset(candidates, key).map((identity) =>
-    identity.frontAddress
-  );
+  const preferredDomain = view.hasLargeBodies
+    ? client.failureDomain
+    : undefined;
+  const subset = selectClientSubset(candidates, {
+    key: client.key,
+    preferredDomain,
+  });
+  const addresses = subset.map((identity) => identity.frontAddress);
   addresses.sort();
   return { addresses: addresses.slice(0, MAX_ADDRESSES), ttlMs: view.ttlMs };
 }
--- a/src/gateway/control_routes.ts
+++ b/src/gateway/control_routes.ts
@@ -26,6 +26,8 @@
   directory: string;
   /** Query parameter of directory requests with the region of the client. */
   regionParameter: string;
+  /** Query parameter of directory requests with the client's failure domain. */
+  failureDomainParameter: string;
   /**
    * @param answer The answer.
    * @returns The body of the response, to be sent as JSON.
@@ -67,8 +69,11 @@
   directoryRouter.get(paths.directory, (request, response) => {
     const region = getQuery(request, paths.regionParameter) ??
       settings.region;
-    const key = request.socket.remoteAddress ?? "";
-    const answer = answerDirectory(options.getDirectoryView(), { region, key });
+    const answer = answerDirectory(options.getDirectoryView(), {
+      region,
+      failureDomain: getQuery(request, paths.failureDomainParameter),
+      key: request.socket.remoteAddress ?? "",
+    });
     if (answer === undefined) return sendEmpty(response, 503);
     sendJson(response, paths.encodeDirectory(answer));
   });
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -229,6 +229,7 @@
     registry,
     ranking: createRanking(registry),
     plan: regionPlan,
+    ownDomain: self.failureDomain,
     coldLimit: createColdLimit({
       clock,
       ownId: self.id,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -260,6 +260,7 @@
       ownState: updateState(),
       servingPeers: memberTable.listServing(),
       ttlMs,
+      hasLargeBodies: core.getRoutes()?.hasLargeBodies ?? false,
     }),
     dumpState: () =>
       dumpState({
--- a/src/routing/table.ts
+++ b/src/routing/table.ts
@@ -26,6 +26,8 @@
   getServiceSettings(name: string): ServiceSettings | undefined;
   /** Client accounts; undefined if callers need none. */
   accounts: AccountDirectory | undefined;
+  /** Whether requests or answers of some routes are large. */
+  hasLargeBodies: boolean;
 }
 
 /**
@@ -64,6 +66,9 @@
     match,
     getServiceSettings: (name) => settingsByService.get(name),
     accounts: accounts && createAccountDirectory(accounts),
+    hasLargeBodies: configuration.routes.some(({ transfer }) =>
+      transfer !== "small"
+    ),
   };
 }
 
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -10,7 +10,7 @@
 import type { RegionPlan } from "../placement/regions.ts";
 import type { CacheSizeEstimator } from "../placement/cache_size.ts";
 import { rankRegions, type RegionShare } from "../placement/shares.ts";
-import type { ServiceSettings } from "../routing/types.ts";
+import type { Route, ServiceSettings } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { ServerPermits } from "../servers/permits.ts";
@@ -28,6 +28,8 @@
   registry: ServerRegistry;
   ranking: Ranking;
   plan: RegionPlan;
+  /** Failure domain of this VM. */
+  ownDomain: string;
   coldLimit: ColdLimit;
   permits: ServerPermits;
   latencyModel: LatencyModel;
@@ -87,7 +89,7 @@
     const region = chooseRegion(shares, service, objectKey);
     const candidates = region === undefined
       ? []
-      : [ranking.rank(service, region, objectKey)];
+      : listCandidates(route, ranking.rank(service, region, objectKey));
     const throttled: ListedServer[] = [];
     const placement = {
       candidates,
@@ -142,6 +144,21 @@
     return { kind: "placed", server, isCached };
   }
 
+  /**
+   * Tries servers of the own failure domain first for large bodies, which would
+   * otherwise fill the links between failure domains.
+   */
+  function listCandidates(
+    { transfer }: Route,
+    ranked: readonly KnownServer[],
+  ): (readonly KnownServer[])[] {
+    if (transfer === "small") return [ranked];
+    const inOwnDomain = ranked.filter(({ listed }) =>
+      listed.failureDomain === options.ownDomain
+    );
+    return [inOwnDomain, ranked];
+  }
+
   function hasCachedObject(
     progress: RequestProgress,
     serverId: string,
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -2,6 +2,7 @@
 import { test } from "uvu";
 import {
   makeRegistry,
+  makeRoute,
   makeServer,
   makeServerUpdate,
 } from "../gateway/fixture.ts";
@@ -10,23 +11,32 @@
 import { createRegionPlan } from "../placement/regions.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
 import { createFakeClock } from "../runtime/clock.ts";
+import type { ServerRegistry } from "../servers/registry.ts";
 import type { ListedServer } from "../servers/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { makeProgress, makeRequest, makeUnlimitedPermits } from "./fixture.ts";
 import { createLatencyModel } from "./latency_model.ts";
 import { createPlacer } from "./placer.ts";
 
-/** A placer of a VM in oslo, with one server in oslo and one in bergen. */
-function startPlacer(bergenColdMs: number, permits = makeUnlimitedPermits()) {
-  const clock = createFakeClock();
-  const log = createSilentLog();
-  const registry = makeRegistry(clock);
+function listTwoServers(registry: ServerRegistry, bergenColdMs: number): void {
   registry.apply(makeServerUpdate(makeServer("oslo-1"), 1));
   const bergen = makeServer("bergen-1", {
     failureDomain: "bergen-a",
     coldLeftMs: bergenColdMs,
   });
   registry.apply(makeServerUpdate(bergen, 2));
+}
+
+/** A placer of a VM in oslo, with one server in oslo and one in bergen. */
+function startPlacer(
+  bergenColdMs: number,
+  permits = makeUnlimitedPermits(),
+  known?: ServerRegistry,
+) {
+  const clock = createFakeClock();
+  const log = createSilentLog();
+  const registry = known ?? makeRegistry(clock);
+  if (known === undefined) listTwoServers(registry, bergenColdMs);
   const plan = createRegionPlan({
     clock,
     log,
@@ -44,6 +54,7 @@
     registry,
     ranking: createRanking(registry),
     plan,
+    ownDomain: "oslo-a",
     coldLimit: { take: () => false },
     permits,
     latencyModel: createLatencyModel(),
@@ -99,4 +110,39 @@
   assert.equal(placed, { kind: "not_placed", reason, retryAfterMs: 700 });
 });
 
+/** Places uploads from oslo-a for several objects; servers stand in two domains. */
+function placeUploads(ownDomainSlots: number): string[] {
+  const clock = createFakeClock();
+  const registry = makeRegistry(clock);
+  const server = makeServer("a-1", { slots: ownDomainSlots });
+  registry.apply(makeServerUpdate(server, 1));
+  for (const id of ["b-1", "b-2", "b-3"]) {
+    const other = makeServer(id, { failureDomain: "oslo-b" });
+    registry.apply(makeServerUpdate(other, 2));
+  }
+  const placer = startPlacer(0, makeUnlimitedPermits(), registry);
+  const route = makeRoute({ transfer: "upload", kind: "non_idempotent" });
+  return Array.from({ length: 6 }, (_, index) => {
+    const request = makeRequest({ route, homeRegions: ["oslo"] });
+    const objectKey = `${index}`;
+    const placed = placer.place(makeProgress({ request, objectKey }));
+    if (placed.kind === "not_placed") return placed.reason;
+    placed.server.load.begin();
+    return placed.server.listed.failureDomain;
+  });
+}
+
+// Load: uploads of 60 KB over links of 7 Mbit/s between failure domains.
+test("large bodies go to a server of the own failure domain", () => {
+  const domains = placeUploads(100);
+  assert.ok(domains.every((domain) => domain === "oslo-a"), `${domains}`);
+});
+
+// Guards against refusals while only the own failure domain is full.
+test("large bodies leave the own failure domain when it is full", () => {
+  const domains = placeUploads(2);
+  assert.ok(domains.includes("oslo-b"), `${domains}`);
+  assert.not.ok(domains.includes("all_full"), `${domains}`);
+});
+
 test.run();
