--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -154,6 +154,9 @@
       sendResult(response, result, {
         requestId: metadata.requestId,
         route: route.name,
+        account: checked.kind === "accepted"
+          ? checked.account?.name
+          : undefined,
         ...configurationFields,
         tookMs: Math.round(tookMs),
         targetMs: route.targetLatencyMs,
