--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -2,13 +2,17 @@
 # Builds the gateway for the users' platform: a single-file bundle, so that a
 # starting process reads one file instead of several hundred, the V8 code cache
 # of the bundle, and the launcher. Identifiers aren't minified, to keep stack
-# traces readable.
+# traces readable. platform/bundle/ takes the place of packages and of modules of
+# Node of which the gateway uses little.
 set -eu
 cd "$(dirname "$0")/.."
 bundle() {
   npx esbuild "platform/$1.ts" --bundle --platform=node --target=node20 \
     --format=cjs --minify-whitespace --minify-syntax --log-level=warning \
-    --outfile="target/$2.cjs"
+    --tsconfig=tsconfig.bundle.json --alias:https=./platform/bundle/https.ts \
+    --alias:tls=./platform/bundle/tls.ts \
+    --alias:child_process=./platform/bundle/child_process.ts \
+    --alias:node:http2=./platform/bundle/http2.ts --outfile="target/$2.cjs"
 }
 bundle gateway gateway_bundle
 bundle launch gateway
