Leave slots free for more urgent requests

Cause: placement ignores the priorities of routes and accounts. When uploads burst on servers that they share with urgent reads, they fill the servers' queues, and a read with 217 ms of work and a target of 241 ms is late as soon as it has to queue. Change: while a more urgent request for the service arrived at the VM within 5 s, less urgent ones leave one slot of a server free, and half a slot more for each further priority above theirs. An idle server accepts every request. The limit reaches chooseServer through PlacementRequest. Services with a single priority get the same choices as before.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -25,6 +25,11 @@
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
+import {
+  createUrgentDemand,
+  listCompetingPriorities,
+  type UrgentDemand,
+} from "../queueing/urgency.ts";
 import {
   createSuspectTracker,
   type SuspectTracker,
@@ -91,6 +96,7 @@
   registry: ServerRegistry;
   exchange: Exchange;
   demandMeter: DemandMeter;
+  urgentDemand: UrgentDemand;
   requestHandler: RequestHandler;
   callerCheck: CallerCheck;
   limiter: RateLimiter;
@@ -125,6 +131,8 @@
   const getServiceSettings = (service: string) =>
     routes?.getServiceSettings(service);
   const demandMeter = createDemandMeter(clock);
+  const urgentDemand = createUrgentDemand(clock);
+  const competingPriorities = new Map<string, readonly number[]>();
   const runTimes = createRunTimes();
   const random = createRandom(makeSeed(self));
   const countKnownVms = () => memberTable.countKnown() + 1;
@@ -147,6 +155,15 @@
     running: options.running,
     runTimes,
   });
+  function getCompetingPriorities(service: string): readonly number[] {
+    if (routes === undefined) return [];
+    const known = competingPriorities.get(service);
+    if (known !== undefined) return known;
+    const priorities = listCompetingPriorities(routes.configuration, service);
+    competingPriorities.set(service, priorities);
+    return priorities;
+  }
+
   const exchange = createExchange(codec, getConnectionLimit);
 
   function getConnectionLimit(server: ListedServer): number {
@@ -165,6 +182,7 @@
   ): void {
     const { version } = configuration;
     routes = createRouteTable(configuration);
+    competingPriorities.clear();
     log.info(
       { version, source, routes: configuration.routes.length },
       "configuration in force",
@@ -238,6 +256,8 @@
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
+    urgentDemand,
+    getCompetingPriorities,
     getServiceSettings,
   });
   const limitShares = createLimitShares(clock, countKnownVms);
@@ -277,6 +297,7 @@
     budget,
     splitter: createSplitter(),
     demand: demandMeter,
+    urgentDemand,
     latencyModel,
     cacheModel,
     exchange,
@@ -290,6 +311,7 @@
     registry,
     exchange,
     demandMeter,
+    urgentDemand,
     requestHandler,
     callerCheck,
     limiter,
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -61,6 +61,7 @@
       dumpServer(server, core.registry)
     ),
     suspects: core.suspects.list(),
+    urgentDemand: core.urgentDemand.list(),
     members: memberTable.listKnown(),
     openRequests,
   };
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -22,6 +22,11 @@
   tried: ReadonlySet<string>;
   /** Utilization, in requests per slot, at which a server is saturated. */
   maxUtilization: number;
+  /**
+   * Returns the limit that replaces `maxUtilization` for a server with a number
+   * of slots; absent where it is the same for all servers.
+   */
+  getMaxUtilization?: (slots: number) => number;
   /**
    * Requests per slot that may already wait for a slot on a server that has not
    * cached the object.
@@ -160,7 +165,8 @@
   const first = alive[0];
   if (first === undefined || first.coldUntilMs <= nowMs) return undefined;
   const utilization = first.load.getUtilization();
-  if (utilization >= 1) return undefined;
+  const maxUtilization = placement.getMaxUtilization?.(first.load.getSlots());
+  if (utilization >= Math.min(1, maxUtilization ?? 1)) return undefined;
   const { id } = first.listed;
   if (!coldLimit.take(id, placement.coldRatePerS, first.region)) {
     return undefined;
@@ -226,9 +232,12 @@
  */
 function getMaxUtilization(
   { load }: KnownServer,
-  { maxUtilization, maxCacheMissQueue }: PlacementRequest,
+  placement: PlacementRequest,
   isCached: boolean,
 ): number {
+  const { maxCacheMissQueue } = placement;
+  const maxUtilization = placement.getMaxUtilization?.(load.getSlots()) ??
+    placement.maxUtilization;
   if (isCached) return maxUtilization;
   // An idle server accepts a cache miss however few slots it has.
   const freeSlots = Math.max(1, load.getSlots() - RESERVED_SLOTS);
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -75,6 +75,24 @@
   );
 });
 
+// Guards against limits of priorities that hold on warm servers only.
+test("a limit by slots applies instead of the general one, cold servers included", () => {
+  const { clock, servers: [first, second] } = createFourServers();
+  const servers = [first, second];
+  const getMaxUtilization = (slots: number) => (slots - 1) / slots;
+  load(servers[0], 3);
+  assert.is(getOutcome(choose(servers, clock, { getMaxUtilization })), "1");
+  load(servers[1], 3);
+  assert.is(getOutcome(choose(servers, clock, { getMaxUtilization })), "full");
+  const cold = { ...servers[0], coldUntilMs: 1 };
+  const coldLimit = { take: () => true };
+  assert.is(getOutcome(choose([cold], clock, {}, coldLimit)), "0");
+  assert.is(
+    getOutcome(choose([cold], clock, { getMaxUtilization }, coldLimit)),
+    "full",
+  );
+});
+
 test("a request is refused when both of its servers are saturated, even if others are idle", () => {
   const { clock, servers } = createFourServers();
   load(servers[0], 8);
--- /dev/null
+++ b/src/queueing/fixture.ts
@@ -0,0 +1,343 @@
+/**
+ * Test fixture: the request handlers of many VMs that share backend servers of
+ * one service.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import type { ClientAccount } from "../accounts/types.ts";
+import {
+  makeRoute,
+  makeServer,
+  makeServerUpdate,
+  TEST_REGIONS,
+} from "../gateway/fixture.ts";
+import { EqualShareLimiter } from "../limits/equal_share_limiter.ts";
+import { createCacheSizeEstimator } from "../placement/cache_size.ts";
+import { createObjectCacheModel } from "../placement/object_cache_model.ts";
+import { createRanking } from "../placement/ranking.ts";
+import type { Route } from "../routing/types.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createRandom, drawExponential } from "../runtime/random.ts";
+import { createServerRegistry } from "../servers/registry.ts";
+import { createRunTimes } from "../servers/run_times.ts";
+import { NO_SIGNALS } from "../servers/signals.ts";
+import { createAttemptObserver } from "../serving/attempt_observer.ts";
+import { createDemandMeter } from "../serving/demand_meter.ts";
+import { makeRequest, makeUnlimitedPermits } from "../serving/fixture.ts";
+import { createLatencyModel } from "../serving/latency_model.ts";
+import { createPlacer } from "../serving/placer.ts";
+import { createRequestHandler } from "../serving/request_handler.ts";
+import type { ExchangeResult, ServeResult } from "../serving/types.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createUrgentDemand } from "./urgency.ts";
+
+/** Requests of one kind. */
+export interface Load {
+  route: Route;
+  workMs: number;
+  account?: ClientAccount;
+  /** @returns Arrivals per second at a time. */
+  getRatePerS: (atMs: number) => number;
+}
+
+/** What became of the requests of one load. */
+export interface Outcome {
+  requests: number;
+  inTime: number;
+  late: number;
+  /** Neither answered in time nor late. */
+  unanswered: number;
+  /** Share of the full value: an answer in time counts 1, a late one 0.2. */
+  valueShare: number;
+}
+
+interface Job {
+  workMs: number;
+  resolve: (result: ExchangeResult) => void;
+  endsAtMs: number;
+}
+
+/** Options of a fleet. */
+export interface FleetOptions {
+  vms: number;
+  servers: number;
+  slots: number;
+  competingPriorities: readonly number[];
+}
+
+const STEP_MS = 5;
+/** Interval of the reports between the VMs of a large fleet. */
+const REPORT_INTERVAL_MS = 200;
+const OBJECTS = 500;
+/** Share of requests whose server has the object cached, and their work. */
+const HIT_SHARE = 0.5;
+const HIT_WORK_SHARE = 0.3;
+/** Requests per slot at which a server sheds. */
+const SHED_UTILIZATION = 4;
+
+/** The routes of the second service of the shortage deployment. */
+export const URGENT_READS = makeRoute({
+  name: "urgent reads",
+  prefix: "/u/",
+  targetLatencyMs: 241,
+  timeoutMs: 1_177,
+  priority: 0,
+  isSticky: false,
+});
+export const UPLOADS = makeRoute({
+  name: "uploads",
+  kind: "non_idempotent",
+  transfer: "upload",
+  targetLatencyMs: 1_106,
+  timeoutMs: 3_276,
+  priority: 2,
+  isSticky: false,
+});
+
+/**
+ * @param options Sizes of the fleet.
+ * @returns A fleet without load.
+ */
+export function createFleet(options: FleetOptions) {
+  const clock = createFakeClock();
+  const log = createSilentLog();
+  const random = createRandom(20261203);
+  const servers = new Map<string, Job[]>();
+  /** Requests at servers as the VMs last reported them to each other. */
+  let reported = new Map<string, number>();
+  const vms = Array.from(
+    { length: options.vms },
+    (_, index) => createVm(index),
+  );
+
+  function createVm(index: number) {
+    let ownReported = new Map<string, number>();
+    const runTimes = createRunTimes();
+    const registry = createServerRegistry({
+      clock,
+      log,
+      regions: TEST_REGIONS,
+      getColdDurationMs: () => 0,
+      running: {
+        getTotal: (id) => (reported.get(id) ?? 0) - (ownReported.get(id) ?? 0),
+      },
+      runTimes,
+    });
+    for (let number = 0; number < options.servers; number++) {
+      const server = makeServer(`${number}`, { slots: options.slots });
+      registry.apply(makeServerUpdate(server, number + 1));
+      servers.set(server.id, []);
+    }
+    const latencyModel = createLatencyModel();
+    const cacheModel = createObjectCacheModel();
+    const cacheSizeEstimator = createCacheSizeEstimator();
+    const permits = makeUnlimitedPermits();
+    const urgentDemand = createUrgentDemand(clock);
+    const handler = createRequestHandler({
+      clock,
+      log,
+      random,
+      registry,
+      placer: createPlacer({
+        clock,
+        log,
+        registry,
+        ranking: createRanking(registry),
+        plan: { getShares: () => [{ region: "oslo", share: 1 }] },
+        coldLimit: { take: () => false },
+        permits,
+        latencyModel,
+        cacheModel,
+        cacheSizeEstimator,
+        urgentDemand,
+        getCompetingPriorities: () => options.competingPriorities,
+        getServiceSettings: () => undefined,
+      }),
+      observer: createAttemptObserver({
+        clock,
+        log,
+        latencyModel,
+        cacheModel,
+        cacheSizeEstimator,
+        runTimes,
+        rateLimits: { record() {} },
+        backoffs: { begin() {} },
+        registry,
+      }),
+      budget: { recordRequest() {}, take: () => true },
+      splitter: { pickService: () => "s" },
+      demand: createDemandMeter(clock),
+      urgentDemand,
+      latencyModel,
+      cacheModel,
+      exchange: {
+        send: ({ id }, request) => send(id, Number(request.headers["x-work"])),
+        closePool() {},
+        countConnections: () => 0,
+        close: () => Promise.resolve(),
+      },
+      crashCheck: { check: () => Promise.resolve("runs" as const) },
+      suspects: {
+        assess: () => ({ kind: "clear" }),
+        recordProbe() {},
+        recordCrash() {},
+        recordAnswer() {},
+        apply() {},
+        watch: () => () => {},
+        list: () => [],
+        stop() {},
+      },
+      permits,
+      limiter: new EqualShareLimiter(clock, () => 1),
+    });
+    return {
+      index,
+      registry,
+      handler,
+      report: () => {
+        ownReported = new Map(
+          registry.listAll().map(({ listed, load }) => [
+            listed.id,
+            load.getOwn(),
+          ]),
+        );
+        return ownReported;
+      },
+    };
+  }
+
+  function getSignals(jobs: readonly Job[]) {
+    const running = Math.min(options.slots, jobs.length);
+    const waiting = jobs.length - running;
+    return { ...NO_SIGNALS, load: { running, waiting, slots: options.slots } };
+  }
+
+  function send(id: string, workMs: number) {
+    const jobs = servers.get(id)!;
+    if (jobs.length >= SHED_UTILIZATION * options.slots) {
+      const signals = getSignals(jobs);
+      const result: ExchangeResult = {
+        kind: "not_run",
+        reason: "shed",
+        signals,
+      };
+      return { result: Promise.resolve(result), abort() {} };
+    }
+    let job: Job;
+    const result = new Promise<ExchangeResult>((resolve) => {
+      job = { workMs, resolve, endsAtMs: Infinity };
+      jobs.push(job);
+    });
+    return {
+      result,
+      abort: (reason: "timeout" | "client_left") => {
+        const index = jobs.indexOf(job);
+        if (index >= 0) jobs.splice(index, 1);
+        job.resolve({ kind: "lost", reason, detail: "" });
+      },
+    };
+  }
+
+  /** Ends the work that is due and starts what has a slot. */
+  function advanceServer(jobs: Job[]): void {
+    const nowMs = clock.monotonicMs();
+    for (const job of jobs.filter(({ endsAtMs }) => endsAtMs <= nowMs)) {
+      const signals = getSignals(jobs);
+      jobs.splice(jobs.indexOf(job), 1);
+      const answer = { status: 200, headers: {}, body: Buffer.alloc(0) };
+      job.resolve({ kind: "answer", answer, signals });
+    }
+    for (const job of jobs.slice(0, options.slots)) {
+      if (job.endsAtMs === Infinity) job.endsAtMs = nowMs + job.workMs;
+    }
+  }
+
+  function exchangeReports(): void {
+    const totals = new Map<string, number>();
+    for (const vm of vms) {
+      for (const [id, own] of vm.report()) {
+        totals.set(id, (totals.get(id) ?? 0) + own);
+      }
+    }
+    reported = totals;
+  }
+
+  async function advance(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+      clock.advance(STEP_MS);
+      if (clock.monotonicMs() % REPORT_INTERVAL_MS === 0) exchangeReports();
+      for (const jobs of servers.values()) advanceServer(jobs);
+      await nextTurn();
+    }
+  }
+
+  function request(vm: number, load: Load, signal?: AbortSignal) {
+    const isHit = random() < HIT_SHARE;
+    const workMs = load.workMs * (isHit ? HIT_WORK_SHARE : 1);
+    return vms[vm].handler.handle(makeRequest({
+      route: load.route,
+      account: load.account,
+      headers: { "x-work": `${workMs}` },
+      metadata: {
+        requestId: "q",
+        deadlineMs: undefined,
+        objectKey: `${Math.floor(random() * OBJECTS)}`,
+        callerKey: undefined,
+        apiKey: undefined,
+      },
+      arrivedAtMs: clock.monotonicMs(),
+      ...(signal === undefined ? {} : { signal }),
+    }));
+  }
+
+  /**
+   * Sends loads to random VMs and waits for all answers.
+   *
+   * @param loads The loads.
+   * @param durationMs Time for which requests arrive.
+   * @returns The outcome of each load.
+   */
+  async function run(loads: Load[], durationMs: number): Promise<Outcome[]> {
+    const outcomes = loads.map(() => ({
+      requests: 0,
+      inTime: 0,
+      late: 0,
+      unanswered: 0,
+      valueShare: 0,
+    }));
+    const startMs = clock.monotonicMs();
+    const dueMs = loads.map(() => startMs);
+
+    function record(index: number, sentAtMs: number, result: ServeResult) {
+      const tookMs = clock.monotonicMs() - sentAtMs;
+      const { targetLatencyMs } = loads[index].route;
+      if (result.kind !== "answer") outcomes[index].unanswered++;
+      else if (tookMs <= targetLatencyMs) outcomes[index].inTime++;
+      else outcomes[index].late++;
+    }
+
+    for (let atMs = startMs; atMs < startMs + durationMs; atMs += STEP_MS) {
+      loads.forEach((load, index) => {
+        while (dueMs[index] <= atMs) {
+          dueMs[index] += drawExponential(
+            random,
+            1_000 / load.getRatePerS(atMs - startMs),
+          );
+          outcomes[index].requests++;
+          const vm = Math.floor(random() * options.vms);
+          void request(vm, load).then((result) => record(index, atMs, result));
+        }
+      });
+      await advance(STEP_MS);
+    }
+    await advance(5_000);
+    return outcomes.map((outcome) => ({
+      ...outcome,
+      valueShare: (outcome.inTime + 0.2 * outcome.late) / outcome.requests,
+    }));
+  }
+
+  return { clock, vms, servers, advance, request, run };
+}
--- /dev/null
+++ b/src/queueing/queueing_test.ts
@@ -0,0 +1,71 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { makeConfiguration, makeRoute } from "../gateway/fixture.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { computeMaxUtilization } from "./thresholds.ts";
+import {
+  createUrgentDemand,
+  getPriority,
+  listCompetingPriorities,
+} from "./urgency.ts";
+
+const ACCOUNT = { name: "a", keyDigests: [], homeRegions: [], burst: 1 };
+
+// Guards against a change for services where nothing competes.
+test("without more urgent demand the limit is that of the latency model", () => {
+  for (const slots of [1, 3, 9]) {
+    assert.is(computeMaxUtilization(2.5, slots, 0), 2.5);
+  }
+});
+
+// Guards against a rule that starves a priority or serves it before a more
+// urgent one.
+test("limits fall with each more urgent priority, and idle servers accept all", () => {
+  for (const slots of [1, 2, 3, 5, 9]) {
+    let previous = 3.2;
+    for (let moreUrgent = 1; moreUrgent < 8; moreUrgent++) {
+      const limit = computeMaxUtilization(3.2, slots, moreUrgent);
+      assert.ok(limit <= previous && limit >= 1 / slots, `${slots}: ${limit}`);
+      previous = limit;
+    }
+  }
+  assert.is(computeMaxUtilization(3.2, 3, 1), 2 / 3);
+  assert.is(computeMaxUtilization(3.2, 3, 2), 0.5);
+  assert.is(computeMaxUtilization(0.5, 3, 1), 0.5);
+});
+
+test("an account's priority overrides that of the route", () => {
+  const route = makeRoute({ priority: 2 });
+  assert.is(getPriority(route, undefined), 2);
+  assert.is(getPriority(route, ACCOUNT), 2);
+  assert.is(getPriority(route, { ...ACCOUNT, priority: 0 }), 0);
+});
+
+test("priorities compete within a service, and accounts' in all of them", () => {
+  const configuration = makeConfiguration([
+    makeRoute({ priority: 3 }),
+    makeRoute({ priority: 1, shares: [{ service: "t", weight: 1 }] }),
+  ]);
+  assert.equal(listCompetingPriorities(configuration, "s"), [3]);
+  const accounts = [{ ...ACCOUNT, priority: 3 }, { ...ACCOUNT, priority: 0 }];
+  const withAccounts = { ...configuration, accounts };
+  assert.equal(listCompetingPriorities(withAccounts, "s"), [0, 3]);
+  assert.equal(listCompetingPriorities(withAccounts, "t"), [0, 1, 3]);
+});
+
+// Guards against slots that stay reserved after urgent demand has ended.
+test("urgent demand counts for five seconds, for its own service", () => {
+  const clock = createFakeClock();
+  const demand = createUrgentDemand(clock);
+  demand.record("s", 1);
+  clock.advance(4_999);
+  assert.ok(demand.hasMoreUrgent("s", 2));
+  assert.not(demand.hasMoreUrgent("s", 1));
+  assert.not(demand.hasMoreUrgent("t", 2));
+  assert.is(demand.list().length, 1);
+  clock.advance(1);
+  assert.not(demand.hasMoreUrgent("s", 2));
+  assert.equal(demand.list(), []);
+});
+
+test.run();
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -85,6 +85,7 @@
     fingerprint: "a request",
     service: "s",
     objectKey: "17",
+    priority: 1,
     usesObjectCache: true,
     deadlineAtMs: 1_000,
     triedServers: new Set(),
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -4,12 +4,14 @@
  *
  * @module
  */
-import { chooseServer } from "../placement/choose.ts";
+import { chooseServer, type PlacementRequest } from "../placement/choose.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
 import type { CacheSizeEstimator } from "../placement/cache_size.ts";
 import { rankRegions, type RegionShare } from "../placement/shares.ts";
+import { computeMaxUtilization } from "../queueing/thresholds.ts";
+import type { UrgentDemand } from "../queueing/urgency.ts";
 import type { ServiceSettings } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
@@ -33,6 +35,9 @@
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
+  urgentDemand: UrgentDemand;
+  /** Returns the priorities that compete for a service, in ascending order. */
+  getCompetingPriorities: (service: string) => readonly number[];
   /** Returns the settings of a service in the active configuration. */
   getServiceSettings: (service: string) => ServiceSettings | undefined;
 }
@@ -89,10 +94,18 @@
       ? []
       : [ranking.rank(service, region, objectKey)];
     const throttled: ListedServer[] = [];
-    const placement = {
+    const latencyLimit = latencyModel.getMaxUtilization(route);
+    const moreUrgent = listMoreUrgent(progress);
+    const placement: PlacementRequest = {
       candidates,
       tried: triedServers,
-      maxUtilization: latencyModel.getMaxUtilization(route),
+      maxUtilization: latencyLimit,
+      ...(moreUrgent.length > 0
+        ? {
+          getMaxUtilization: (slots) =>
+            computeMaxUtilization(latencyLimit, slots, moreUrgent.length),
+        }
+        : {}),
       maxCacheMissQueue: progress.usesObjectCache
         ? latencyModel.getMaxCacheMissQueue(
           route,
@@ -100,9 +113,9 @@
         )
         : Infinity,
       coldRatePerS: options.getServiceSettings(service)?.coldRequestsPerS ?? 0,
-      hasCachedObject: (id: string) => hasCachedObject(progress, id),
-      isRateLimited: ({ listed }: KnownServer) => permits.isRateLimited(listed),
-      takePermit({ listed }: KnownServer) {
+      hasCachedObject: (id) => hasCachedObject(progress, id),
+      isRateLimited: ({ listed }) => permits.isRateLimited(listed),
+      takePermit({ listed }) {
         const isTaken = permits.take(listed);
         if (!isTaken) throttled.push(listed);
         return isTaken;
@@ -114,6 +127,9 @@
       service,
       objectKey,
       region,
+      ...(moreUrgent.length > 0
+        ? { priority: progress.priority, moreUrgent }
+        : {}),
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
         : {}),
@@ -142,6 +158,17 @@
     return { kind: "placed", server, isCached };
   }
 
+  /**
+   * @returns Priorities that slots are left free for: the more urgent ones that
+   *   compete for the service, if a request of one was seen lately.
+   */
+  function listMoreUrgent({ service, priority }: RequestProgress): number[] {
+    if (!options.urgentDemand.hasMoreUrgent(service, priority)) return [];
+    return options.getCompetingPriorities(service).filter((other) =>
+      other < priority
+    );
+  }
+
   function hasCachedObject(
     progress: RequestProgress,
     serverId: string,
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -9,6 +9,7 @@
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
+import { createUrgentDemand } from "../queueing/urgency.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import type { ListedServer } from "../servers/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
@@ -49,6 +50,8 @@
     latencyModel: createLatencyModel(),
     cacheModel: createObjectCacheModel(),
     cacheSizeEstimator: createCacheSizeEstimator(),
+    urgentDemand: createUrgentDemand(clock),
+    getCompetingPriorities: () => [1],
     getServiceSettings: () => undefined,
   });
 }
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -10,6 +10,8 @@
 import type { RateLimiter } from "../limits/limiter.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
+import type { UrgentDemand } from "../queueing/urgency.ts";
+import { getPriority } from "../queueing/urgency.ts";
 import type { SuspectTracker } from "../quarantine/suspect_tracker.ts";
 import { mayRetry, type RequestAssessment } from "../quarantine/types.ts";
 import type { RetryBudget } from "../retries/budget.ts";
@@ -46,6 +48,7 @@
   budget: RetryBudget;
   splitter: Splitter;
   demand: DemandMeter;
+  urgentDemand: UrgentDemand;
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   exchange: Exchange;
@@ -131,6 +134,7 @@
     const { route } = request;
     budget.recordRequest(progress.service);
     options.demand.record(progress.service);
+    options.urgentDemand.record(progress.service, progress.priority);
     for (;;) {
       if (request.signal.aborted) return { kind: "client_left" };
       const assessment = suspects.assess(progress.fingerprint);
@@ -178,13 +182,14 @@
   }
 
   function createProgress(request: CallerRequest): RequestProgress {
-    const { route, metadata, arrivedAtMs } = request;
+    const { route, account, metadata, arrivedAtMs } = request;
     const deadlineMs = metadata.deadlineMs ?? DEFAULT_DEADLINE_MS;
     return {
       request,
       fingerprint: computeFingerprint(request),
       service: options.splitter.pickService(route),
       objectKey: metadata.objectKey ?? `unkeyed ${random()}`,
+      priority: getPriority(route, account),
       usesObjectCache: metadata.objectKey !== undefined && route.isSticky,
       deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
       triedServers: new Set(),
--- a/src/serving/request_progress.ts
+++ b/src/serving/request_progress.ts
@@ -12,6 +12,8 @@
   fingerprint: string;
   service: string;
   objectKey: string;
+  /** 0 is the most urgent. */
+  priority: number;
   /** Whether servers answer faster once they have cached the object. */
   usesObjectCache: boolean;
   /** Time by which the request has to end, on the monotonic clock. */
