Let requests that find all servers full wait in the VM

Change: where several priorities compete for a service, such a request waits in a p-queue per service, for at most an eighth of its target, if its response is expected within its target. The most urgent priority comes first, then accounts in turn, then the least remaining time. Waiting requests are tried again when an attempt ends, when the list of servers changes and by a timer. 32 requests and 4 MiB may wait in a VM; more urgent arrivals displace the last of the order. Refusals carry a Retry-After computed from the expected wait. A request that has or may have run never waits. Also: log lines "no wait" and "wait ended", metrics of waits, state dump fields.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -30,6 +30,7 @@
   listCompetingPriorities,
   type UrgentDemand,
 } from "../queueing/urgency.ts";
+import { createWaitQueue, type WaitQueue } from "../queueing/wait_queue.ts";
 import {
   createSuspectTracker,
   type SuspectTracker,
@@ -97,6 +98,7 @@
   exchange: Exchange;
   demandMeter: DemandMeter;
   urgentDemand: UrgentDemand;
+  waitQueue: WaitQueue;
   requestHandler: RequestHandler;
   callerCheck: CallerCheck;
   limiter: RateLimiter;
@@ -193,7 +195,9 @@
     if (update.fact?.kind === "configuration") {
       applyConfiguration(update.fact.configuration, update.version);
     }
+    const revision = registry.getRevision();
     registry.apply(update);
+    if (registry.getRevision() !== revision) waitQueue.notifyAll();
     if (
       previous?.kind === "server" && !isSameInstance(previous.server, update)
     ) {
@@ -229,6 +233,15 @@
     self.id,
   );
   const latencyModel = createLatencyModel();
+  const waitQueue = createWaitQueue({
+    clock,
+    log,
+    random,
+    registry,
+    runTimes,
+    latencyModel,
+    getCompetingPriorities,
+  });
   const suspects = createSuspectTracker({
     clock,
     log,
@@ -298,6 +311,7 @@
     splitter: createSplitter(),
     demand: demandMeter,
     urgentDemand,
+    waitQueue,
     latencyModel,
     cacheModel,
     exchange,
@@ -312,6 +326,7 @@
     exchange,
     demandMeter,
     urgentDemand,
+    waitQueue,
     requestHandler,
     callerCheck,
     limiter,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -298,6 +298,7 @@
       usageSharing.stop();
       serverLimitSharing.stop();
       core.suspects.stop();
+      core.waitQueue.stop();
       return leave({
         clock,
         log,
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -83,5 +83,34 @@
       help: "Configuration in force; 0 before the first",
       read: () => core.getRoutes()?.configuration.version ?? 0,
     },
+    waiting_requests: {
+      help: "Requests that wait for a slot of a backend server",
+      read: () => core.waitQueue.getStats().waiting,
+    },
+    waiting_bytes: {
+      help: "Bytes of the bodies of waiting requests",
+      read: () => core.waitQueue.getStats().waitingBytes,
+    },
+  }, {
+    waits_placed_total: {
+      help: "Requests that were sent to a server after they had waited",
+      read: () => core.waitQueue.getStats().ended.placed,
+    },
+    waits_refused_total: {
+      help: "Requests that were refused after they had waited",
+      read: () => core.waitQueue.getStats().ended.refused,
+    },
+    waits_client_left_total: {
+      help: "Waiting requests whose client disconnected",
+      read: () => core.waitQueue.getStats().ended.client_left,
+    },
+    waits_displaced_total: {
+      help: "Waiting requests that more urgent ones displaced",
+      read: () => core.waitQueue.getStats().displaced,
+    },
+    waits_not_admitted_total: {
+      help: "Requests that found all servers full and were refused at once",
+      read: () => core.waitQueue.getStats().notAdmitted,
+    },
   });
 }
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -62,6 +62,7 @@
     ),
     suspects: core.suspects.list(),
     urgentDemand: core.urgentDemand.list(),
+    waitQueue: core.waitQueue.getStats(),
     members: memberTable.listKnown(),
     openRequests,
   };
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -229,8 +229,13 @@
  * that has to queue first times out after it has occupied a slot for as long as
  * one that succeeds. With misses accepted up to two requests per slot, three
  * quarters of the servers' time went to requests that timed out.
+ *
+ * @param server The server.
+ * @param placement The request's limits.
+ * @param isCached Whether the server is expected to have the object cached.
+ * @returns The limit in requests per slot.
  */
-function getMaxUtilization(
+export function getMaxUtilization(
   { load }: KnownServer,
   placement: PlacementRequest,
   isCached: boolean,
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -31,6 +31,7 @@
 import { createRequestHandler } from "../serving/request_handler.ts";
 import type { ExchangeResult, ServeResult } from "../serving/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
+import { createWaitQueue } from "./wait_queue.ts";
 import { createUrgentDemand } from "./urgency.ts";
 
 /** Requests of one kind. */
@@ -38,10 +39,14 @@
   route: Route;
   workMs: number;
   account?: ClientAccount;
+  bodyBytes?: number;
   /** @returns Arrivals per second at a time. */
   getRatePerS: (atMs: number) => number;
 }
 
+/** A request with fixed work, for tests that send single requests. */
+export type SingleRequest = Omit<Load, "getRatePerS">;
+
 /** What became of the requests of one load. */
 export interface Outcome {
   requests: number;
@@ -135,6 +140,16 @@
     const cacheSizeEstimator = createCacheSizeEstimator();
     const permits = makeUnlimitedPermits();
     const urgentDemand = createUrgentDemand(clock);
+    const getCompetingPriorities = () => options.competingPriorities;
+    const waitQueue = createWaitQueue({
+      clock,
+      log,
+      random,
+      registry,
+      runTimes,
+      latencyModel,
+      getCompetingPriorities,
+    });
     const handler = createRequestHandler({
       clock,
       log,
@@ -152,7 +167,7 @@
         cacheModel,
         cacheSizeEstimator,
         urgentDemand,
-        getCompetingPriorities: () => options.competingPriorities,
+        getCompetingPriorities,
         getServiceSettings: () => undefined,
       }),
       observer: createAttemptObserver({
@@ -170,6 +185,7 @@
       splitter: { pickService: () => "s" },
       demand: createDemandMeter(clock),
       urgentDemand,
+      waitQueue,
       latencyModel,
       cacheModel,
       exchange: {
@@ -196,6 +212,7 @@
       index,
       registry,
       handler,
+      waitQueue,
       report: () => {
         ownReported = new Map(
           registry.listAll().map(({ listed, load }) => [
@@ -273,13 +290,13 @@
     }
   }
 
-  function request(vm: number, load: Load, signal?: AbortSignal) {
-    const isHit = random() < HIT_SHARE;
-    const workMs = load.workMs * (isHit ? HIT_WORK_SHARE : 1);
+  /** Gives a request to a VM. */
+  function request(vm: number, load: SingleRequest, signal?: AbortSignal) {
     return vms[vm].handler.handle(makeRequest({
       route: load.route,
       account: load.account,
-      headers: { "x-work": `${workMs}` },
+      body: Buffer.alloc(load.bodyBytes ?? 0),
+      headers: { "x-work": `${load.workMs}` },
       metadata: {
         requestId: "q",
         deadlineMs: undefined,
@@ -327,7 +344,10 @@
           );
           outcomes[index].requests++;
           const vm = Math.floor(random() * options.vms);
-          void request(vm, load).then((result) => record(index, atMs, result));
+          const isHit = random() < HIT_SHARE;
+          const workMs = load.workMs * (isHit ? HIT_WORK_SHARE : 1);
+          void request(vm, { ...load, workMs })
+            .then((result) => record(index, atMs, result));
         }
       });
       await advance(STEP_MS);
@@ -341,3 +361,12 @@
 
   return { clock, vms, servers, advance, request, run };
 }
+
+/**
+ * @param name Name of the account.
+ * @param priority Its priority.
+ * @returns An account without a rate limit.
+ */
+export function makeAccount(name: string, priority: number): ClientAccount {
+  return { name, priority, keyDigests: [], homeRegions: [], burst: 1 };
+}
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -90,6 +90,8 @@
     deadlineAtMs: 1_000,
     triedServers: new Set(),
     lastUtilization: Infinity,
+    prospect: undefined,
+    wait: undefined,
     fallback: undefined,
     lost: undefined,
     ...changes,
--- a/src/serving/latency_model.ts
+++ b/src/serving/latency_model.ts
@@ -38,6 +38,17 @@
    *   and misses can't be distinguished.
    */
   wasCached(route: Route, tookMs: number): boolean | undefined;
+  /**
+   * @param route The route.
+   * @param isCached Whether the object is cached; undefined where the route
+   *   doesn't use the object cache or it is unknown.
+   * @returns Expected duration of an attempt at a server that has a free slot;
+   *   undefined before the first answer.
+   */
+  getExpectedMs(
+    route: Route,
+    isCached: boolean | undefined,
+  ): number | undefined;
   /**
    * @param route The route.
    * @returns Utilization, in requests per slot, up to which a server is
@@ -142,6 +153,12 @@
       if (missMs < MIN_MISS_TO_HIT_RATIO * hitMs) return undefined;
       return tookMs < Math.sqrt(missMs * hitMs);
     },
+    getExpectedMs(route, isCached) {
+      const key = makeRouteKey(route);
+      const meanMs = serviceMs.get(key);
+      if (isCached === undefined) return meanMs;
+      return (isCached ? cacheHitMs : cacheMissMs).get(key) ?? meanMs;
+    },
     getMaxUtilization(route) {
       const meanMs = serviceMs.get(makeRouteKey(route));
       if (meanMs === undefined) return DEFAULT_MAX_UTILIZATION;
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -4,13 +4,18 @@
  *
  * @module
  */
-import { chooseServer, type PlacementRequest } from "../placement/choose.ts";
+import {
+  chooseServer,
+  getMaxUtilization,
+  type PlacementRequest,
+} from "../placement/choose.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
 import type { CacheSizeEstimator } from "../placement/cache_size.ts";
 import { rankRegions, type RegionShare } from "../placement/shares.ts";
 import { computeMaxUtilization } from "../queueing/thresholds.ts";
+import type { SlotProspect } from "../queueing/wait_decision.ts";
 import type { UrgentDemand } from "../queueing/urgency.ts";
 import type { ServiceSettings } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -56,6 +61,11 @@
   reason: RefusalReason;
   /** When capacity is expected; undefined where that is unknown. */
   retryAfterMs?: number;
+  /**
+   * When a slot is expected where all servers are full; absent where none of
+   * them can be expected to accept the request.
+   */
+  prospect?: SlotProspect;
 }
 
 /** Selects servers for attempts. */
@@ -67,6 +77,9 @@
   place(progress: RequestProgress): PlacedAttempt | PlacementFailure;
 }
 
+/** Servers that share an object, which a waiting request gets a slot of. */
+const WAIT_CANDIDATES = 2;
+
 /**
  * @param options Dependencies.
  * @returns A placer.
@@ -135,13 +148,17 @@
         : {}),
     };
     if (choice.kind !== "server") {
-      const uses = computeUtilizations(service);
-      const { maxUtilization: maxUse } = placement;
-      log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
+      // A waiting request fails many times; the end of its wait is logged.
+      if (!progress.wait?.isWaiting) {
+        const uses = computeUtilizations(service);
+        const { maxUtilization: maxUse } = placement;
+        log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
+      }
       if (throttled.length > 0) {
         return refuse("throttled", permits.getWaitMs(throttled));
       }
-      return refuse(choice.kind === "full" ? "all_full" : "no_server");
+      if (choice.kind === "none") return refuse("no_server");
+      return { ...refuse("all_full"), prospect: computeProspect(placement) };
     }
     const { server, rank, utilization, isCached } = choice;
     log.info(
@@ -169,6 +186,35 @@
     );
   }
 
+  /**
+   * Estimates when one of the servers that share the object accepts a request.
+   * A server does once enough of its requests have ended.
+   */
+  function computeProspect(
+    placement: PlacementRequest,
+  ): SlotProspect | undefined {
+    const nowMs = clock.monotonicMs();
+    const servers = placement.candidates.flat().filter((server) =>
+      !placement.tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
+      !server.health.isEjected() && permits.isValid(server.listed)
+    ).slice(0, WAIT_CANDIDATES);
+    if (servers.length === 0) return undefined;
+    let acceptsPerRun = 0;
+    let utilization = 0;
+    let isCached = false;
+    for (const server of servers) {
+      const isHit = placement.hasCachedObject(server.listed.id);
+      const limit = getMaxUtilization(server, placement, isHit);
+      const slots = server.load.getSlots();
+      const total = server.load.getTotal();
+      const endsNeeded = Math.floor(Math.max(0, total - limit * slots)) + 1;
+      acceptsPerRun += Math.min(slots, Math.max(1, total)) / endsNeeded;
+      utilization = Math.max(utilization, limit);
+      isCached ||= isHit;
+    }
+    return { waitRuns: 1 / acceptsPerRun, utilization, isCached };
+  }
+
   function hasCachedObject(
     progress: RequestProgress,
     serverId: string,
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -12,6 +12,7 @@
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
 import type { UrgentDemand } from "../queueing/urgency.ts";
 import { getPriority } from "../queueing/urgency.ts";
+import type { WaitQueue } from "../queueing/wait_queue.ts";
 import type { SuspectTracker } from "../quarantine/suspect_tracker.ts";
 import { mayRetry, type RequestAssessment } from "../quarantine/types.ts";
 import type { RetryBudget } from "../retries/budget.ts";
@@ -49,6 +50,7 @@
   splitter: Splitter;
   demand: DemandMeter;
   urgentDemand: UrgentDemand;
+  waitQueue: WaitQueue;
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   exchange: Exchange;
@@ -127,14 +129,23 @@
     budget,
     cacheModel,
     suspects,
+    waitQueue,
   } = options;
 
   async function handle(request: CallerRequest): Promise<ServeResult> {
     const progress = createProgress(request);
-    const { route } = request;
     budget.recordRequest(progress.service);
     options.demand.record(progress.service);
     options.urgentDemand.record(progress.service, progress.priority);
+    const result = await serve(progress);
+    const end = result.kind === "client_left" ? result.kind : "refused";
+    waitQueue.recordEnd(progress, end);
+    return result;
+  }
+
+  async function serve(progress: RequestProgress): Promise<ServeResult> {
+    const { request } = progress;
+    const { route } = request;
     for (;;) {
       if (request.signal.aborted) return { kind: "client_left" };
       const assessment = suspects.assess(progress.fingerprint);
@@ -145,6 +156,15 @@
       if (remainingMs < MIN_ATTEMPT_MS) return giveUp(progress, "too_late");
       const placed = options.placer.place(progress);
       if (placed.kind === "not_placed") {
+        // Only what has not run may wait.
+        if (placed.reason === "all_full" && !mayHaveRun(progress)) {
+          progress.prospect = placed.prospect;
+          const outcome = await waitQueue.wait(progress);
+          if (outcome === "try_again") continue;
+          if (outcome === "client_left") return { kind: "client_left" };
+          const retryAfterMs = waitQueue.getRetryAfterMs(progress);
+          return giveUp(progress, placed.reason, retryAfterMs);
+        }
         return giveUp(progress, placed.reason, placed.retryAfterMs);
       }
       if (assessment.kind === "suspect") {
@@ -194,6 +214,8 @@
       deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
       triedServers: new Set(),
       lastUtilization: Infinity,
+      prospect: undefined,
+      wait: undefined,
       fallback: undefined,
       lost: undefined,
     };
@@ -205,6 +227,7 @@
     remainingMs: number,
   ): Promise<NextStep> {
     const { request } = progress;
+    waitQueue.recordEnd(progress, "placed");
     progress.triedServers.add(server.listed.id);
     if (request.account !== undefined && mayHaveRun(progress)) {
       options.limiter.charge(request.account);
@@ -240,6 +263,7 @@
     });
     server.load.end();
     options.permits.end(server.listed, toPermitOutcome(result));
+    waitQueue.notify(progress.service);
     if (result.kind === "lost" && result.reason === "cut") {
       const checkDone = recordCut(progress, server);
       // A request that must not run twice isn't retried, so it doesn't wait.
--- a/src/serving/request_progress.ts
+++ b/src/serving/request_progress.ts
@@ -3,8 +3,19 @@
  *
  * @module
  */
+import type { SlotProspect } from "../queueing/wait_decision.ts";
 import type { CallerRequest, LossReason, ServerAnswer } from "./types.ts";
 
+/** State of a request that has waited for a slot. */
+export interface WaitState {
+  startedAtMs: number;
+  /** Latest end of the wait, on the monotonic clock. */
+  endsAtMs: number;
+  /** Number of times that it was queued. */
+  tries: number;
+  isWaiting: boolean;
+}
+
 /** A request that is being served. */
 export interface RequestProgress {
   request: CallerRequest;
@@ -25,6 +36,10 @@
    * infinite before the first attempt.
    */
   lastUtilization: number;
+  /** What it can expect where all its servers were full at the last attempt. */
+  prospect: SlotProspect | undefined;
+  /** Undefined if it has not waited for a slot. */
+  wait: WaitState | undefined;
   /** Answer to return if no retry gets a better one. */
   fallback: ServerAnswer | undefined;
   /** Why the last attempt that may have run has no answer. */
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -24,7 +24,8 @@
 }
 
 /**
- * Gauges by name without prefix, with a function that reads the current value.
+ * Gauges or counters by name without prefix, with a function that reads the
+ * current value.
  */
 export type GaugeDefinitions = Record<
   string,
@@ -49,9 +50,13 @@
 
 /**
  * @param gauges Gauges to expose besides the metrics of requests.
+ * @param counters Counters to expose, whose values only rise.
  * @returns The metrics, with all counters at zero.
  */
-export function createServingMetrics(gauges: GaugeDefinitions): ServingMetrics {
+export function createServingMetrics(
+  gauges: GaugeDefinitions,
+  counters: GaugeDefinitions = {},
+): ServingMetrics {
   const registry = new Registry();
   // Gauges come first: some collectors truncate long texts, and histograms are
   // long.
@@ -65,6 +70,17 @@
       },
     });
   }
+  for (const [name, { help, read }] of Object.entries(counters)) {
+    new Counter({
+      name: `hawthorngw_${name}`,
+      help,
+      registers: [registry],
+      collect() {
+        this.reset();
+        this.inc(read());
+      },
+    });
+  }
   const requestCounter = new Counter({
     name: "hawthorngw_requests_total",
     help: "Requests by kind, outcome and reason",
