Bound waits by the deadline, and tell refusals by priority apart

Cause: a request whose deadline is before its target could wait although it could not be answered in time. hawthorngw-explain counted requests that were refused while slots were left free as saturation. What callers saw: a refusal later than necessary, or in operators' tables a region that looked full. Change: the time left for a wait ends with the deadline if that is earlier. hawthorngw-explain has the cause "refused, slots left to more urgent".

--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -22,6 +22,8 @@
   /** Refused although another region had capacity. */
   | "refused, capacity elsewhere"
   | "refused, all saturated"
+  /** Slots were free in its region, and left to more urgent requests. */
+  | "refused, slots left to more urgent"
   /** Servers answered that they did not run it. */
   | "refused by servers"
   /** Its VM could not prove that the caller's key is still valid. */
@@ -46,6 +48,7 @@
   "late, other",
   "refused, capacity elsewhere",
   "refused, all saturated",
+  "refused, slots left to more urgent",
   "refused by servers",
   "refused, key unproven",
   "refused, throttled",
@@ -128,6 +131,12 @@
   if (reason !== "all_full" || last?.uses === undefined) {
     return "refused, other";
   }
+  const ownUtilization = last.uses[last.region ?? ""];
+  if (
+    last.moreUrgent.length > 0 && ownUtilization < SATURATION
+  ) {
+    return "refused, slots left to more urgent";
+  }
   const otherUtilizations = Object.entries(last.uses)
     .filter(([region]) => region !== last.region)
     .map(([, use]) => use);
--- a/src/explain/causes_test.ts
+++ b/src/explain/causes_test.ts
@@ -74,6 +74,28 @@
   });
 }
 
+// Guards against refusals by priority that are counted as saturation.
+test("a refusal that left free slots to more urgent requests is told apart", () => {
+  const choice = {
+    msg: "choose",
+    service: "s",
+    region: "oslo",
+    choice: "full",
+  };
+  for (
+    const [use, cause] of [
+      [0.7, "refused, slots left to more urgent"],
+      [1.2, "refused, all saturated"],
+    ] as const
+  ) {
+    const { requests } = gather(
+      { ...choice, uses: { oslo: use }, moreUrgent: [0] },
+      { msg: "request ended", targetMs: 200, ...refused },
+    );
+    assert.is(findCause(requests.get("q")!, MEDIANS), cause);
+  }
+});
+
 test("a server that is slow for all requests is distinguished from a cache miss", () => {
   const slow = { ...MEDIANS, serverMedianMs: () => 900 };
   const { requests } = gather(
--- a/src/explain/lines.ts
+++ b/src/explain/lines.ts
@@ -23,6 +23,8 @@
   isKnown: z.boolean().optional(),
   /** Utilization by region, if the request was refused. */
   uses: z.record(z.string(), z.number()).optional(),
+  /** Priorities that slots were left free for. */
+  moreUrgent: z.array(z.number()).default([]),
 });
 
 const attemptSchema = z.object({
--- a/src/queueing/wait_decision.ts
+++ b/src/queueing/wait_decision.ts
@@ -43,7 +43,10 @@
   serviceSlots: number;
   /** Waiting requests that come first. */
   ahead: number;
-  /** Time left of the target, counted from the arrival of the request. */
+  /**
+   * Time left of the target, counted from the arrival of the request, or until
+   * its deadline where that is earlier.
+   */
   targetLeftMs: number;
   /** Time left of the maximum wait. */
   waitLeftMs: number;
--- a/src/queueing/wait_queue.ts
+++ b/src/queueing/wait_queue.ts
@@ -168,7 +168,10 @@
         0,
       ),
       ahead: ahead ?? 0,
-      targetLeftMs: arrivedAtMs + route.targetLatencyMs - nowMs,
+      targetLeftMs: Math.min(
+        arrivedAtMs + route.targetLatencyMs,
+        progress.deadlineAtMs,
+      ) - nowMs,
       waitLeftMs: endsAtMs - nowMs,
       isWaiting: wait?.isWaiting ?? false,
     };
@@ -236,7 +239,7 @@
   async function enqueue(
     progress: RequestProgress,
     waitEntry: WaitEntry,
-    { waitLeftMs }: WaitInput,
+    { waitLeftMs, targetLeftMs }: WaitInput,
   ): Promise<WaitOutcome> {
     const { request, service } = progress;
     const { targetLatencyMs } = request.route;
@@ -254,7 +257,7 @@
     request.signal.addEventListener("abort", onClientLeft);
     const retryMs = getMaxWaitMs(targetLatencyMs) / TIMED_TRIES;
     const timer = clock.after(
-      Math.min(retryMs, waitLeftMs),
+      Math.min(retryMs, waitLeftMs, targetLeftMs),
       () => notify(service),
     );
     const { signal } = controller;
