--- a/src/queueing/wait_queue_test.ts
+++ b/src/queueing/wait_queue_test.ts
@@ -61,6 +61,24 @@
   assert.equal(results, ["answer"]);
 });
 
+// Guards against an account that fills the queue before others get a turn.
+test("an account that sends many requests waits behind one that sends a single one", async () => {
+  const { fleet, waitQueue, send } = await startFullVm();
+  await fleet.advance(200);
+  const burst = { ...UPLOAD, account: makeAccount("burst", 2) };
+  const usual = { ...UPLOAD, account: makeAccount("usual", 2) };
+  const burstResults = Array.from({ length: 6 }, () => send(burst));
+  const usualResult = send(usual);
+  await fleet.advance(5);
+  assert.is(waitQueue.getStats().waiting, 7);
+  await fleet.advance(200);
+  assert.is(waitQueue.getStats().ended.placed, 4);
+  await fleet.advance(700);
+  const answered = burstResults.flat().filter((result) => result === "answer");
+  assert.is(answered.length, 3);
+  assert.equal(usualResult, ["answer"]);
+});
+
 // Guards against requests that are held longer than callers were promised, or
 // that were sent and are reported as not run.
 test("a request waits an eighth of its target, and then it is refused unsent", async () => {
