--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -25,6 +25,12 @@
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
+import {
+  createUrgentDemand,
+  listCompetingPriorities,
+  type UrgentDemand,
+} from "../queueing/urgency.ts";
+import { createWaitQueue, type WaitQueue } from "../queueing/wait_queue.ts";
 import {
   createSuspectTracker,
   type SuspectTracker,
@@ -91,12 +97,16 @@
   registry: ServerRegistry;
   exchange: Exchange;
   demandMeter: DemandMeter;
+  urgentDemand: UrgentDemand;
+  waitQueue: WaitQueue;
   requestHandler: RequestHandler;
   callerCheck: CallerCheck;
   limiter: RateLimiter;
   limitShares: LimitShares;
   suspects: SuspectTracker;
   serverLimits: ServerLimits;
+  /** @returns Priorities that compete for a service, in ascending order. */
+  getCompetingPriorities(service: string): readonly number[];
   /** @returns The current routes; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
@@ -125,6 +135,8 @@
   const getServiceSettings = (service: string) =>
     routes?.getServiceSettings(service);
   const demandMeter = createDemandMeter(clock);
+  const urgentDemand = createUrgentDemand(clock);
+  const competingPriorities = new Map<string, readonly number[]>();
   const runTimes = createRunTimes();
   const random = createRandom(makeSeed(self));
   const countKnownVms = () => memberTable.countKnown() + 1;
@@ -147,6 +159,15 @@
     running: options.running,
     runTimes,
   });
+  function getCompetingPriorities(service: string): readonly number[] {
+    if (routes === undefined) return [];
+    const known = competingPriorities.get(service);
+    if (known !== undefined) return known;
+    const priorities = listCompetingPriorities(routes.configuration, service);
+    competingPriorities.set(service, priorities);
+    return priorities;
+  }
+
   const exchange = createExchange(codec, getConnectionLimit);
 
   function getConnectionLimit(server: ListedServer): number {
@@ -165,6 +186,7 @@
   ): void {
     const { version } = configuration;
     routes = createRouteTable(configuration);
+    competingPriorities.clear();
     log.info(
       { version, source, routes: configuration.routes.length },
       "configuration in force",
@@ -175,7 +197,9 @@
     if (update.fact?.kind === "configuration") {
       applyConfiguration(update.fact.configuration, update.version);
     }
+    const revision = registry.getRevision();
     registry.apply(update);
+    if (registry.getRevision() !== revision) waitQueue.notifyAll();
     if (
       previous?.kind === "server" && !isSameInstance(previous.server, update)
     ) {
@@ -211,6 +235,15 @@
     self.id,
   );
   const latencyModel = createLatencyModel();
+  const waitQueue = createWaitQueue({
+    clock,
+    log,
+    random,
+    registry,
+    runTimes,
+    latencyModel,
+    getCompetingPriorities,
+  });
   const suspects = createSuspectTracker({
     clock,
     log,
@@ -239,6 +272,8 @@
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
+    urgentDemand,
+    getCompetingPriorities,
     getServiceSettings,
   });
   const limitShares = createLimitShares(clock, countKnownVms);
@@ -278,6 +313,8 @@
     budget,
     splitter: createSplitter(),
     demand: demandMeter,
+    urgentDemand,
+    waitQueue,
     latencyModel,
     cacheModel,
     exchange,
@@ -291,12 +328,15 @@
     registry,
     exchange,
     demandMeter,
+    urgentDemand,
+    waitQueue,
     requestHandler,
     callerCheck,
     limiter,
     limitShares,
     suspects,
     serverLimits,
+    getCompetingPriorities,
     getRoutes: () => routes,
   };
 }
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -61,6 +61,8 @@
       dumpServer(server, core.registry)
     ),
     suspects: core.suspects.list(),
+    urgentDemand: core.urgentDemand.list(),
+    waitQueue: core.waitQueue.getStats(),
     members: memberTable.listKnown(),
     openRequests,
   };
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -4,12 +4,19 @@
  *
  * @module
  */
-import { chooseServer } from "../placement/choose.ts";
+import {
+  chooseServer,
+  getMaxUtilization,
+  type PlacementRequest,
+} from "../placement/choose.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
 import type { CacheSizeEstimator } from "../placement/cache_size.ts";
 import { rankRegions, type RegionShare } from "../placement/shares.ts";
+import { computeMaxUtilization } from "../queueing/thresholds.ts";
+import type { SlotProspect } from "../queueing/wait_decision.ts";
+import type { UrgentDemand } from "../queueing/urgency.ts";
 import type { Route, ServiceSettings } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
@@ -35,6 +42,9 @@
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
+  urgentDemand: UrgentDemand;
+  /** Returns the priorities that compete for a service, in ascending order. */
+  getCompetingPriorities: (service: string) => readonly number[];
   /** Returns the settings of a service in the active configuration. */
   getServiceSettings: (service: string) => ServiceSettings | undefined;
 }
@@ -53,6 +63,11 @@
   reason: RefusalReason;
   /** When capacity is expected; undefined where that is unknown. */
   retryAfterMs?: number;
+  /**
+   * When a slot is expected where all servers are full; absent where none of
+   * them can be expected to accept the request.
+   */
+  prospect?: SlotProspect;
 }
 
 /** Selects servers for attempts. */
@@ -64,6 +79,9 @@
   place(progress: RequestProgress): PlacedAttempt | PlacementFailure;
 }
 
+/** Servers that share an object, which a waiting request gets a slot of. */
+const WAIT_CANDIDATES = 2;
+
 /**
  * @param options Dependencies.
  * @returns A placer.
@@ -91,10 +109,18 @@
       ? []
       : listCandidates(route, ranking.rank(service, region, objectKey));
     const throttled: ListedServer[] = [];
-    const placement = {
+    const latencyLimit = latencyModel.getMaxUtilization(route);
+    const moreUrgent = listMoreUrgent(progress);
+    const placement: PlacementRequest = {
       candidates,
       tried: triedServers,
-      maxUtilization: latencyModel.getMaxUtilization(route),
+      maxUtilization: latencyLimit,
+      ...(moreUrgent.length > 0
+        ? {
+          getMaxUtilization: (slots) =>
+            computeMaxUtilization(latencyLimit, slots, moreUrgent.length),
+        }
+        : {}),
       maxCacheMissQueue: progress.usesObjectCache
         ? latencyModel.getMaxCacheMissQueue(
           route,
@@ -102,9 +128,9 @@
         )
         : Infinity,
       coldRatePerS: options.getServiceSettings(service)?.coldRequestsPerS ?? 0,
-      hasCachedObject: (id: string) => hasCachedObject(progress, id),
-      isRateLimited: ({ listed }: KnownServer) => permits.isRateLimited(listed),
-      takePermit({ listed }: KnownServer) {
+      hasCachedObject: (id) => hasCachedObject(progress, id),
+      isRateLimited: ({ listed }) => permits.isRateLimited(listed),
+      takePermit({ listed }) {
         const isTaken = permits.take(listed);
         if (!isTaken) throttled.push(listed);
         return isTaken;
@@ -116,18 +142,25 @@
       service,
       objectKey,
       region,
+      ...(moreUrgent.length > 0
+        ? { priority: progress.priority, moreUrgent }
+        : {}),
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
         : {}),
     };
     if (choice.kind !== "server") {
-      const uses = computeUtilizations(service);
-      const { maxUtilization: maxUse } = placement;
-      log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
+      // A waiting request fails many times; the end of its wait is logged.
+      if (!progress.wait?.isWaiting) {
+        const uses = computeUtilizations(service);
+        const { maxUtilization: maxUse } = placement;
+        log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
+      }
       if (throttled.length > 0) {
         return refuse("throttled", permits.getWaitMs(throttled));
       }
-      return refuse(choice.kind === "full" ? "all_full" : "no_server");
+      if (choice.kind === "none") return refuse("no_server");
+      return { ...refuse("all_full"), prospect: computeProspect(placement) };
     }
     const { server, rank, utilization, isCached } = choice;
     log.info(
@@ -159,6 +192,46 @@
     return [inOwnDomain, ranked];
   }
 
+  /**
+   * @returns Priorities that slots are left free for: the more urgent ones that
+   *   compete for the service, if a request of one was seen lately.
+   */
+  function listMoreUrgent({ service, priority }: RequestProgress): number[] {
+    if (!options.urgentDemand.hasMoreUrgent(service, priority)) return [];
+    return options.getCompetingPriorities(service).filter((other) =>
+      other < priority
+    );
+  }
+
+  /**
+   * Estimates when one of the servers that share the object accepts a request.
+   * A server does once enough of its requests have ended.
+   */
+  function computeProspect(
+    placement: PlacementRequest,
+  ): SlotProspect | undefined {
+    const nowMs = clock.monotonicMs();
+    const servers = [...new Set(placement.candidates.flat())].filter((server) =>
+      !placement.tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
+      !server.health.isEjected() && permits.isValid(server.listed)
+    ).slice(0, WAIT_CANDIDATES);
+    if (servers.length === 0) return undefined;
+    let acceptsPerRun = 0;
+    let utilization = 0;
+    let isCached = false;
+    for (const server of servers) {
+      const isHit = placement.hasCachedObject(server.listed.id);
+      const limit = getMaxUtilization(server, placement, isHit);
+      const slots = server.load.getSlots();
+      const total = server.load.getTotal();
+      const endsNeeded = Math.floor(Math.max(0, total - limit * slots)) + 1;
+      acceptsPerRun += Math.min(slots, Math.max(1, total)) / endsNeeded;
+      utilization = Math.max(utilization, limit);
+      isCached ||= isHit;
+    }
+    return { waitRuns: 1 / acceptsPerRun, utilization, isCached };
+  }
+
   function hasCachedObject(
     progress: RequestProgress,
     serverId: string,
