Give hot objects further copies where caches have room

Cause: each object has two servers in a region, whatever its demand. Servers of three to five slots are saturated by a hot object while their caches could hold eight copies of each. What callers saw: refusals and late answers for hot objects in bursts, although other servers of the region had free slots. Change: the number of copies is computed from the learned cache size, the distinct objects requested in the region, its servers and the object's demand. A further copy is used once the previous ones are saturated. The cache size counts as learned up to depths that hits prove, since the estimator's initial 128 is only a bound. Where memory is short, and until the size is learned, each choice is as before. The placement tests state two copies where they build a request. cache_size_test, choose_test.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -19,9 +19,11 @@
 import type { FreshnessTracker } from "../news/freshness.ts";
 import type { FactUpdate } from "../news/types.ts";
 import type { FactVersion } from "../news/version.ts";
+import { type CopyPlan, createCopyPlan } from "../placement/copy_plan.ts";
 import { createDemandSmoother } from "../placement/demand_smoothing.ts";
 import { createRegionStatsReader } from "../placement/region_stats.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
+import { createObjectDemand } from "../placement/object_demand.ts";
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
@@ -97,6 +99,7 @@
   limitShares: LimitShares;
   suspects: SuspectTracker;
   serverLimits: ServerLimits;
+  copyPlan: CopyPlan;
   /** @returns The current routes; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
@@ -223,6 +226,16 @@
     forget: (updates) => void factStore.apply(updates),
   });
   factStore.subscribe(suspects.apply);
+  const objectDemand = createObjectDemand({ clock, registry });
+  cacheModel.subscribe(objectDemand.record);
+  const copyPlan = createCopyPlan({
+    clock,
+    ownRegion: self.region,
+    registry,
+    cacheSizeEstimator,
+    demand: objectDemand,
+    runTimes,
+  });
   const placer = createPlacer({
     clock,
     log,
@@ -238,6 +251,7 @@
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
+    copyPlan,
     getServiceSettings,
   });
   const limitShares = createLimitShares(clock, countKnownVms);
@@ -296,6 +310,7 @@
     limitShares,
     suspects,
     serverLimits,
+    copyPlan,
     getRoutes: () => routes,
   };
 }
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -15,6 +15,9 @@
 /** Reported as the age of facts before there are any. */
 const UNKNOWN_AGE_MS = 1_000_000_000;
 
+/** Reported where there is room for more copies, or no service. */
+const MAX_REPORTED_COPIES = 8;
+
 /**
  * @param core The core of the gateway.
  * @param factStore The facts.
@@ -67,6 +70,14 @@
       help: "Backend servers with a rate limit",
       read: () => core.serverLimits.rateLimits.count(),
     },
+    object_copies_room: {
+      help: "Least number of copies of all objects that caches have room for",
+      read: () =>
+        Math.min(
+          ...core.copyPlan.list().map(({ roomCopies }) => roomCopies),
+          MAX_REPORTED_COPIES,
+        ),
+    },
     vms: { help: "VMs that serve, as seen here", read: countServingVms },
     suspect_requests: {
       help: "Requests under which backend servers ended lately",
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -56,6 +56,7 @@
     serverRateLimits: core.serverLimits.rateLimits.list(),
     serverBackoffs: core.serverLimits.backoffs.list(),
     serverLimitPart: core.serverLimits.limitShares.getShare(),
+    objectCaches: core.copyPlan.list(),
     evacuated: core.registry.listEvacuated(),
     servers: core.registry.listAll().map((server) =>
       dumpServer(server, core.registry)
--- a/src/placement/cache_size.ts
+++ b/src/placement/cache_size.ts
@@ -25,6 +25,13 @@
    * @returns The estimated number of objects that each of its servers caches.
    */
   getCacheSize(service: string): number;
+  /**
+   * @param service The name of the service.
+   * @returns The number of objects that answers show each of its servers to
+   *   cache, and up to 1.6 times as many where none shows a miss; undefined until
+   *   there are enough answers.
+   */
+  getLearnedCacheSize(service: string): number | undefined;
 }
 
 /**
@@ -35,6 +42,16 @@
 const HALF_LIFE_ANSWERS = 256;
 /** Lower bound: the object requested last is cached whatever latencies suggest. */
 const MIN_CACHE_SIZE = 2;
+/** Answers from which a size counts as learned. */
+const MIN_LEARNED_ANSWERS = 64;
+/**
+ * Ratio of the learned size to the largest one that cache hits show. Servers
+ * whose caches are not full never show a miss; without a margin, they would
+ * never be given the further copies that show that they cache more. With a
+ * ratio of 1.5, caches with room for eight copies were never given a third; with
+ * 1.75, caches with room for 2.2 copies were.
+ */
+const MAX_UNPROVEN_RATIO = 1.6;
 
 /** Recorded answers of one service. */
 interface Evidence {
@@ -42,6 +59,8 @@
   balance: Float64Array;
   answers: number;
   cacheSize: number;
+  /** Largest size that cache hits show. */
+  provenSize: number;
 }
 
 /**
@@ -58,6 +77,7 @@
       balance: new Float64Array(MAX_TRACKED_OBJECTS),
       answers: 0,
       cacheSize: MAX_TRACKED_OBJECTS,
+      provenSize: 0,
     };
     evidenceByService.set(service, evidence);
     return evidence;
@@ -70,10 +90,22 @@
       evidence.balance[depth] += wasCached ? 1 : -1;
       evidence.answers++;
       if (evidence.answers % HALF_LIFE_ANSWERS === 0) halve(evidence.balance);
-      evidence.cacheSize = estimateCacheSize(evidence.balance);
+      evidence.provenSize = findProvenSize(evidence.balance);
+      evidence.cacheSize = estimateCacheSize(
+        evidence.balance,
+        evidence.provenSize,
+      );
     },
     getCacheSize: (service) =>
       evidenceByService.get(service)?.cacheSize ?? MAX_TRACKED_OBJECTS,
+    getLearnedCacheSize(service) {
+      const evidence = evidenceByService.get(service);
+      if (evidence === undefined || evidence.answers < MIN_LEARNED_ANSWERS) {
+        return undefined;
+      }
+      const { cacheSize, provenSize } = evidence;
+      return Math.min(cacheSize, MAX_UNPROVEN_RATIO * provenSize);
+    },
   };
 }
 
@@ -83,11 +115,9 @@
 
 /**
  * Returns the cache size that contradicts the fewest answers: most objects
- * below that depth were cached, and most from there on were not. The estimate
- * extends over depths without evidence of misses, so that no object is taken to
- * be evicted unless an answer shows it.
+ * below that depth were cached, and most from there on were not.
  */
-function estimateCacheSize(balance: Float64Array): number {
+function findProvenSize(balance: Float64Array): number {
   let sum = 0;
   let bestSum = 0;
   let best = 0;
@@ -97,6 +127,15 @@
     bestSum = sum;
     best = size;
   }
+  return best;
+}
+
+/**
+ * Extends the proven size over depths without evidence of misses, so that no
+ * object is taken to be evicted unless an answer shows it.
+ */
+function estimateCacheSize(balance: Float64Array, provenSize: number): number {
+  let best = provenSize;
   while (best < balance.length && balance[best] >= 0) best++;
   return Math.max(MIN_CACHE_SIZE, best);
 }
--- a/src/placement/cache_size_test.ts
+++ b/src/placement/cache_size_test.ts
@@ -17,6 +17,20 @@
   assert.is(estimator.getCacheSize("other"), MAX_TRACKED_OBJECTS);
 });
 
+/** Guards against the initial bound being used as a size. */
+test("a size is learned from enough hits, and bounded by misses", () => {
+  const estimator = createCacheSizeEstimator();
+  for (let count = 0; count < 63; count++) {
+    estimator.record("s", count % 7, true);
+  }
+  assert.is(estimator.getLearnedCacheSize("s"), undefined);
+  estimator.record("s", 6, true);
+  const learned = estimator.getLearnedCacheSize("s");
+  assert.ok(learned !== undefined && learned > 7 && learned < 12);
+  estimator.record("s", 9, false);
+  assert.is(estimator.getLearnedCacheSize("s"), 9);
+});
+
 test("the object requested last counts as cached whatever answers show", () => {
   const estimator = createCacheSizeEstimator();
   for (let count = 0; count < 10; count++) estimator.record("s", 0, false);
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -6,13 +6,15 @@
  * has a first and a second server; the second takes what the first has no
  * capacity for, and the object stays cached on both. Spreading an object over
  * more servers would dilute their caches, so further servers are used only for
- * objects that they have cached already.
+ * objects that they have cached already, or for as many copies as `copies.ts`
+ * allows.
  *
  * @module
  */
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { KnownServer } from "../servers/registry.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { MIN_COPIES } from "./copies.ts";
 
 /** Input for the selection of a server. */
 export interface PlacementRequest {
@@ -20,6 +22,8 @@
   candidates: readonly (readonly KnownServer[])[];
   /** Ids of the servers that this request was already sent to. */
   tried: ReadonlySet<string>;
+  /** Number of servers of a region that may hold the object; at least 2. */
+  copies: number;
   /** Utilization, in requests per slot, at which a server is saturated. */
   maxUtilization: number;
   /**
@@ -60,14 +64,7 @@
   /** No server is eligible. */
   | { kind: "none" };
 
-/**
- * Number of servers that share an object. If all of them are saturated, the
- * request is refused: other servers would have to evict objects of their own,
- * and after half of the servers were lost, no server had its objects cached any
- * more.
- */
-const SERVERS_PER_OBJECT = 2;
-/** Number of best-ranked servers considered if they have cached the object. */
+/** Minimum number of best-ranked servers considered if they have cached the object. */
 const CACHED_CANDIDATES = 4;
 /**
  * Cost of sending a request to a server other than the first with the object
@@ -181,12 +178,13 @@
   placement: PlacementRequest,
 ): Choice | undefined {
   let remaining = servers.filter((server, rank) =>
-    rank < SERVERS_PER_OBJECT || !placement.isRateLimited(server) ||
+    rank < MIN_COPIES || !placement.isRateLimited(server) ||
     rank < CACHED_CANDIDATES && placement.hasCachedObject(server.listed.id)
   );
   let constraints = placement;
   for (let tries = 0; tries < MAX_PERMIT_TRIES; tries++) {
-    const choice = chooseCheapest(remaining, constraints);
+    const choice = chooseCheapest(remaining, constraints) ??
+      chooseFurtherCopy(remaining, constraints);
     if (choice === undefined || placement.takePermit(choice.server)) {
       return choice;
     }
@@ -204,11 +202,12 @@
 ): ServerChoice | undefined {
   let best: ServerChoice | undefined;
   let bestCost = Infinity;
-  servers.slice(0, CACHED_CANDIDATES).forEach((server, rank) => {
+  const considered = Math.max(CACHED_CANDIDATES, placement.copies);
+  servers.slice(0, considered).forEach((server, rank) => {
     const utilization = server.load.getUtilization();
     const isCached = placement.hasCachedObject(server.listed.id);
     if (utilization >= getMaxUtilization(server, placement, isCached)) return;
-    if (rank >= SERVERS_PER_OBJECT && !isCached) return;
+    if (rank >= MIN_COPIES && !isCached) return;
     const cost = utilization + getPenalty(rank, isCached);
     if (cost >= bestCost) return;
     bestCost = cost;
@@ -217,6 +216,27 @@
   return best;
 }
 
+/**
+ * Selects the first server that may get a further copy of the object, once all
+ * servers that have it are saturated. If there is none, the request is refused:
+ * other servers would have to evict objects of their own, and after half of the
+ * servers were lost, no server had its objects cached any more.
+ */
+function chooseFurtherCopy(
+  servers: readonly KnownServer[],
+  placement: PlacementRequest,
+): ServerChoice | undefined {
+  for (let rank = MIN_COPIES; rank < placement.copies; rank++) {
+    const server = servers[rank];
+    if (server === undefined) return undefined;
+    if (placement.hasCachedObject(server.listed.id)) continue;
+    const utilization = server.load.getUtilization();
+    if (utilization >= getMaxUtilization(server, placement, false)) continue;
+    return { kind: "server", server, rank, utilization, isCached: false };
+  }
+  return undefined;
+}
+
 /**
  * Returns the utilization from which a server refuses the request. The limit is
  * lower for cache misses, which take most of the time that a request has: one
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -37,6 +37,7 @@
   const placement: PlacementRequest = {
     candidates: [servers],
     tried: new Set(),
+    copies: 2,
     maxUtilization: 2,
     maxCacheMissQueue: 2,
     coldRatePerS: 9,
@@ -86,6 +87,27 @@
   );
 });
 
+/** Guards against further copies while the previous ones have capacity. */
+test("a further copy is used when the previous ones are saturated", () => {
+  const { clock, servers } = createFourServers();
+  const cached = new Set(["0", "1"]);
+  const hasCachedObject = (id: string) => cached.has(id);
+  const changes = { hasCachedObject, maxCacheMissQueue: 0 };
+  const chooseCopy = (copies: number) =>
+    getOutcome(choose(servers, clock, { ...changes, copies }));
+  load(servers[0], 8);
+  load(servers[1], 7);
+  assert.is(chooseCopy(4), "1");
+  load(servers[1], 1);
+  assert.is(chooseCopy(2), "full");
+  assert.is(chooseCopy(3), "2");
+  load(servers[2], 3);
+  assert.is(chooseCopy(3), "full");
+  assert.is(chooseCopy(4), "3");
+  cached.add("2");
+  assert.is(chooseCopy(4), "2");
+});
+
 test("the next server replaces one that was tried or is ejected", () => {
   const { clock, servers } = createFourServers();
   const tried = new Set(["0"]);
--- a/src/placement/object_cache_model.ts
+++ b/src/placement/object_cache_model.ts
@@ -49,8 +49,17 @@
   takeUpdates(): ObjectCacheUpdates;
   /** @returns All tracked objects, to be sent to a VM that just started. */
   getSnapshot(): ObjectCacheUpdates;
+  /**
+   * Subscribes to requests, those of this VM and those of others.
+   *
+   * @param onRequest Called for each with the hashes of server and object.
+   */
+  subscribe(onRequest: RequestListener): void;
 }
 
+/** Receives the hashes of a server and of an object requested from it. */
+export type RequestListener = (serverKey: number, objectKey: number) => void;
+
 /** Objects tracked per server; more than any observed server caches. */
 export const MAX_TRACKED_OBJECTS = 128;
 /** Tracked servers, least recently used evicted first; each takes 1 KB. */
@@ -65,6 +74,7 @@
 export function createObjectCacheModel(): ObjectCacheModel {
   /** Object hashes by server hash, most recently requested last. */
   const lists = new Map<number, number[]>();
+  const listeners: RequestListener[] = [];
   let pending = createEmptyUpdates();
 
   /** Returns a server's list and makes it the most recently used one. */
@@ -81,6 +91,7 @@
     serverKey: number,
     objectKey: number,
   ): number | undefined {
+    for (const onRequest of listeners) onRequest(serverKey, objectKey);
     const objects = touchServer(serverKey);
     const depth = findDepth(objects, objectKey);
     if (depth !== undefined) objects.splice(objects.length - 1 - depth, 1);
@@ -134,6 +145,7 @@
       }
       return all;
     },
+    subscribe: (onRequest) => void listeners.push(onRequest),
   };
 }
 
--- a/src/placement/overload_test.ts
+++ b/src/placement/overload_test.ts
@@ -122,6 +122,7 @@
       {
         candidates: [ranking.rank("s", "oslo", objectKey)],
         tried: new Set(),
+        copies: 2,
         maxUtilization: pace.getMaxUtilization(ROUTE),
         maxCacheMissQueue: limitsCacheMisses
           ? pace.getMaxCacheMissQueue(ROUTE, ROUTE.timeoutMs)
--- a/src/placement/shedding_test.ts
+++ b/src/placement/shedding_test.ts
@@ -63,6 +63,7 @@
       {
         candidates: [ranking.rank("s", "oslo", objectKey)],
         tried,
+        copies: 2,
         maxUtilization: 2,
         maxCacheMissQueue: 1,
         coldRatePerS: 0,
--- a/src/placement/spill_test.ts
+++ b/src/placement/spill_test.ts
@@ -96,6 +96,7 @@
       {
         candidates: [ranking.rank("s", "oslo", objectKey)],
         tried: new Set(),
+        copies: 2,
         maxUtilization: pace.getMaxUtilization(ROUTE),
         maxCacheMissQueue: pace.getMaxCacheMissQueue(ROUTE, ROUTE.timeoutMs),
         coldRatePerS: 0,
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -5,6 +5,8 @@
  * @module
  */
 import { chooseServer } from "../placement/choose.ts";
+import type { CopyPlan } from "../placement/copy_plan.ts";
+import { MIN_COPIES } from "../placement/copies.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
@@ -33,6 +35,7 @@
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
+  copyPlan: Pick<CopyPlan, "getCopies" | "hasRoom">;
   /** Returns the settings of a service in the active configuration. */
   getServiceSettings: (service: string) => ServiceSettings | undefined;
 }
@@ -92,6 +95,7 @@
     const placement = {
       candidates,
       tried: triedServers,
+      copies: getCopies(progress, region),
       maxUtilization: latencyModel.getMaxUtilization(route),
       maxCacheMissQueue: progress.usesObjectCache
         ? latencyModel.getMaxCacheMissQueue(
@@ -114,6 +118,7 @@
       service,
       objectKey,
       region,
+      ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
         : {}),
@@ -142,6 +147,16 @@
     return { kind: "placed", server, isCached };
   }
 
+  function getCopies(progress: RequestProgress, region?: string): number {
+    if (!progress.usesObjectCache || region === undefined) return MIN_COPIES;
+    const { service } = progress;
+    return options.copyPlan.getCopies(
+      service,
+      region,
+      makeObjectName(progress),
+    );
+  }
+
   function hasCachedObject(
     progress: RequestProgress,
     serverId: string,
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -49,6 +49,7 @@
     latencyModel: createLatencyModel(),
     cacheModel: createObjectCacheModel(),
     cacheSizeEstimator: createCacheSizeEstimator(),
+    copyPlan: { getCopies: () => 2, hasRoom: () => false },
     getServiceSettings: () => undefined,
   });
 }
