Send requests to another region where theirs is full

Cause: a region with a tenth of the servers and a third of the demand refuses requests in bursts while other regions have free slots. The shares of regions move by a few hundredths per second and follow only half of a swing. Change: a request that finds all servers of its object full goes to the region with the most free slots among those where a server with the object cached has a free slot; else, only where caches have room for a third copy, to the one with the most free slots. Home regions bind, and the answer has to be expected within the target after the round trip. Each VM diverts at most a share of its own requests of any 2 s: 0.4 of the shift budget, less after the region plan moved shares, none in its first 4 s. The shares add up over all VMs without messages. The plan itself moves as before; its noise margin is now shared code. Ruled out: a plan that slows down for overflow, a share that grows over several windows, half of the budget; see docs/design/overflow.md.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -24,8 +24,13 @@
 import { createRegionStatsReader } from "../placement/region_stats.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import { createObjectDemand } from "../placement/object_demand.ts";
+import {
+  createOverflowBudget,
+  type OverflowBudget,
+} from "../placement/overflow.ts";
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
+import { computeShiftBudget } from "../placement/shares.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
 import {
   createSuspectTracker,
@@ -59,6 +64,7 @@
 } from "../serving/request_handler.ts";
 import { createAttemptObserver } from "../serving/attempt_observer.ts";
 import { createLatencyModel } from "../serving/latency_model.ts";
+import { createOverflowPlacer } from "../serving/overflow_placer.ts";
 import { createPlacer } from "../serving/placer.ts";
 import type { WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -100,6 +106,7 @@
   suspects: SuspectTracker;
   serverLimits: ServerLimits;
   copyPlan: CopyPlan;
+  overflowBudget: OverflowBudget;
   /** @returns The current routes; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
@@ -204,6 +211,16 @@
     getRequestsPerS: regionStats.getRequestsPerS,
     maxShift: settings.bounds.maxShift,
   });
+  const overflowBudget = createOverflowBudget({
+    clock,
+    random,
+    getShiftBudget: () =>
+      computeShiftBudget(
+        settings.bounds.maxShift,
+        regionStats.getRequestsPerS(),
+      ),
+    getMovedShare: regionPlan.getMovedShare,
+  });
   const retryBudgetSettings = {
     ratio: settings.bounds.retryRatio,
     allowance: settings.bounds.retryAllowance,
@@ -236,11 +253,12 @@
     demand: objectDemand,
     runTimes,
   });
+  const ranking = createRanking(registry);
   const placer = createPlacer({
     clock,
     log,
     registry,
-    ranking: createRanking(registry),
+    ranking,
     plan: regionPlan,
     coldLimit: createColdLimit({
       clock,
@@ -252,6 +270,15 @@
     cacheModel,
     cacheSizeEstimator,
     copyPlan,
+    overflow: createOverflowPlacer({
+      clock,
+      ranking,
+      permits,
+      latencyModel,
+      copyPlan,
+      budget: overflowBudget,
+      hearsOthers: () => vms.countServing() > 1,
+    }),
     getServiceSettings,
   });
   const limitShares = createLimitShares(clock, countKnownVms);
@@ -290,7 +317,13 @@
     }),
     budget,
     splitter: createSplitter(),
-    demand: demandMeter,
+    demand: {
+      ...demandMeter,
+      record(service) {
+        demandMeter.record(service);
+        overflowBudget.recordRequest(service);
+      },
+    },
     latencyModel,
     cacheModel,
     exchange,
@@ -311,6 +344,7 @@
     suspects,
     serverLimits,
     copyPlan,
+    overflowBudget,
     getRoutes: () => routes,
   };
 }
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -70,6 +70,11 @@
       help: "Backend servers with a rate limit",
       read: () => core.serverLimits.rateLimits.count(),
     },
+    overflow_requests: {
+      help:
+        "Requests sent to another region since the start, as theirs was full",
+      read: () => core.overflowBudget.countDiverted(),
+    },
     object_copies_room: {
       help: "Least number of copies of all objects that caches have room for",
       read: () =>
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -57,6 +57,7 @@
     serverBackoffs: core.serverLimits.backoffs.list(),
     serverLimitPart: core.serverLimits.limitShares.getShare(),
     objectCaches: core.copyPlan.list(),
+    overflow: core.overflowBudget.list(),
     evacuated: core.registry.listEvacuated(),
     servers: core.registry.listAll().map((server) =>
       dumpServer(server, core.registry)
--- a/src/placement/copies.ts
+++ b/src/placement/copies.ts
@@ -12,7 +12,7 @@
 /** Copies of each object, whatever the memory. */
 export const MIN_COPIES = 2;
 /** Maximum number of copies; each costs one cache miss. */
-const MAX_COPIES = 8;
+export const MAX_COPIES = 8;
 /**
  * Share of the caches that copies may fill. Hashing distributes objects
  * unevenly, so that some servers hold more than the mean.
--- a/src/placement/regions.ts
+++ b/src/placement/regions.ts
@@ -9,9 +9,11 @@
 import {
   computeMovedShare,
   computeShares,
+  computeShiftBudget,
   getShare,
   type RegionShare,
   type RegionStats,
+  SHIFT_WINDOW_MS,
   stepShares,
 } from "./shares.ts";
 
@@ -25,6 +27,12 @@
    * @returns Shares of the requests from callers of this VM's region.
    */
   getShares(service: string, allowed: readonly string[]): RegionShare[];
+  /**
+   * @param service The name of the service.
+   * @returns Largest share of its requests that was moved in any window that
+   *   lies within the last two.
+   */
+  getMovedShare(service: string): number;
 }
 
 /** Dependencies and settings of a region plan. */
@@ -43,18 +51,9 @@
   maxShift: number;
 }
 
-/** Length of the windows between which a shift is measured. */
-const SHIFT_WINDOW_MS = 2_000;
 /** Minimum time between two updates of the shares. */
 const UPDATE_INTERVAL_MS = 250;
-/**
- * Standard deviations of sampling noise subtracted from the maximum shift.
- * Requests arrive at random, so a share of 0.5 differs between windows even if
- * it is not moved: by 0.05 with 200 requests, by 0.03 with 700.
- */
-const NOISE_MARGIN_DEVIATIONS = 2.5;
-/** Bounds on the planned shift, as a share of the maximum shift. */
-const MIN_PLANNED_SHARE = 0.3;
+/** Upper bound on the planned shift, as a share of the maximum shift. */
 const MAX_PLANNED_SHARE = 0.6;
 /** Smaller differences from the target are ignored: stats vary at random. */
 const MIN_MOVED_SHARE = 0.03;
@@ -75,6 +74,9 @@
 
 /** Shares of one service and set of allowed regions. */
 interface PlanState {
+  service: string;
+  /** Moves within the last two windows. */
+  moves: Move[];
   shares: RegionShare[];
   updatedAtMs: number;
   /** Peak number of slots within the loss window, by region. */
@@ -83,6 +85,11 @@
   loggedShares: RegionShare[];
 }
 
+interface Move {
+  atMs: number;
+  share: number;
+}
+
 interface PeakSlots {
   slots: number;
   atMs: number;
@@ -126,21 +133,19 @@
 
   /** @returns Maximum share of the requests to move after a time. */
   function getMaxStep(elapsedMs: number): number {
-    const requestsPerS = Math.max(1, options.getRequestsPerS());
-    const requestsInWindow = requestsPerS * SHIFT_WINDOW_MS / 1_000;
-    // Standard deviation of the difference of a share of 0.5 between windows.
-    const deviation = Math.sqrt(0.5 / requestsInWindow);
     const planned = Math.min(
       MAX_PLANNED_SHARE * maxShift,
-      Math.max(
-        MIN_PLANNED_SHARE * maxShift,
-        maxShift - NOISE_MARGIN_DEVIATIONS * deviation,
-      ),
+      computeShiftBudget(maxShift, options.getRequestsPerS()),
     );
     return planned * Math.min(2 * UPDATE_INTERVAL_MS, elapsedMs) /
       SHIFT_WINDOW_MS;
   }
 
+  function listRecentMoves({ moves }: PlanState): Move[] {
+    const oldestMs = clock.monotonicMs() - 2 * SHIFT_WINDOW_MS;
+    return moves.filter(({ atMs }) => atMs > oldestMs);
+  }
+
   function updateShares(
     service: string,
     state: PlanState,
@@ -153,7 +158,12 @@
     state.updatedAtMs = clock.monotonicMs();
     if (target.length === 0 || distance < MIN_MOVED_SHARE) return;
     const maxStep = Math.max(loss, getMaxStep(elapsedMs));
-    state.shares = stepShares(state.shares, target, maxStep);
+    const next = stepShares(state.shares, target, maxStep);
+    state.moves = [...listRecentMoves(state), {
+      atMs: state.updatedAtMs,
+      share: computeMovedShare(state.shares, next),
+    }];
+    state.shares = next;
     const moved = computeMovedShare(state.loggedShares, state.shares);
     if (loss === 0 && moved < MIN_LOGGED_SHARE) return;
     state.loggedShares = state.shares;
@@ -176,6 +186,8 @@
           stats.map(({ region, slots }) => [region, { slots, atMs: nowMs }]),
         );
         states.set(key, {
+          service,
+          moves: [],
           shares,
           updatedAtMs: nowMs,
           peakSlots,
@@ -190,5 +202,23 @@
       }
       return state.shares;
     },
+    getMovedShare(service) {
+      let largest = 0;
+      for (const state of states.values()) {
+        if (state.service !== service) continue;
+        largest = Math.max(largest, sumLargestWindow(listRecentMoves(state)));
+      }
+      return largest;
+    },
   };
 }
+
+/** @returns Largest sum of the moves in any window. */
+function sumLargestWindow(moves: readonly Move[]): number {
+  const sums = moves.map((first) =>
+    moves.filter(({ atMs }) =>
+      atMs >= first.atMs && atMs < first.atMs + SHIFT_WINDOW_MS
+    ).reduce((sum, { share }) => sum + share, 0)
+  );
+  return Math.max(0, ...sums);
+}
--- a/src/placement/shares.ts
+++ b/src/placement/shares.ts
@@ -129,6 +129,37 @@
   return sum(gains);
 }
 
+/** Length of the windows between which a shift is measured. */
+export const SHIFT_WINDOW_MS = 2_000;
+/**
+ * Standard deviations of sampling noise subtracted from the maximum shift.
+ * Requests arrive at random, so a share of 0.5 differs between windows even if
+ * it is not moved: by 0.05 with 200 requests, by 0.03 with 700.
+ */
+const NOISE_MARGIN_DEVIATIONS = 2.5;
+/** Lower bound of the shift budget, as a share of the maximum shift. */
+const MIN_BUDGET_SHARE = 0.3;
+
+/**
+ * @param maxShift Maximum share of the requests that may change region from one
+ *   window to the next.
+ * @param requestsPerS Requests per second from callers of the region.
+ * @returns Share of the requests that may be moved on purpose; the rest is left
+ *   to chance.
+ */
+export function computeShiftBudget(
+  maxShift: number,
+  requestsPerS: number,
+): number {
+  const requestsInWindow = Math.max(1, requestsPerS) * SHIFT_WINDOW_MS / 1_000;
+  // Standard deviation of the difference of a share of 0.5 between windows.
+  const deviation = Math.sqrt(0.5 / requestsInWindow);
+  return Math.max(
+    MIN_BUDGET_SHARE * maxShift,
+    maxShift - NOISE_MARGIN_DEVIATIONS * deviation,
+  );
+}
+
 /** Ranks regions without a share behind all that have one. */
 const MIN_WEIGHT = 1e-9;
 
--- a/src/servers/load.ts
+++ b/src/servers/load.ts
@@ -31,6 +31,8 @@
   getUtilization(): number;
   /** @returns Requests that the server runs at once. */
   getSlots(): number;
+  /** @returns Time since its last report; infinite before the first. */
+  getReportAgeMs(): number;
 }
 
 /** Other sources that the load is estimated from. */
@@ -68,7 +70,7 @@
    * that had ended meanwhile; otherwise the mean of many reports would be wrong.
    */
   let unreported = 0;
-  let reportedAtMs = 0;
+  let reportedAtMs = -Infinity;
 
   function getUnreported(): number {
     const ageMs = clock.monotonicMs() - reportedAtMs;
@@ -99,5 +101,6 @@
     getTotal,
     getUtilization: () => getTotal() / slots,
     getSlots: () => slots,
+    getReportAgeMs: () => clock.monotonicMs() - reportedAtMs,
   };
 }
--- a/src/serving/latency_model.ts
+++ b/src/serving/latency_model.ts
@@ -7,6 +7,9 @@
  */
 import type { Route } from "../routing/types.ts";
 
+/** Answers from the cache of a server, the others, or all. */
+export type AnswerKind = "hit" | "miss" | "any";
+
 /** Estimated durations of requests, by route. */
 export interface LatencyModel {
   /**
@@ -38,6 +41,13 @@
    *   and misses can't be distinguished.
    */
   wasCached(route: Route, tookMs: number): boolean | undefined;
+  /**
+   * @param route The route.
+   * @param kind Which answers to consider.
+   * @returns Expected duration at a server with a free slot; undefined before
+   *   the first such answer.
+   */
+  getExpectedMs(route: Route, kind: AnswerKind): number | undefined;
   /**
    * @param route The route.
    * @returns Utilization, in requests per slot, up to which a server is
@@ -142,6 +152,10 @@
       if (missMs < MIN_MISS_TO_HIT_RATIO * hitMs) return undefined;
       return tookMs < Math.sqrt(missMs * hitMs);
     },
+    getExpectedMs(route, kind) {
+      const means = { hit: cacheHitMs, miss: cacheMissMs, any: serviceMs };
+      return means[kind].get(makeRouteKey(route));
+    },
     getMaxUtilization(route) {
       const meanMs = serviceMs.get(makeRouteKey(route));
       if (meanMs === undefined) return DEFAULT_MAX_UTILIZATION;
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -4,7 +4,11 @@
  *
  * @module
  */
-import { chooseServer } from "../placement/choose.ts";
+import {
+  chooseServer,
+  type PlacementRequest,
+  type ServerChoice,
+} from "../placement/choose.ts";
 import type { CopyPlan } from "../placement/copy_plan.ts";
 import { MIN_COPIES } from "../placement/copies.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
@@ -20,6 +24,7 @@
 import type { ListedServer } from "../servers/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { LatencyModel } from "./latency_model.ts";
+import type { OverflowDenial, OverflowPlacer } from "./overflow_placer.ts";
 import { makeObjectName, type RequestProgress } from "./request_progress.ts";
 import type { RefusalReason } from "./types.ts";
 
@@ -35,7 +40,8 @@
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
-  copyPlan: Pick<CopyPlan, "getCopies" | "hasRoom">;
+  copyPlan: Pick<CopyPlan, "getCopies">;
+  overflow: OverflowPlacer;
   /** Returns the settings of a service in the active configuration. */
   getServiceSettings: (service: string) => ServiceSettings | undefined;
 }
@@ -65,6 +71,14 @@
   place(progress: RequestProgress): PlacedAttempt | PlacementFailure;
 }
 
+/** The result of an overflow, with its log fields. */
+interface OverflowChoice {
+  choice?: ServerChoice;
+  fields:
+    | { overflow: OverflowDenial }
+    | { region: string; overflowFrom: string | undefined };
+}
+
 /**
  * @param options Dependencies.
  * @returns A placer.
@@ -112,12 +126,17 @@
         return isTaken;
       },
     };
-    const choice = chooseServer(placement, options.coldLimit, clock);
+    const ownChoice = chooseServer(placement, options.coldLimit, clock);
+    const overflow = ownChoice.kind === "full" && throttled.length === 0
+      ? chooseOverflow(progress, placement, shares, region)
+      : undefined;
+    const choice = overflow?.choice ?? ownChoice;
     const inputs = {
       requestId,
       service,
       objectKey,
       region,
+      ...overflow?.fields,
       ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
@@ -147,6 +166,39 @@
     return { kind: "placed", server, isCached };
   }
 
+  /** Selects a server of another region, where that is allowed. */
+  function chooseOverflow(
+    progress: RequestProgress,
+    placement: PlacementRequest,
+    shares: readonly RegionShare[],
+    fullRegion: string | undefined,
+  ): OverflowChoice {
+    const found = options.overflow.find(
+      progress,
+      shares.map(({ region }) => region).filter((name) => name !== fullRegion),
+      placement.hasCachedObject,
+    );
+    if (found.kind === "denied") return { fields: { overflow: found.denial } };
+    const choice = chooseServer(
+      {
+        ...placement,
+        candidates: [found.servers],
+        copies: MIN_COPIES,
+        maxUtilization: 1,
+        maxCacheMissQueue: 0,
+        takePermit: ({ listed }) => permits.take(listed),
+      },
+      { take: () => false },
+      clock,
+    );
+    if (choice.kind !== "server") {
+      options.overflow.giveBack(progress.service);
+      return { fields: { overflow: "no_region" } };
+    }
+    const fields = { region: found.region, overflowFrom: fullRegion };
+    return { choice, fields };
+  }
+
   function getCopies(progress: RequestProgress, region?: string): number {
     if (!progress.usesObjectCache || region === undefined) return MIN_COPIES;
     const { service } = progress;
@@ -198,9 +250,8 @@
 
   /**
    * Chooses the object's region, or the next one where no server there is
-   * usable. A saturated region is still chosen: forwarding its requests to
-   * other regions scatters objects over servers that haven't cached them, and
-   * was no better than refusing.
+   * usable. A saturated region is still chosen; `overflow.ts` decides which of
+   * its requests go to another one.
    */
   function chooseRegion(
     shares: readonly RegionShare[],
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -49,7 +49,11 @@
     latencyModel: createLatencyModel(),
     cacheModel: createObjectCacheModel(),
     cacheSizeEstimator: createCacheSizeEstimator(),
-    copyPlan: { getCopies: () => 2, hasRoom: () => false },
+    copyPlan: { getCopies: () => 2 },
+    overflow: {
+      find: () => ({ kind: "denied", denial: "no_region" }),
+      giveBack() {},
+    },
     getServiceSettings: () => undefined,
   });
 }
