Merge object copies and overflow between regions

Resolved: one getExpectedMs of the latency model, by kind of answer; overflow also keeps the limit that leaves slots free for more urgent requests.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -19,11 +19,18 @@
 import type { FreshnessTracker } from "../news/freshness.ts";
 import type { FactUpdate } from "../news/types.ts";
 import type { FactVersion } from "../news/version.ts";
+import { type CopyPlan, createCopyPlan } from "../placement/copy_plan.ts";
 import { createDemandSmoother } from "../placement/demand_smoothing.ts";
 import { createRegionStatsReader } from "../placement/region_stats.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
+import { createObjectDemand } from "../placement/object_demand.ts";
+import {
+  createOverflowBudget,
+  type OverflowBudget,
+} from "../placement/overflow.ts";
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
+import { computeShiftBudget } from "../placement/shares.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
 import {
   createUrgentDemand,
@@ -63,6 +70,7 @@
 } from "../serving/request_handler.ts";
 import { createAttemptObserver } from "../serving/attempt_observer.ts";
 import { createLatencyModel } from "../serving/latency_model.ts";
+import { createOverflowPlacer } from "../serving/overflow_placer.ts";
 import { createPlacer } from "../serving/placer.ts";
 import type { WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -107,6 +115,8 @@
   serverLimits: ServerLimits;
   /** @returns Priorities that compete for a service, in ascending order. */
   getCompetingPriorities(service: string): readonly number[];
+  copyPlan: CopyPlan;
+  overflowBudget: OverflowBudget;
   /** @returns The current routes; undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
@@ -225,6 +235,16 @@
     getRequestsPerS: regionStats.getRequestsPerS,
     maxShift: settings.bounds.maxShift,
   });
+  const overflowBudget = createOverflowBudget({
+    clock,
+    random,
+    getShiftBudget: () =>
+      computeShiftBudget(
+        settings.bounds.maxShift,
+        regionStats.getRequestsPerS(),
+      ),
+    getMovedShare: regionPlan.getMovedShare,
+  });
   const retryBudgetSettings = {
     ratio: settings.bounds.retryRatio,
     allowance: settings.bounds.retryAllowance,
@@ -256,11 +276,22 @@
     forget: (updates) => void factStore.apply(updates),
   });
   factStore.subscribe(suspects.apply);
+  const objectDemand = createObjectDemand({ clock, registry });
+  cacheModel.subscribe(objectDemand.record);
+  const copyPlan = createCopyPlan({
+    clock,
+    ownRegion: self.region,
+    registry,
+    cacheSizeEstimator,
+    demand: objectDemand,
+    runTimes,
+  });
+  const ranking = createRanking(registry);
   const placer = createPlacer({
     clock,
     log,
     registry,
-    ranking: createRanking(registry),
+    ranking,
     plan: regionPlan,
     ownDomain: self.failureDomain,
     coldLimit: createColdLimit({
@@ -274,6 +305,16 @@
     cacheSizeEstimator,
     urgentDemand,
     getCompetingPriorities,
+    copyPlan,
+    overflow: createOverflowPlacer({
+      clock,
+      ranking,
+      permits,
+      latencyModel,
+      copyPlan,
+      budget: overflowBudget,
+      hearsOthers: () => vms.countServing() > 1,
+    }),
     getServiceSettings,
   });
   const limitShares = createLimitShares(clock, countKnownVms);
@@ -312,9 +353,15 @@
     }),
     budget,
     splitter: createSplitter(),
-    demand: demandMeter,
     urgentDemand,
     waitQueue,
+    demand: {
+      ...demandMeter,
+      record(service) {
+        demandMeter.record(service);
+        overflowBudget.recordRequest(service);
+      },
+    },
     latencyModel,
     cacheModel,
     exchange,
@@ -337,6 +384,8 @@
     suspects,
     serverLimits,
     getCompetingPriorities,
+    copyPlan,
+    overflowBudget,
     getRoutes: () => routes,
   };
 }
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -169,8 +169,16 @@
         log,
         registry,
         ranking: createRanking(registry),
+        copyPlan: { getCopies: () => 2 },
+        overflow: {
+          find: () => ({ kind: "denied", denial: "no_region" }),
+          giveBack() {},
+        },
         ownDomain: "oslo-a",
-        plan: { getShares: () => [{ region: "oslo", share: 1 }] },
+        plan: {
+          getShares: () => [{ region: "oslo", share: 1 }],
+          getMovedShare: () => 0,
+        },
         coldLimit: { take: () => false },
         permits,
         latencyModel,
--- a/src/queueing/wait_queue.ts
+++ b/src/queueing/wait_queue.ts
@@ -155,14 +155,17 @@
     const { request, service, prospect, wait } = progress;
     const { route, arrivedAtMs } = request;
     const nowMs = clock.monotonicMs();
-    const isCached = progress.usesObjectCache ? prospect?.isCached : undefined;
+    const kind = prospect?.isCached ? "hit" : "miss";
     const endsAtMs = wait?.endsAtMs ??
       nowMs + getMaxWaitMs(route.targetLatencyMs);
     const ahead = queues.get(service)?.line.countAhead(makeEntry(progress));
     return {
       prospect,
       meanRunMs: runTimes.getMeanMs(service),
-      expectedRunMs: latencyModel.getExpectedMs(route, isCached),
+      expectedRunMs: latencyModel.getExpectedMs(
+        route,
+        progress.usesObjectCache ? kind : "any",
+      ) ?? latencyModel.getExpectedMs(route, "any"),
       serviceSlots: options.registry.listUsable(service).reduce(
         (sum, { load }) => sum + load.getSlots(),
         0,
--- a/src/serving/latency_model.ts
+++ b/src/serving/latency_model.ts
@@ -7,6 +7,9 @@
  */
 import type { Route } from "../routing/types.ts";
 
+/** Answers from the cache of a server, the others, or all. */
+export type AnswerKind = "hit" | "miss" | "any";
+
 /** Estimated durations of requests, by route. */
 export interface LatencyModel {
   /**
@@ -40,15 +43,11 @@
   wasCached(route: Route, tookMs: number): boolean | undefined;
   /**
    * @param route The route.
-   * @param isCached Whether the object is cached; undefined where the route
-   *   doesn't use the object cache or it is unknown.
-   * @returns Expected duration of an attempt at a server that has a free slot;
-   *   undefined before the first answer.
+   * @param kind Which answers to consider.
+   * @returns Expected duration at a server with a free slot; undefined before
+   *   the first such answer.
    */
-  getExpectedMs(
-    route: Route,
-    isCached: boolean | undefined,
-  ): number | undefined;
+  getExpectedMs(route: Route, kind: AnswerKind): number | undefined;
   /**
    * @param route The route.
    * @returns Utilization, in requests per slot, up to which a server is
@@ -153,11 +152,9 @@
       if (missMs < MIN_MISS_TO_HIT_RATIO * hitMs) return undefined;
       return tookMs < Math.sqrt(missMs * hitMs);
     },
-    getExpectedMs(route, isCached) {
-      const key = makeRouteKey(route);
-      const meanMs = serviceMs.get(key);
-      if (isCached === undefined) return meanMs;
-      return (isCached ? cacheHitMs : cacheMissMs).get(key) ?? meanMs;
+    getExpectedMs(route, kind) {
+      const means = { hit: cacheHitMs, miss: cacheMissMs, any: serviceMs };
+      return means[kind].get(makeRouteKey(route));
     },
     getMaxUtilization(route) {
       const meanMs = serviceMs.get(makeRouteKey(route));
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -8,7 +8,10 @@
   chooseServer,
   getMaxUtilization,
   type PlacementRequest,
+  type ServerChoice,
 } from "../placement/choose.ts";
+import type { CopyPlan } from "../placement/copy_plan.ts";
+import { MIN_COPIES } from "../placement/copies.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import type { Ranking } from "../placement/ranking.ts";
 import type { RegionPlan } from "../placement/regions.ts";
@@ -25,6 +28,7 @@
 import type { ListedServer } from "../servers/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { LatencyModel } from "./latency_model.ts";
+import type { OverflowDenial, OverflowPlacer } from "./overflow_placer.ts";
 import { makeObjectName, type RequestProgress } from "./request_progress.ts";
 import type { RefusalReason } from "./types.ts";
 
@@ -45,6 +49,8 @@
   urgentDemand: UrgentDemand;
   /** Returns the priorities that compete for a service, in ascending order. */
   getCompetingPriorities: (service: string) => readonly number[];
+  copyPlan: Pick<CopyPlan, "getCopies">;
+  overflow: OverflowPlacer;
   /** Returns the settings of a service in the active configuration. */
   getServiceSettings: (service: string) => ServiceSettings | undefined;
 }
@@ -81,6 +87,13 @@
 
 /** Servers that share an object, which a waiting request gets a slot of. */
 const WAIT_CANDIDATES = 2;
+/** The result of an overflow, with its log fields. */
+interface OverflowChoice {
+  choice?: ServerChoice;
+  fields:
+    | { overflow: OverflowDenial }
+    | { region: string; overflowFrom: string | undefined };
+}
 
 /**
  * @param options Dependencies.
@@ -121,6 +134,7 @@
             computeMaxUtilization(latencyLimit, slots, moreUrgent.length),
         }
         : {}),
+      copies: getCopies(progress, region),
       maxCacheMissQueue: progress.usesObjectCache
         ? latencyModel.getMaxCacheMissQueue(
           route,
@@ -136,7 +150,11 @@
         return isTaken;
       },
     };
-    const choice = chooseServer(placement, options.coldLimit, clock);
+    const ownChoice = chooseServer(placement, options.coldLimit, clock);
+    const overflow = ownChoice.kind === "full" && throttled.length === 0
+      ? chooseOverflow(progress, placement, shares, region)
+      : undefined;
+    const choice = overflow?.choice ?? ownChoice;
     const inputs = {
       requestId,
       service,
@@ -145,6 +163,8 @@
       ...(moreUrgent.length > 0
         ? { priority: progress.priority, moreUrgent }
         : {}),
+      ...overflow?.fields,
+      ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
         : {}),
@@ -232,6 +252,51 @@
     return { waitRuns: 1 / acceptsPerRun, utilization, isCached };
   }
 
+  /** Selects a server of another region, where that is allowed. */
+  function chooseOverflow(
+    progress: RequestProgress,
+    placement: PlacementRequest,
+    shares: readonly RegionShare[],
+    fullRegion: string | undefined,
+  ): OverflowChoice {
+    const found = options.overflow.find(
+      progress,
+      shares.map(({ region }) => region).filter((name) => name !== fullRegion),
+      placement.hasCachedObject,
+    );
+    if (found.kind === "denied") return { fields: { overflow: found.denial } };
+    const choice = chooseServer(
+      {
+        ...placement,
+        candidates: [found.servers],
+        copies: MIN_COPIES,
+        maxUtilization: 1,
+        getMaxUtilization: (slots) =>
+          Math.min(1, placement.getMaxUtilization?.(slots) ?? 1),
+        maxCacheMissQueue: 0,
+        takePermit: ({ listed }) => permits.take(listed),
+      },
+      { take: () => false },
+      clock,
+    );
+    if (choice.kind !== "server") {
+      options.overflow.giveBack(progress.service);
+      return { fields: { overflow: "no_region" } };
+    }
+    const fields = { region: found.region, overflowFrom: fullRegion };
+    return { choice, fields };
+  }
+
+  function getCopies(progress: RequestProgress, region?: string): number {
+    if (!progress.usesObjectCache || region === undefined) return MIN_COPIES;
+    const { service } = progress;
+    return options.copyPlan.getCopies(
+      service,
+      region,
+      makeObjectName(progress),
+    );
+  }
+
   function hasCachedObject(
     progress: RequestProgress,
     serverId: string,
@@ -273,9 +338,8 @@
 
   /**
    * Chooses the object's region, or the next one where no server there is
-   * usable. A saturated region is still chosen: forwarding its requests to
-   * other regions scatters objects over servers that haven't cached them, and
-   * was no better than refusing.
+   * usable. A saturated region is still chosen; `overflow.ts` decides which of
+   * its requests go to another one.
    */
   function chooseRegion(
     shares: readonly RegionShare[],
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -63,6 +63,11 @@
     cacheSizeEstimator: createCacheSizeEstimator(),
     urgentDemand: createUrgentDemand(clock),
     getCompetingPriorities: () => [1],
+    copyPlan: { getCopies: () => 2 },
+    overflow: {
+      find: () => ({ kind: "denied", denial: "no_region" }),
+      giveBack() {},
+    },
     getServiceSettings: () => undefined,
   });
 }
