Reserve slots only for requests that can't wait for a run to end

Cause: less urgent requests left a slot free whenever more urgent ones arrived, also where these could wait for a slot and still be in time. Change: the least spare time of more urgent requests, their target less their expected run, is compared with the run of the less urgent request. Only if it is shorter are slots left free; otherwise the queue is limited to the spare time. Tests: queueing_test (fails before); platform/priorities_test has an urgent route with a target below a run, which its case needs now.

--- a/src/queueing/thresholds.ts
+++ b/src/queueing/thresholds.ts
@@ -27,23 +27,41 @@
  */
 const ADDITIONAL_RESERVED_SLOTS = 0.5;
 
+/** A less urgent request and the more urgent demand that it competes with. */
+export interface CompetingDemand {
+  /** More urgent priorities that compete for the service. */
+  moreUrgent: readonly number[];
+  /** Least time that one of their requests may wait and still be in time. */
+  spareMs: number;
+  /** Expected run time of the less urgent request. */
+  runMs: number;
+}
+
 /**
+ * More urgent requests need a free slot only if they can't wait for the end of
+ * a less urgent run. Where they can, the queue may be as long as they can wait:
+ * reserved slots would stay empty while less urgent requests are refused.
+ *
  * @param latencyLimit Utilization up to which a server is expected to answer in
  *   time, in requests per slot.
  * @param slots Slots of the server.
- * @param moreUrgentCount Number of more urgent priorities that slots are left
- *   free for; 0 where there is no such demand.
+ * @param demand The demand that competes; undefined where there is none that is
+ *   more urgent.
  * @returns Utilization, in requests per slot, from which a server does not
  *   receive the request. An idle server always does.
  */
 export function computeMaxUtilization(
   latencyLimit: number,
   slots: number,
-  moreUrgentCount: number,
+  demand: CompetingDemand | undefined,
 ): number {
-  if (moreUrgentCount === 0) return latencyLimit;
+  if (demand === undefined) return latencyLimit;
+  const { moreUrgent, spareMs, runMs } = demand;
+  if (spareMs >= runMs) {
+    return Math.min(latencyLimit, 1 + spareMs / Math.max(1, runMs));
+  }
   const reservedSlots = RESERVED_SLOTS +
-    ADDITIONAL_RESERVED_SLOTS * (moreUrgentCount - 1);
+    ADDITIONAL_RESERVED_SLOTS * (moreUrgent.length - 1);
   const usableSlots = Math.max(1, slots - reservedSlots);
   return Math.min(latencyLimit, usableSlots / slots);
 }
--- a/src/queueing/urgency.ts
+++ b/src/queueing/urgency.ts
@@ -14,6 +14,8 @@
   priority: number;
   /** Time since the last request. */
   ageMs: number;
+  /** Time that it could have waited and still be answered in time. */
+  spareMs: number;
 }
 
 /** Priorities of the requests that this VM received lately. */
@@ -23,14 +25,16 @@
    *
    * @param service Service that the request is for.
    * @param priority Priority of the request.
+   * @param spareMs Time that it may wait and still be answered in time.
    */
-  record(service: string, priority: number): void;
+  record(service: string, priority: number, spareMs: number): void;
   /**
    * @param service A service.
    * @param priority A priority.
-   * @returns Whether a more urgent request for the service arrived lately.
+   * @returns Least spare time of the more urgent requests for the service that
+   *   arrived lately; undefined where there were none.
    */
-  hasMoreUrgent(service: string, priority: number): boolean;
+  getLeastSpareMs(service: string, priority: number): number | undefined;
   /** @returns The priorities that were requested lately, by service. */
   list(): PriorityDemand[];
 }
@@ -41,6 +45,13 @@
  * once in 100,000 times, one with a quarter of that share once in 18 times.
  */
 const DEMAND_WINDOW_MS = 5_000;
+/** Weight of one request in the mean spare time of its priority. */
+const SPARE_WEIGHT = 0.2;
+
+interface LastRequest {
+  atMs: number;
+  spareMs: number;
+}
 
 /**
  * @param route Route of a request.
@@ -76,32 +87,43 @@
  * @returns A record without requests.
  */
 export function createUrgentDemand(clock: Clock): UrgentDemand {
-  const seenAtMs = new Map<string, Map<number, number>>();
+  const lastByService = new Map<string, Map<number, LastRequest>>();
 
-  function isRecent(atMs: number): boolean {
+  function isRecent({ atMs }: LastRequest): boolean {
     return clock.monotonicMs() - atMs < DEMAND_WINDOW_MS;
   }
 
   return {
-    record(service, priority) {
-      const byPriority = seenAtMs.get(service) ?? new Map<number, number>();
-      byPriority.set(priority, clock.monotonicMs());
-      seenAtMs.set(service, byPriority);
+    record(service, priority, spareMs) {
+      const byPriority = lastByService.get(service) ??
+        new Map<number, LastRequest>();
+      lastByService.set(service, byPriority);
+      const previous = byPriority.get(priority);
+      const isNewWindow = previous === undefined || !isRecent(previous);
+      byPriority.set(priority, {
+        atMs: clock.monotonicMs(),
+        spareMs: isNewWindow
+          ? spareMs
+          : previous.spareMs + SPARE_WEIGHT * (spareMs - previous.spareMs),
+      });
     },
-    hasMoreUrgent(service, priority) {
-      for (const [other, atMs] of seenAtMs.get(service) ?? []) {
-        if (other < priority && isRecent(atMs)) return true;
+    getLeastSpareMs(service, priority) {
+      let least: number | undefined;
+      for (const [other, last] of lastByService.get(service) ?? []) {
+        if (other >= priority || !isRecent(last)) continue;
+        least = Math.min(least ?? Infinity, last.spareMs);
       }
-      return false;
+      return least;
     },
     list: () =>
-      [...seenAtMs].flatMap(([service, byPriority]) =>
+      [...lastByService].flatMap(([service, byPriority]) =>
         [...byPriority]
-          .filter(([, atMs]) => isRecent(atMs))
-          .map(([priority, atMs]) => ({
+          .filter(([, last]) => isRecent(last))
+          .map(([priority, { atMs, spareMs }]) => ({
             service,
             priority,
             ageMs: Math.round(clock.monotonicMs() - atMs),
+            spareMs: Math.round(spareMs),
           }))
       ),
   };
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -17,7 +17,10 @@
 import type { RegionPlan } from "../placement/regions.ts";
 import type { CacheSizeEstimator } from "../placement/cache_size.ts";
 import { rankRegions, type RegionShare } from "../placement/shares.ts";
-import { computeMaxUtilization } from "../queueing/thresholds.ts";
+import {
+  type CompetingDemand,
+  computeMaxUtilization,
+} from "../queueing/thresholds.ts";
 import type { SlotProspect } from "../queueing/wait_decision.ts";
 import type { UrgentDemand } from "../queueing/urgency.ts";
 import type { Route, ServiceSettings } from "../routing/types.ts";
@@ -123,17 +126,15 @@
       : listCandidates(route, ranking.rank(service, region, objectKey));
     const throttled: ListedServer[] = [];
     const latencyLimit = latencyModel.getMaxUtilization(route);
-    const moreUrgent = listMoreUrgent(progress);
+    const demand = findCompetingDemand(progress);
     const placement: PlacementRequest = {
       candidates,
       tried: triedServers,
       maxUtilization: latencyLimit,
-      ...(moreUrgent.length > 0
-        ? {
-          getMaxUtilization: (slots) =>
-            computeMaxUtilization(latencyLimit, slots, moreUrgent.length),
-        }
-        : {}),
+      ...(demand === undefined ? {} : {
+        getMaxUtilization: (slots) =>
+          computeMaxUtilization(latencyLimit, slots, demand),
+      }),
       copies: getCopies(progress, region),
       maxCacheMissQueue: progress.usesObjectCache
         ? latencyModel.getMaxCacheMissQueue(
@@ -160,9 +161,11 @@
       service,
       objectKey,
       region,
-      ...(moreUrgent.length > 0
-        ? { priority: progress.priority, moreUrgent }
-        : {}),
+      ...(demand === undefined ? {} : {
+        priority: progress.priority,
+        moreUrgent: demand.moreUrgent,
+        spareMs: Math.round(demand.spareMs),
+      }),
       ...overflow?.fields,
       ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
       ...(throttled.length > 0
@@ -212,15 +215,16 @@
     return [inOwnDomain, ranked];
   }
 
-  /**
-   * @returns Priorities that slots are left free for: the more urgent ones that
-   *   compete for the service, if a request of one was seen lately.
-   */
-  function listMoreUrgent({ service, priority }: RequestProgress): number[] {
-    if (!options.urgentDemand.hasMoreUrgent(service, priority)) return [];
-    return options.getCompetingPriorities(service).filter((other) =>
-      other < priority
-    );
+  /** @returns The more urgent demand that a request competes with, if any. */
+  function findCompetingDemand(
+    { request, service, priority }: RequestProgress,
+  ): CompetingDemand | undefined {
+    const spareMs = options.urgentDemand.getLeastSpareMs(service, priority);
+    if (spareMs === undefined) return undefined;
+    const moreUrgent = options.getCompetingPriorities(service)
+      .filter((other) => other < priority);
+    const runMs = latencyModel.getExpectedMs(request.route, "any") ?? 0;
+    return { moreUrgent, spareMs, runMs };
   }
 
   /**
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -136,7 +136,13 @@
     const progress = createProgress(request);
     budget.recordRequest(progress.service);
     options.demand.record(progress.service);
-    options.urgentDemand.record(progress.service, progress.priority);
+    const { route } = request;
+    const runMs = options.latencyModel.getExpectedMs(route, "any") ?? 0;
+    options.urgentDemand.record(
+      progress.service,
+      progress.priority,
+      route.targetLatencyMs - runMs,
+    );
     const result = await serve(progress);
     const end = result.kind === "client_left" ? result.kind : "refused";
     waitQueue.recordEnd(progress, end);
