Prefer servers whose machines currently have their usual speed

Cause: backend servers share machines, of which 15% are 2.5 times slower at a time, others every 0.6 s. They report it as a fourth figure of X-Server-Load, which was ignored. Callers saw: cached objects requested from a slow server although another one with the object cached was at usual speed. Change: LoadReport.slowdown is decoded; an absent or invalid fourth figure leaves the other three in force. ServerLoad.speed keeps the last slowdown, which decays to usual with a half-life of 0.6 s. The selection adds the longer run of the request itself to a server's cost, but doesn't lower the utilization at which the server is saturated, and never ejects it. Servers that report three figures have a slowdown of exactly 1, which adds 0. Ruled out: multiplying the load by the slowdown as well.

--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -86,6 +86,15 @@
  * refusals.
  */
 const RESERVED_SLOTS = 1.35;
+/**
+ * Cost of the request's own run, in requests per slot, for each multiple of the
+ * usual time that it takes longer. It is small, since a cached object is worth
+ * more than a fast server: with the whole run and the load multiplied by the
+ * slowdown, fewer requests were answered in time than with speeds ignored
+ * (docs/design/server-speed.md).
+ */
+const HIT_RUN = 0.25;
+const MISS_RUN = 0.5;
 /** Maximum number of servers tried for a permit in one attempt. */
 const MAX_PERMIT_TRIES = 8;
 /** Servers with at least this share of recent failures are the last resort. */
@@ -197,7 +206,7 @@
   return undefined;
 }
 
-/** Selects the unsaturated server with the lowest utilization plus penalty. */
+/** Selects the unsaturated server with the lowest utilization plus penalties. */
 function chooseCheapest(
   servers: readonly KnownServer[],
   placement: PlacementRequest,
@@ -209,7 +218,8 @@
     const isCached = placement.hasCachedObject(server.listed.id);
     if (utilization >= getMaxUtilization(server, placement, isCached)) return;
     if (rank >= SERVERS_PER_OBJECT && !isCached) return;
-    const cost = utilization + getPenalty(rank, isCached);
+    const cost = utilization + getPenalty(rank, isCached) +
+      getSpeedPenalty(server, isCached);
     if (cost >= bestCost) return;
     bestCost = cost;
     best = { kind: "server", server, rank, utilization, isCached };
@@ -238,6 +248,12 @@
   );
 }
 
+/** Returns 0 where the server has its usual speed. */
+function getSpeedPenalty({ load }: KnownServer, isCached: boolean): number {
+  const ownRun = isCached ? HIT_RUN : MISS_RUN;
+  return ownRun * (load.speed.getSlowdown() - 1);
+}
+
 function getPenalty(rank: number, isCached: boolean): number {
   if (rank === 0) return isCached ? 0 : FIRST_SERVER_MISS_PENALTY;
   return isCached ? HIT_PENALTY : MISS_PENALTY;
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -75,6 +75,45 @@
   );
 });
 
+function reportSlowdown(server: KnownServer, slowdown?: number): void {
+  server.load.report({ running: 0, waiting: 0, slots: 4, slowdown });
+}
+
+test("the second server is selected while the first one is slow", () => {
+  const { clock, servers } = createFourServers();
+  reportSlowdown(servers[0], 2.5);
+  assert.is(getOutcome(choose(servers, clock)), "1");
+  clock.advance(1_200);
+  assert.is(getOutcome(choose(servers, clock)), "0");
+});
+
+test("a slow server is not left for one that has to load the object", () => {
+  const { clock, servers } = createFourServers();
+  reportSlowdown(servers[0], 2.5);
+  const hasCachedObject = (id: string) => id === "0";
+  assert.is(getOutcome(choose(servers, clock, { hasCachedObject })), "0");
+});
+
+test("a slow server is not saturated earlier", () => {
+  const { clock, servers } = createFourServers();
+  reportSlowdown(servers[0], 8);
+  load(servers[0], 7);
+  load(servers[1], 8);
+  assert.is(
+    getOutcome(choose(servers.slice(0, 2), clock)),
+    "0",
+  );
+});
+
+test("reports without a slowdown leave the choice as it is", () => {
+  const { clock, servers } = createFourServers();
+  load(servers[0], 1);
+  for (const slowdown of [undefined, 1]) {
+    reportSlowdown(servers[0], slowdown);
+    assert.is(getOutcome(choose(servers, clock)), "0");
+  }
+});
+
 test("a request is refused when both of its servers are saturated, even if others are idle", () => {
   const { clock, servers } = createFourServers();
   load(servers[0], 8);
--- a/src/servers/load.ts
+++ b/src/servers/load.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Clock } from "../runtime/clock.ts";
+import { createServerSpeed, type ServerSpeed } from "./speed.ts";
 
 /** Load that a server reports with an answer. */
 export interface LoadReport {
@@ -13,6 +14,11 @@
   waiting: number;
   /** Requests that the server runs at once. */
   slots: number;
+  /**
+   * How long work currently takes on the server's machine; 1 is usual. Absent
+   * if the server doesn't report it.
+   */
+  slowdown?: number;
 }
 
 /** This VM's estimate of the load of one server. */
@@ -31,6 +37,8 @@
   getUtilization(): number;
   /** @returns Requests that the server runs at once. */
   getSlots(): number;
+  /** Current speed of the server. */
+  speed: ServerSpeed;
 }
 
 /** Other sources that the load is estimated from. */
@@ -69,6 +77,7 @@
    */
   let unreported = 0;
   let reportedAtMs = 0;
+  const speed = createServerSpeed(clock);
 
   function getUnreported(): number {
     const ageMs = clock.monotonicMs() - reportedAtMs;
@@ -88,6 +97,7 @@
     end: () => void own--,
     report(report) {
       if (report.slots > 0) slots = report.slots;
+      if (report.slowdown !== undefined) speed.report(report.slowdown);
       const total = report.running + report.waiting;
       const reported = sources.getReported();
       const rest = Math.max(-reported, total - own - reported);
@@ -99,5 +109,6 @@
     getTotal,
     getUtilization: () => getTotal() / slots,
     getSlots: () => slots,
+    speed,
   };
 }
