Bound the weight of long runs in learned run times

Cause: three in 100 requests take seven times as long as others, whatever their server. In a moving mean each of them counted as seven, and one at the start held the mean up for 30 requests. Callers saw: learned durations that were too long, from which the utilization limit and Retry-After are derived. Change: a duration counts as at most five times the mean; of the first ten, a shorter one bounds a mean that began with a long run. Durations without such outliers are learned as before. Ruled out: four times the mean. Tests: bounded_mean_test.

--- a/src/servers/run_times.ts
+++ b/src/servers/run_times.ts
@@ -4,13 +4,16 @@
  * @module
  */
 
+import { createBoundedMeans } from "./bounded_mean.ts";
+
 /** Mean run times of requests, by service. */
 export interface RunTimes {
   /**
    * Records a request that was answered.
    *
    * @param service The service.
-   * @param tookMs Time from sending the request to its answer.
+   * @param tookMs Time from sending the request to its answer, at the usual
+   *   speed of its server.
    */
   record(service: string, tookMs: number): void;
   /** @returns The mean run time in ms; undefined before the first answer. */
@@ -22,12 +25,6 @@
 
 /** @returns An empty table of run times. */
 export function createRunTimes(): RunTimes {
-  const means = new Map<string, number>();
-  return {
-    record(service, tookMs) {
-      const before = means.get(service) ?? tookMs;
-      means.set(service, before + WEIGHT * (tookMs - before));
-    },
-    getMeanMs: (service) => means.get(service),
-  };
+  const means = createBoundedMeans(WEIGHT);
+  return { record: means.record, getMeanMs: means.get };
 }
--- a/src/serving/latency_model.ts
+++ b/src/serving/latency_model.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Route } from "../routing/types.ts";
+import { createBoundedMeans } from "../servers/bounded_mean.ts";
 
 /** Estimated durations of requests, by route. */
 export interface LatencyModel {
@@ -103,37 +104,25 @@
 /** @returns A model without any durations. */
 export function createLatencyModel(): LatencyModel {
   /** Mean service time: the duration divided by the utilization, if above 1. */
-  const serviceMs = new Map<string, number>();
-  const cacheMissMs = new Map<string, number>();
-  const cacheHitMs = new Map<string, number>();
+  const serviceMs = createBoundedMeans(SMOOTHING_WEIGHT);
+  const cacheMissMs = createBoundedMeans(SMOOTHING_WEIGHT);
+  const cacheHitMs = createBoundedMeans(SMOOTHING_WEIGHT);
 
   function makeRouteKey(route: Route): string {
     return `${route.host}${route.prefix}`;
   }
 
-  function updateMean(
-    means: Map<string, number>,
-    key: string,
-    ms: number,
-  ): void {
-    const previousMs = means.get(key) ?? ms;
-    means.set(key, previousMs + SMOOTHING_WEIGHT * (ms - previousMs));
-  }
-
   return {
     recordAnswer(route, tookMs, utilization) {
-      updateMean(
-        serviceMs,
-        makeRouteKey(route),
-        tookMs / Math.max(1, utilization),
-      );
+      const ms = tookMs / Math.max(1, utilization);
+      serviceMs.record(makeRouteKey(route), ms);
     },
     recordUnloadedAnswer(route, depth, tookMs) {
       if (depth === undefined) {
-        return updateMean(cacheMissMs, makeRouteKey(route), tookMs);
+        return cacheMissMs.record(makeRouteKey(route), tookMs);
       }
       if (depth > MAX_CERTAIN_HIT_DEPTH) return;
-      updateMean(cacheHitMs, makeRouteKey(route), tookMs);
+      cacheHitMs.record(makeRouteKey(route), tookMs);
     },
     wasCached(route, tookMs) {
       const missMs = cacheMissMs.get(makeRouteKey(route));
