Learn run times at the usual speed of servers

Cause: an answer of a machine that is 2.5 times slower counted as a duration of its route, although the machine has its usual speed again 0.6 s later. Change: the duration of an answer is divided by the slowdown that came with it, before run times, latencies and cache hits are learned from it.

--- a/src/serving/attempt_observer.ts
+++ b/src/serving/attempt_observer.ts
@@ -11,6 +11,7 @@
 import type { ServerBackoffs } from "../servers/backoffs.ts";
 import type { ServerRateLimits } from "../servers/rate_limits.ts";
 import type { RunTimes } from "../servers/run_times.ts";
+import { limitSlowdown } from "../servers/speed.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import { makeObjectName, type RequestProgress } from "./request_progress.ts";
@@ -148,10 +149,11 @@
     }
     server.health.recordOutcome("answered");
     const { route } = progress.request;
-    latencyModel.recordAnswer(route, tookMs, utilizationAtStart);
-    runTimes.record(progress.service, tookMs);
+    const usualMs = tookMs / limitSlowdown(result.signals.load?.slowdown ?? 1);
+    latencyModel.recordAnswer(route, usualMs, utilizationAtStart);
+    runTimes.record(progress.service, usualMs);
     if (progress.usesObjectCache && utilizationAtStart < UNLOADED_UTILIZATION) {
-      recordCacheResult(progress, outcome);
+      recordCacheResult(progress, { ...outcome, tookMs: usualMs });
     }
   }
 
@@ -227,6 +229,11 @@
 /** Log fields for the signals of the server; empty where it sent none. */
 function describeSignals(result: ExchangeResult): Record<string, unknown> {
   if (result.kind !== "answer" && result.kind !== "not_run") return {};
-  const { limitPerS, isDraining, backoffMs } = result.signals;
-  return { limitPerS, backoffMs, ...(isDraining ? { isDraining } : {}) };
+  const { load, limitPerS, isDraining, backoffMs } = result.signals;
+  return {
+    limitPerS,
+    backoffMs,
+    slowdown: load?.slowdown,
+    ...(isDraining ? { isDraining } : {}),
+  };
 }
--- a/src/serving/attempt_observer_test.ts
+++ b/src/serving/attempt_observer_test.ts
@@ -25,18 +25,19 @@
   const [server] = registry.listUsable("s");
   const cacheModel = createObjectCacheModel();
   const cacheSizeEstimator = createCacheSizeEstimator();
+  const runTimes = createRunTimes();
   const observer = createAttemptObserver({
     clock,
     log: createSilentLog(),
     latencyModel: createLatencyModel(),
     cacheModel,
     cacheSizeEstimator,
-    runTimes: createRunTimes(),
+    runTimes,
     rateLimits: { record() {} },
     backoffs: { begin() {} },
     registry,
   });
-  return { cacheModel, cacheSizeEstimator, observer, server };
+  return { cacheModel, cacheSizeEstimator, observer, runTimes, server };
 }
 
 const ANSWER: ExchangeResult = {
@@ -107,6 +108,27 @@
   assert.ok(server.health.getFailureShare() > 0);
 });
 
+test("answers of a slow server don't change the learned run times", () => {
+  const { observer, runTimes, server } = startObserver();
+  const recordAnswer = (tookMs: number, slowdown?: number) =>
+    observer.recordAttempt(makeProgress(), server, {
+      result: {
+        ...ANSWER,
+        signals: {
+          ...NO_SIGNALS,
+          load: { running: 1, waiting: 0, slots: 4, slowdown },
+        },
+      },
+      tookMs,
+      utilizationAtStart: 0.3,
+      depth: undefined,
+      isCached: false,
+    });
+  recordAnswer(200);
+  for (let count = 0; count < 50; count++) recordAnswer(500, 2.5);
+  assert.is(runTimes.getMeanMs("s"), 200);
+});
+
 test("the cache size is estimated from answers of servers with free slots", () => {
   const { cacheModel, cacheSizeEstimator, observer, server } = startObserver();
   const answer = (
