Show the slowdown of servers in logs, metrics and the state dump

Cause: an operator could not tell why a request was not sent to the first server of its object, or that a server was slow. Lines about servers that report three figures are as before. Tests: those of src/explain and src/gateway still pass; no test reads the new fields.

--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -6,6 +6,7 @@
 import { type FactStore, getOldestAgeMs } from "../news/fact_store.ts";
 import type { FreshnessTracker } from "../news/freshness.ts";
 import { SOURCE_TOPICS } from "../news/types.ts";
+import { isUnusualSlowdown } from "../servers/speed.ts";
 import {
   createServingMetrics,
   type ServingMetrics,
@@ -59,6 +60,14 @@
       read: () =>
         core.registry.listAll().filter(core.registry.isDraining).length,
     },
+    slow_servers: {
+      help:
+        "Backend servers whose last slowdown differs from usual, with decay",
+      read: () =>
+        core.registry.listAll().filter(({ load }) =>
+          isUnusualSlowdown(load.speed.getSlowdown())
+        ).length,
+    },
     backoff_servers: {
       help: "Backend servers that asked this VM to back off",
       read: () => core.serverLimits.backoffs.list().length,
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -85,6 +85,7 @@
   return {
     ...listed,
     use: load.getUtilization(),
+    slowdown: load.speed.getSlowdown(),
     ownRequests: load.getOwn(),
     failureShare: health.getFailureShare(),
     isEjected: health.isEjected(),
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -15,6 +15,7 @@
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { ServerPermits } from "../servers/permits.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import { isUnusualSlowdown } from "../servers/speed.ts";
 import type { ListedServer } from "../servers/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { LatencyModel } from "./latency_model.ts";
@@ -134,6 +135,7 @@
         server: server.listed.id,
         rank,
         use: utilization,
+        slowdown: describeSlowdown(server),
         slots: server.load.getSlots(),
         isKnown: isCached,
       },
@@ -200,6 +202,12 @@
   return { place };
 }
 
+/** Returns the slowdown for the log; undefined where it is usual. */
+function describeSlowdown({ load }: KnownServer): number | undefined {
+  const slowdown = load.speed.getSlowdown();
+  return isUnusualSlowdown(slowdown) ? Number(slowdown.toFixed(2)) : undefined;
+}
+
 function refuse(
   reason: RefusalReason,
   retryAfterMs?: number,
