--- a/src/servers/load.ts
+++ b/src/servers/load.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Clock } from "../runtime/clock.ts";
+import { createServerSpeed, type ServerSpeed } from "./speed.ts";
 
 /** Load that a server reports with an answer. */
 export interface LoadReport {
@@ -13,6 +14,11 @@
   waiting: number;
   /** Requests that the server runs at once. */
   slots: number;
+  /**
+   * How long work currently takes on the server's machine; 1 is usual. Absent
+   * if the server doesn't report it.
+   */
+  slowdown?: number;
 }
 
 /** This VM's estimate of the load of one server. */
@@ -33,6 +39,8 @@
   getSlots(): number;
   /** @returns Time since its last report; infinite before the first. */
   getReportAgeMs(): number;
+  /** Current speed of the server. */
+  speed: ServerSpeed;
 }
 
 /** Other sources that the load is estimated from. */
@@ -71,6 +79,7 @@
    */
   let unreported = 0;
   let reportedAtMs = -Infinity;
+  const speed = createServerSpeed(clock);
 
   function getUnreported(): number {
     const ageMs = clock.monotonicMs() - reportedAtMs;
@@ -90,6 +99,7 @@
     end: () => void own--,
     report(report) {
       if (report.slots > 0) slots = report.slots;
+      if (report.slowdown !== undefined) speed.report(report.slowdown);
       const total = report.running + report.waiting;
       const reported = sources.getReported();
       const rest = Math.max(-reported, total - own - reported);
@@ -102,5 +112,6 @@
     getUtilization: () => getTotal() / slots,
     getSlots: () => slots,
     getReportAgeMs: () => clock.monotonicMs() - reportedAtMs,
+    speed,
   };
 }
--- a/src/serving/latency_model.ts
+++ b/src/serving/latency_model.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Route } from "../routing/types.ts";
+import { createBoundedMeans } from "../servers/bounded_mean.ts";
 
 /** Answers from the cache of a server, the others, or all. */
 export type AnswerKind = "hit" | "miss" | "any";
@@ -37,8 +38,8 @@
   /**
    * @param route The route.
    * @param tookMs Duration of an attempt at a server that had a free slot.
-   * @returns Whether the duration is that of a cache hit; undefined while hits
-   *   and misses can't be distinguished.
+   * @returns Whether the duration is that of a cache hit; undefined for outliers,
+   *   and while hits and misses can't be distinguished.
    */
   wasCached(route: Route, tookMs: number): boolean | undefined;
   /**
@@ -110,46 +111,42 @@
 /** Hits and misses can't be distinguished below this ratio of durations. */
 const MIN_MISS_TO_HIT_RATIO = 1.5;
 
+/**
+ * A longer run is an outlier, which says nothing about the cache: a hit that
+ * took seven times as long counted as a miss, and one such answer let a VM of a
+ * large fleet take all objects of a service for evicted.
+ */
+const MAX_MISS_RATIO = 1.6;
+
 /** @returns A model without any durations. */
 export function createLatencyModel(): LatencyModel {
   /** Mean service time: the duration divided by the utilization, if above 1. */
-  const serviceMs = new Map<string, number>();
-  const cacheMissMs = new Map<string, number>();
-  const cacheHitMs = new Map<string, number>();
+  const serviceMs = createBoundedMeans(SMOOTHING_WEIGHT);
+  const cacheMissMs = createBoundedMeans(SMOOTHING_WEIGHT);
+  const cacheHitMs = createBoundedMeans(SMOOTHING_WEIGHT);
 
   function makeRouteKey(route: Route): string {
     return `${route.host}${route.prefix}`;
   }
 
-  function updateMean(
-    means: Map<string, number>,
-    key: string,
-    ms: number,
-  ): void {
-    const previousMs = means.get(key) ?? ms;
-    means.set(key, previousMs + SMOOTHING_WEIGHT * (ms - previousMs));
-  }
-
   return {
     recordAnswer(route, tookMs, utilization) {
-      updateMean(
-        serviceMs,
-        makeRouteKey(route),
-        tookMs / Math.max(1, utilization),
-      );
+      const ms = tookMs / Math.max(1, utilization);
+      serviceMs.record(makeRouteKey(route), ms);
     },
     recordUnloadedAnswer(route, depth, tookMs) {
       if (depth === undefined) {
-        return updateMean(cacheMissMs, makeRouteKey(route), tookMs);
+        return cacheMissMs.record(makeRouteKey(route), tookMs);
       }
       if (depth > MAX_CERTAIN_HIT_DEPTH) return;
-      updateMean(cacheHitMs, makeRouteKey(route), tookMs);
+      cacheHitMs.record(makeRouteKey(route), tookMs);
     },
     wasCached(route, tookMs) {
       const missMs = cacheMissMs.get(makeRouteKey(route));
       const hitMs = cacheHitMs.get(makeRouteKey(route));
       if (missMs === undefined || hitMs === undefined) return undefined;
       if (missMs < MIN_MISS_TO_HIT_RATIO * hitMs) return undefined;
+      if (tookMs > MAX_MISS_RATIO * missMs) return undefined;
       return tookMs < Math.sqrt(missMs * hitMs);
     },
     getExpectedMs(route, kind) {
--- a/src/serving/latency_model_test.ts
+++ b/src/serving/latency_model_test.ts
@@ -26,4 +26,18 @@
   }
 });
 
+// Load: three in 100 runs take seven times as long. Guards against hits among
+// them that count as misses.
+test("outliers show neither a hit nor a miss", () => {
+  const model = createLatencyModel();
+  const route = makeRoute();
+  for (let count = 0; count < 20; count++) {
+    model.recordUnloadedAnswer(route, undefined, 751);
+    model.recordUnloadedAnswer(route, 0, 225);
+  }
+  assert.is(model.wasCached(route, 240), true);
+  assert.is(model.wasCached(route, 1_000), false);
+  assert.is(model.wasCached(route, 7 * 225), undefined);
+});
+
 test.run();
