--- a/src/placement/overflow_test.ts
+++ b/src/placement/overflow_test.ts
@@ -53,6 +53,15 @@
   assert.is(choose(700, full), undefined);
 });
 
+/** Guards against a share that leaves no room for the end of a burst. */
+test("half more than the allowed share fits next to what the plan moved", () => {
+  for (const movedShare of [0, 0.02, 0.04, 0.06, 0.08, 0.3]) {
+    const share = computeOverflowShare(0.08, movedShare);
+    assert.ok(share >= 0 && share <= 0.032 + 1e-9);
+    assert.ok(1.5 * share <= Math.max(0, 0.08 - movedShare) + 1e-9);
+  }
+});
+
 /** A VM with a plan and a budget that the plan restricts, as in a gateway. */
 function startVm(
   clock: FakeClock,
