Keep no slot free for requests that are late anyway

Cause: where caches are short, a run takes longer than its target, and slots that were left free for more urgent accounts made no request of theirs be in time. Change: only requests whose expected run fits into their target keep slots free. Tests: queueing_test.

--- a/src/queueing/queueing_test.ts
+++ b/src/queueing/queueing_test.ts
@@ -86,4 +86,14 @@
   assert.equal(demand.list(), []);
 });
 
+// Load: caches are short, so that runs take longer than the target. Guards
+// against refusals for requests that are late anyway.
+test("requests that would be late in a free slot keep none free", () => {
+  const demand = createUrgentDemand(createFakeClock());
+  demand.record("s", 0, -20);
+  assert.is(demand.getLeastSpareMs("s", 2), undefined);
+  demand.record("s", 1, 24);
+  assert.is(demand.getLeastSpareMs("s", 2), 24);
+});
+
 test.run();
--- a/src/queueing/urgency.ts
+++ b/src/queueing/urgency.ts
@@ -32,7 +32,8 @@
    * @param service A service.
    * @param priority A priority.
    * @returns Least spare time of the more urgent requests for the service that
-   *   arrived lately; undefined where there were none.
+   *   arrived lately and would be in time in a free slot; undefined where there
+   *   were none.
    */
   getLeastSpareMs(service: string, priority: number): number | undefined;
   /** @returns The priorities that were requested lately, by service. */
@@ -111,6 +112,8 @@
       let least: number | undefined;
       for (const [other, last] of lastByService.get(service) ?? []) {
         if (other >= priority || !isRecent(last)) continue;
+        // It would be late in a free slot too, so leaving one free is no use.
+        if (last.spareMs <= 0) continue;
         least = Math.min(least ?? Infinity, last.spareMs);
       }
       return least;
