Close a client connection only after its last begun request

Cause: the front server put "connection: close" on each request that arrived while the VM was leaving. node:http closes the connection after the first such answer, while requests behind it were already running. It also closed, at the end of leaving, connections whose answer was written but not yet taken by a slow client, and it answered bytes that can't be parsed with 400 in the place of earlier answers. What callers saw: pipelined requests that had run were lost when a VM left; answers to slow readers were cut off (3.9 of 16 MB arrived); requests that queued behind another one kept running after their client had left. Change: client_connections.ts keeps the begun requests of each connection. The close is put on the last of them, nothing behind it is begun, and a connection counts as idle once the client has taken all answers.

--- /dev/null
+++ b/src/serving/client_connections.ts
@@ -0,0 +1,187 @@
+/**
+ * Requests of each client connection, and which response closes it.
+ *
+ * A client may pipeline requests: send more before the first response. They are
+ * served concurrently, and node:http sends the responses in request order. It
+ * closes the connection after the first response with `connection: close`, also
+ * if requests behind it are running, so that header is decided here.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** A request whose serving has begun. */
+export interface BegunRequest {
+  message: IncomingMessage;
+  response: ServerResponse;
+  /** Aborted when the client disconnects before it has the whole response. */
+  signal: AbortSignal;
+  /**
+   * Adds a function to call when the client has taken the response or has
+   * disconnected.
+   *
+   * @param run The function.
+   */
+  onSettled(run: () => void): void;
+  /** Announces on the response that the connection closes, if it does. */
+  decideClose(): void;
+}
+
+/** The connections of clients. */
+export interface ClientConnections {
+  /**
+   * Adds a connection.
+   *
+   * @param socket The connection.
+   */
+  open(socket: Socket): void;
+  /**
+   * Begins a request.
+   *
+   * @param message The request.
+   * @param response Its response.
+   * @returns The begun request; undefined where it follows a response that
+   *   closes the connection and must not run.
+   */
+  begin(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): BegunRequest | undefined;
+  /**
+   * Gives up reading a connection, and closes it after the responses to the
+   * requests that it had sent completely.
+   *
+   * @param socket The connection.
+   * @returns Whether there are such requests.
+   */
+  closeAfterBegun(socket: Socket): boolean;
+  /** From now on, closes each connection after its last begun request. */
+  startLeaving(): void;
+  /** Closes the connections that have no request. */
+  closeIdle(): void;
+  /**
+   * @param socket The connection.
+   * @returns Whether a response is being sent on it.
+   */
+  isSending(socket: Socket): boolean;
+}
+
+interface Connection {
+  begun: Set<OpenRequest>;
+  /** The request that began last. */
+  last: OpenRequest | undefined;
+  /** Whether no further request may begin. */
+  isClosing: boolean;
+  /** `bytesRead` when the last request was settled. */
+  settledBytesRead: number;
+}
+
+interface OpenRequest {
+  message: IncomingMessage;
+  response: ServerResponse;
+  settle(): void;
+}
+
+/** @returns Connections, none open. */
+export function createClientConnections(): ClientConnections {
+  const connections = new Map<Socket, Connection>();
+  let isLeaving = false;
+
+  function open(socket: Socket): Connection {
+    const connection: Connection = {
+      begun: new Set(),
+      last: undefined,
+      isClosing: false,
+      settledBytesRead: 0,
+    };
+    connections.set(socket, connection);
+    // A response emits "close" only once it is the connection's turn to send
+    // it, so those that still queue behind another one are settled here.
+    socket.once("close", () => {
+      connections.delete(socket);
+      for (const request of connection.begun) request.settle();
+    });
+    return connection;
+  }
+
+  function begin(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): BegunRequest | undefined {
+    const { socket } = message;
+    const connection = connections.get(socket) ?? open(socket);
+    if (connection.isClosing) return undefined;
+    const controller = new AbortController();
+    const settledCallbacks: (() => void)[] = [];
+    const request: OpenRequest = {
+      message,
+      response,
+      settle() {
+        if (!connection.begun.delete(request)) return;
+        if (!response.writableFinished) controller.abort();
+        for (const run of settledCallbacks) run();
+        connection.settledBytesRead = socket.bytesRead;
+        if (connection.isClosing && connection.begun.size === 0) {
+          socket.destroySoon();
+        }
+      },
+    };
+    connection.begun.add(request);
+    connection.last = request;
+    response.once("close", request.settle);
+    // Set where the request itself asks to close the connection.
+    if (!response.shouldKeepAlive) connection.isClosing = true;
+    const begun: BegunRequest = {
+      message,
+      response,
+      signal: controller.signal,
+      onSettled: (run) => void settledCallbacks.push(run),
+      decideClose() {
+        const isClosing = isLeaving || connection.isClosing;
+        if (!isClosing || connection.last !== request) return;
+        connection.isClosing = true;
+        if (!response.headersSent) response.setHeader("connection", "close");
+      },
+    };
+    // Otherwise a client that always pipelines would keep the connection open.
+    if (isLeaving) begun.decideClose();
+    return begun;
+  }
+
+  function closeAfterBegun(socket: Socket): boolean {
+    const connection = connections.get(socket);
+    if (connection === undefined || !socket.writable) return false;
+    const { begun, last } = connection;
+    const hasComplete = last?.message.complete
+      ? begun.size > 0
+      : begun.size > 1;
+    if (!hasComplete) return false;
+    connection.isClosing = true;
+    if (last !== undefined && !last.message.complete) {
+      last.settle();
+      connection.last = [...begun].at(-1);
+    }
+    return true;
+  }
+
+  function closeIdle(): void {
+    for (const [socket, connection] of connections) {
+      // A request that has arrived in part is answered.
+      const isReceiving = socket.bytesRead !== connection.settledBytesRead;
+      if (connection.begun.size === 0 && !isReceiving) socket.destroy();
+    }
+  }
+
+  return {
+    open: (socket) => void open(socket),
+    begin,
+    closeAfterBegun,
+    startLeaving: () => void (isLeaving = true),
+    closeIdle,
+    isSending(socket) {
+      const [first] = connections.get(socket)?.begun ?? [];
+      return first !== undefined && first.response.headersSent;
+    },
+  };
+}
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -13,6 +13,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { RouteTable } from "../routing/table.ts";
 import type { HostPort } from "../runtime/address.ts";
@@ -21,6 +22,10 @@
 import type { Log } from "../telemetry/log.ts";
 import type { ServingMetrics } from "../telemetry/metrics.ts";
 import type { CallerCheck } from "../accounts/caller_check.ts";
+import {
+  type BegunRequest,
+  createClientConnections,
+} from "./client_connections.ts";
 import type { RequestHandler } from "./request_handler.ts";
 import type { ServeResult, WireCodec } from "./types.ts";
 
@@ -44,7 +49,10 @@
 
 /** A listening front server. */
 export interface FrontServer {
-  /** From now on, closes each connection after its next answer. */
+  /**
+   * From now on, closes each connection after the answers to the requests that
+   * have begun on it, or after its next answer.
+   */
   startLeaving(): void;
   /** Stops listening, closes idle connections and waits for open requests. */
   close(): Promise<void>;
@@ -71,6 +79,12 @@
   detail: "Backend servers ended while they ran this request. It was not run " +
     "now, and will not be before the time given in Retry-After.",
 });
+/** Status lines for bytes that aren't a request, by error code. */
+const ERROR_STATUS_LINES: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
 /** When clients should retry while this VM has no configuration yet. */
 const NO_CONFIGURATION_RETRY_MS = 300;
 
@@ -82,7 +96,7 @@
   options: FrontServerOptions,
 ): Promise<FrontServer> {
   const { codec, handler, callerCheck, clock, log, metrics } = options;
-  let isLeaving = false;
+  const connections = createClientConnections();
   let openRequests = 0;
 
   const server = createServer({
@@ -92,16 +106,35 @@
     requestTimeout: 0,
     noDelay: true,
   }, (message, response) => void handleMessage(message, response));
+  server.on("connection", connections.open);
+  server.on("clientError", (error, socket) => {
+    // Bytes that can't be parsed must not cost the requests before them their
+    // answers.
+    if (connections.closeAfterBegun(socket as Socket)) return;
+    endInvalid(
+      socket as Socket,
+      error,
+      connections.isSending(socket as Socket),
+    );
+  });
+  // node:http would also close connections whose last answer is still being
+  // sent to a slow client.
+  server.closeIdleConnections = connections.closeIdle;
 
   async function handleMessage(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = clock.monotonicMs();
-    if (isLeaving) response.setHeader("connection", "close");
+    const begun = connections.begin(message, response);
+    if (begun === undefined) {
+      const { requestId } = codec.decodeRequest(message.headers);
+      log.info({ requestId }, "request behind a closing answer not begun");
+      return;
+    }
     openRequests++;
     try {
-      await serve(message, response, arrivedAtMs);
+      await serve(begun, arrivedAtMs);
     } catch (cause) {
       log.error({ error: describeError(cause) }, "request failed unexpectedly");
       response.destroy();
@@ -111,10 +144,10 @@
   }
 
   async function serve(
-    message: IncomingMessage,
-    response: ServerResponse,
+    begun: BegunRequest,
     arrivedAtMs: number,
   ): Promise<void> {
+    const { message } = begun;
     const table = options.getRouteTable();
     const metadata = codec.decodeRequest(message.headers);
     if (table === undefined) {
@@ -123,7 +156,7 @@
         reason: "no_configuration",
         retryAfterMs: NO_CONFIGURATION_RETRY_MS,
       };
-      return sendResult(response, result, { requestId: metadata.requestId });
+      return sendResult(begun, result, { requestId: metadata.requestId });
     }
     const path = message.url ?? "/";
     const route = table.match(message.headers.host ?? "", path);
@@ -144,14 +177,14 @@
         },
         "request rejected",
       );
-      return sendStatus(response, status, {});
+      return sendStatus(begun, status, {});
     }
     applyLimits(server, table);
     const checked = callerCheck.check(table, route, metadata);
     const finish = (result: ServeResult) => {
       const tookMs = clock.monotonicMs() - arrivedAtMs;
       metrics.recordRequest(route, result, tookMs);
-      sendResult(response, result, {
+      sendResult(begun, result, {
         requestId: metadata.requestId,
         route: route.name,
         ...configurationFields,
@@ -161,7 +194,7 @@
     };
     if (checked.kind === "rejected") return finish(checked.result);
     const body = await readBody(
-      message,
+      begun,
       table.configuration.limits.maxBodyBytes,
     );
     if (options.isOverloaded()) await yieldToEventLoop();
@@ -170,7 +203,7 @@
     }
     if (body === "too_large") {
       callerCheck.refund(checked);
-      return sendStatus(response, 413, {});
+      return sendStatus(begun, 413, {});
     }
     const result = await handler.handle({
       method: message.method ?? "GET",
@@ -183,39 +216,39 @@
       route,
       homeRegions: checked.homeRegions,
       arrivedAtMs,
-      signal: createDisconnectSignal(response),
+      signal: begun.signal,
     });
     if (result.kind === "refused") callerCheck.refund(checked);
     finish(result);
   }
 
   function sendResult(
-    response: ServerResponse,
+    begun: BegunRequest,
     result: ServeResult,
     fields: Record<string, unknown>,
   ): void {
     log.info({ ...fields, ...describeResult(result) }, "request ended");
     if (result.kind === "client_left") return;
-    if (result.kind === "answer") return sendAnswer(response, result);
-    if (result.kind === "refused") return sendRefusal(response, result);
+    if (result.kind === "answer") return sendAnswer(begun, result);
+    if (result.kind === "refused") return sendRefusal(begun, result);
     if (result.kind === "limited") {
       const headers = codec.encodeRefusal(result.retryAfterMs);
-      return sendStatus(response, 429, headers);
+      return sendStatus(begun, 429, headers);
     }
     if (result.kind === "unknown_caller") {
-      return sendStatus(response, 401, codec.encodeChallenge());
+      return sendStatus(begun, 401, codec.encodeChallenge());
     }
-    sendStatus(response, result.kind === "timed_out" ? 504 : 502, {});
+    sendStatus(begun, result.kind === "timed_out" ? 504 : 502, {});
   }
 
   function sendRefusal(
-    response: ServerResponse,
+    begun: BegunRequest,
     { reason, retryAfterMs }: Extract<ServeResult, { kind: "refused" }>,
   ): void {
     const headers = codec.encodeRefusal(retryAfterMs);
-    if (reason !== "set_aside") return sendStatus(response, 503, headers);
+    if (reason !== "set_aside") return sendStatus(begun, 503, headers);
     sendStatus(
-      response,
+      begun,
       503,
       { ...headers, "content-type": "application/problem+json" },
       SET_ASIDE_PROBLEM,
@@ -226,7 +259,7 @@
     server.once("error", reject);
     server.listen(options.address.port, options.address.host, () => {
       resolve({
-        startLeaving: () => void (isLeaving = true),
+        startLeaving: connections.startLeaving,
         close: () =>
           new Promise((onClosed) => {
             server.close(() => onClosed());
@@ -238,6 +271,19 @@
   });
 }
 
+/** Answers bytes that aren't a request, as node:http does, and disconnects. */
+function endInvalid(
+  socket: Socket,
+  error: Error & { code?: string },
+  isSending: boolean,
+): void {
+  if (socket.writable && !isSending) {
+    const status = ERROR_STATUS_LINES[error.code ?? ""] ?? "400 Bad Request";
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy(error);
+}
+
 /** Applies the limits of the active configuration. */
 function applyLimits(server: Server, table: RouteTable): void {
   const { limits } = table.configuration;
@@ -258,16 +304,8 @@
   return socket.destroyed || socket.writableEnded;
 }
 
-function createDisconnectSignal(response: ServerResponse): AbortSignal {
-  const controller = new AbortController();
-  response.once("close", () => {
-    if (!response.writableFinished) controller.abort();
-  });
-  return controller.signal;
-}
-
 function readBody(
-  message: IncomingMessage,
+  { message, onSettled }: BegunRequest,
   maxBytes: number,
 ): Promise<Buffer | "cut" | "too_large"> {
   return new Promise((resolve) => {
@@ -283,14 +321,17 @@
       () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)),
     );
     message.on("close", () => resolve("cut"));
+    onSettled(() => resolve("cut"));
     message.on("error", () => resolve("cut"));
   });
 }
 
 function sendAnswer(
-  response: ServerResponse,
+  begun: BegunRequest,
   { answer }: Extract<ServeResult, { kind: "answer" }>,
 ): void {
+  const { response } = begun;
+  begun.decideClose();
   const { status, headers, body } = answer;
   const hasNoBody = status === 204 || status === 304;
   response.writeHead(status, {
@@ -302,12 +343,14 @@
 
 /** Sends a response that the gateway itself generates. */
 function sendStatus(
-  response: ServerResponse,
+  begun: BegunRequest,
   status: number,
   headers: Record<string, string>,
   body = "",
 ): void {
+  const { response } = begun;
   if (response.headersSent || response.destroyed) return;
+  begun.decideClose();
   const length = Buffer.byteLength(body);
   response.writeHead(status, { ...headers, "content-length": length });
   response.end(body);
