Limit the memory for large request and answer bodies

Cause: the front server kept each request body and the exchange each answer of up to 16 MiB, whatever their sum, on VMs of 202 MB and more. Clients that sent or read slowly held that memory as long as they liked. "Expect: 100-continue" was answered with 100 before anything was checked, and a body that was declared too large was read. Change: a budget of a quarter of limits.memory_mb (no limit where it is absent). Bodies of 16 KB and more are admitted by declared length and expected answer size, or refused at once with 503 memory_short. Answers without room wait in their server's connection, for at most a second. Uploads that are not complete by their deadline are refused, clients that stop reading are disconnected. Metrics, state dump, log lines and hawthorngw-explain show it.

--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -28,6 +28,8 @@
   | "refused, key unproven"
   /** Rate limits or backoffs of its servers left no capacity. */
   | "refused, throttled"
+  /** Its VM had no memory for its bodies. */
+  | "refused, memory short"
   | "refused, other"
   | "over the account's limit"
   | "unknown caller"
@@ -49,6 +51,7 @@
   "refused by servers",
   "refused, key unproven",
   "refused, throttled",
+  "refused, memory short",
   "refused, other",
   "over the account's limit",
   "unknown caller",
@@ -124,6 +127,7 @@
   if (reason === "not_run_anywhere") return "refused by servers";
   if (reason === "key_unproven") return "refused, key unproven";
   if (reason === "throttled") return "refused, throttled";
+  if (reason === "memory_short") return "refused, memory short";
   const last = choices.at(-1);
   if (reason !== "all_full" || last?.uses === undefined) {
     return "refused, other";
--- a/src/explain/causes_test.ts
+++ b/src/explain/causes_test.ts
@@ -43,6 +43,10 @@
     outcome: "refused",
     reason: "key_unproven",
   }],
+  ["refused, memory short", { use: 0.5 }, { tookMs: 2 }, {
+    outcome: "refused",
+    reason: "memory_short",
+  }],
   ["over the account's limit", { use: 0.5 }, { tookMs: 2 }, {
     outcome: "limited",
   }],
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -46,6 +46,11 @@
 } from "../servers/registry.ts";
 import { createRunTimes } from "../servers/run_times.ts";
 import type { ListedServer } from "../servers/types.ts";
+import {
+  type BodyBudget,
+  computeBodyLimit,
+  createBodyBudget,
+} from "../serving/body_budget.ts";
 import {
   createDemandMeter,
   type DemandMeter,
@@ -90,6 +95,7 @@
 export interface Core {
   registry: ServerRegistry;
   exchange: Exchange;
+  bodyBudget: BodyBudget;
   demandMeter: DemandMeter;
   requestHandler: RequestHandler;
   callerCheck: CallerCheck;
@@ -148,6 +154,12 @@
     runTimes,
   });
   const exchange = createExchange(codec, getConnectionLimit);
+  const bodyBudget = createBodyBudget({
+    clock,
+    log,
+    random,
+    limitBytes: computeBodyLimit(settings.memoryMb),
+  });
 
   function getConnectionLimit(server: ListedServer): number {
     return computeConnectionLimit(
@@ -289,6 +301,7 @@
   return {
     registry,
     exchange,
+    bodyBudget,
     demandMeter,
     requestHandler,
     callerCheck,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -243,6 +243,7 @@
     codec,
     handler: core.requestHandler,
     callerCheck: core.callerCheck,
+    bodyBudget: core.bodyBudget,
     clock,
     log,
     metrics,
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -34,6 +34,31 @@
       help: "Open connections to backend servers",
       read: () => core.exchange.countConnections(),
     },
+    body_bytes: {
+      help: "Bytes of request and answer bodies held for clients",
+      read: () => core.bodyBudget.getStats().heldBytes,
+    },
+    body_bytes_limit: {
+      help: "Most bytes of bodies to hold; 0 without a limit",
+      read: () => core.bodyBudget.getStats().limitBytes ?? 0,
+    },
+    body_memory_short: {
+      help: "1 while large bodies lack room",
+      read: () => Number(core.bodyBudget.getStats().isShort),
+    },
+    waiting_answers: {
+      help: "Answers that wait for room in their servers' connections",
+      read: () => core.bodyBudget.getStats().waitingAnswers,
+    },
+    overdrawn_answers: {
+      help: "Answers read without room after their wait, since the start",
+      read: () => core.bodyBudget.getStats().overdrawnAnswers,
+    },
+    stalled_clients: {
+      help: "Connections closed since the client stopped reading, since the " +
+        "start",
+      read: () => core.bodyBudget.getStats().stalledClients,
+    },
     fact_age_seconds: {
       help: "Age of the least current facts",
       read: () => Math.min(getOldestAgeMs(factStore), UNKNOWN_AGE_MS) / 1_000,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -33,6 +33,8 @@
   region: string;
   /** Processor capacity of the VM, in cores. */
   cores: number;
+  /** Memory of the VM, in MB; absent if the platform doesn't state it. */
+  memoryMb?: number;
   /** Whether all VMs of the fleet start together for the first time. */
   isFleetBootstrap: boolean;
   /** Regions by failure domain. */
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -63,6 +63,7 @@
     suspects: core.suspects.list(),
     members: memberTable.listKnown(),
     openRequests,
+    bodies: core.bodyBudget.getStats(),
   };
 }
 
--- a/src/serving/client_connections.ts
+++ b/src/serving/client_connections.ts
@@ -19,13 +19,21 @@
   signal: AbortSignal;
   /**
    * Adds a function to call when the client has taken the response or has
-   * disconnected.
+   * disconnected; at once if it has.
    *
    * @param run The function.
    */
   onSettled(run: () => void): void;
   /** Announces on the response that the connection closes, if it does. */
   decideClose(): void;
+  /** Whether what arrives of the body is discarded before the response ends. */
+  discardsBody: boolean;
+  /**
+   * Closes the connection after the response, since the body is not read.
+   *
+   * @param discardsBody Whether the client may be sending the body.
+   */
+  closeUnread(discardsBody: boolean): void;
 }
 
 /** The connections of clients. */
@@ -122,9 +130,10 @@
         if (!response.writableFinished) controller.abort();
         for (const run of settledCallbacks) run();
         connection.settledBytesRead = socket.bytesRead;
-        if (connection.isClosing && connection.begun.size === 0) {
-          socket.destroySoon();
-        }
+        if (connection.begun.size > 0) endReadLimit(socket, connection);
+        // node:http does it after a response that announced the close.
+        const isDone = connection.isClosing && connection.begun.size === 0;
+        if (isDone && !socket.writableEnded) socket.destroySoon();
       },
     };
     connection.begun.add(request);
@@ -132,23 +141,44 @@
     response.once("close", request.settle);
     // Set where the request itself asks to close the connection.
     if (!response.shouldKeepAlive) connection.isClosing = true;
+    const decideClose = () => {
+      const isClosing = isLeaving || connection.isClosing;
+      if (!isClosing || connection.last !== request) return;
+      connection.isClosing = true;
+      // Where the client asked for the close, node:http announces it.
+      if (!response.shouldKeepAlive || response.headersSent) return;
+      response.setHeader("connection", "close");
+    };
     const begun: BegunRequest = {
       message,
       response,
       signal: controller.signal,
-      onSettled: (run) => void settledCallbacks.push(run),
-      decideClose() {
-        const isClosing = isLeaving || connection.isClosing;
-        if (!isClosing || connection.last !== request) return;
+      onSettled(run) {
+        if (connection.begun.has(request)) settledCallbacks.push(run);
+        else run();
+      },
+      decideClose,
+      discardsBody: false,
+      closeUnread(discardsBody) {
+        begun.discardsBody = discardsBody;
         connection.isClosing = true;
-        if (!response.headersSent) response.setHeader("connection", "close");
+        decideClose();
       },
     };
     // Otherwise a client that always pipelines would keep the connection open.
-    if (isLeaving) begun.decideClose();
+    if (isLeaving) decideClose();
     return begun;
   }
 
+  /**
+   * Ends the time limit that the settled response set for its client to read,
+   * where the next answer has yet to arrive from its server.
+   */
+  function endReadLimit(socket: Socket, { begun }: Connection): void {
+    const [next] = begun;
+    if (!next.response.writableEnded) socket.setTimeout(0);
+  }
+
   function closeAfterBegun(socket: Socket): boolean {
     const connection = connections.get(socket);
     if (connection === undefined || !socket.writable) return false;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -12,6 +12,7 @@
 import { classifyTransportError, describeError } from "../runtime/errors.ts";
 import { NO_SIGNALS } from "../servers/signals.ts";
 import type { ListedServer } from "../servers/types.ts";
+import { LARGE_BODY_BYTES } from "./body_budget.ts";
 import type {
   AnswerMetadata,
   CallerRequest,
@@ -203,10 +204,29 @@
   let controller: Dispatcher.DispatchController | undefined;
   let abortReason: LossReason | undefined;
   let isWithdrawn = false;
+  let stopWaiting = () => {};
   const result = new Promise<ExchangeResult>((resolve) => {
     const chunks: Buffer[] = [];
     let status = 0;
     let answerHeaders: IncomingHttpHeaders = {};
+    let receivedBytes = 0;
+    let heldBytes = LARGE_BODY_BYTES;
+
+    /** Leaves a large answer with its server until there is room for it. */
+    function holdAnswer(received: Dispatcher.DispatchController): void {
+      if (request.method === "HEAD") return;
+      const declaredBytes = Number(answerHeaders["content-length"] ?? 0);
+      if (!(declaredBytes >= LARGE_BODY_BYTES)) return;
+      const bodies = request.holdBodies?.();
+      heldBytes = declaredBytes;
+      if (bodies === undefined || bodies.tryHoldAnswer(declaredBytes)) return;
+      received.pause();
+      stopWaiting = bodies.awaitAnswerRoom(
+        declaredBytes,
+        () => received.resume(),
+      );
+    }
+
     pool.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -220,11 +240,18 @@
           started.abort(new Error(abortReason ?? "withdrawn"));
         }
       },
-      onResponseStart(_controller, statusCode, received) {
+      onResponseStart(started, statusCode, received) {
         status = statusCode;
         answerHeaders = received;
+        holdAnswer(started);
+      },
+      onResponseData(_controller, chunk) {
+        chunks.push(chunk);
+        receivedBytes += chunk.length;
+        if (receivedBytes <= heldBytes) return;
+        heldBytes = receivedBytes;
+        request.holdBodies?.().holdAnswer(receivedBytes);
       },
-      onResponseData: (_controller, chunk) => void chunks.push(chunk),
       onResponseEnd() {
         if (isConnectionFailing()) {
           const detail = "connection was reset before the answer ended";
@@ -236,6 +263,7 @@
         resolve(classifyAnswer(metadata, { status, headers, body }, request));
       },
       onResponseError(_controller, error) {
+        stopWaiting();
         if (isWithdrawn) return resolve({ kind: "withdrawn" });
         resolve(classifyError(error, abortReason));
       },
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -10,9 +10,14 @@
   createCallerCheck,
 } from "../accounts/caller_check.ts";
 import { makeRoute } from "../gateway/fixture.ts";
-import { createFakeClock } from "../runtime/clock.ts";
+import {
+  type Clock,
+  createFakeClock,
+  createSystemClock,
+} from "../runtime/clock.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import type { ServerPermits } from "../servers/permits.ts";
+import { type BodyBudget, createBodyBudget } from "./body_budget.ts";
 import type { RequestProgress } from "./request_progress.ts";
 import type { CallerRequest } from "./types.ts";
 
@@ -31,6 +36,19 @@
   });
 }
 
+/**
+ * @param limitBytes Most bytes to hold; undefined for no limit.
+ * @param clock The clock.
+ * @returns A budget of which nothing is held.
+ */
+export function makeBodyBudget(
+  limitBytes?: number,
+  clock: Clock = createSystemClock(),
+): BodyBudget {
+  const log = createSilentLog();
+  return createBodyBudget({ clock, log, random: () => 0, limitBytes });
+}
+
 /** @returns Permits of servers without rate limits and backoffs. */
 export function makeUnlimitedPermits(): ServerPermits {
   return {
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -16,17 +16,25 @@
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { RouteTable } from "../routing/table.ts";
+import type { Route } from "../routing/types.ts";
 import type { HostPort } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { ServingMetrics } from "../telemetry/metrics.ts";
 import type { CallerCheck } from "../accounts/caller_check.ts";
+import { createAnswerSizes } from "./answer_sizes.ts";
+import {
+  type BodyBudget,
+  type BodyHold,
+  LARGE_BODY_BYTES,
+} from "./body_budget.ts";
 import {
   type BegunRequest,
   createClientConnections,
 } from "./client_connections.ts";
 import type { RequestHandler } from "./request_handler.ts";
+import { computeDeadlineAtMs } from "./request_progress.ts";
 import type { ServeResult, WireCodec } from "./types.ts";
 
 /** Options of the front server. */
@@ -36,6 +44,7 @@
   codec: WireCodec;
   handler: RequestHandler;
   callerCheck: CallerCheck;
+  bodyBudget: BodyBudget;
   clock: Clock;
   log: Log;
   metrics: ServingMetrics;
@@ -85,6 +94,16 @@
   HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
+/**
+ * A client honours Retry-After up to a third of the time it has left; this is
+ * the part of the route's timeout.
+ */
+const RETRY_AFTER_SHARE = 1 / 3;
+/**
+ * Time for which the rest of a refused body is discarded: 360 KB take 0.4 s on
+ * the slowest links if nothing else uses them.
+ */
+const DISCARD_MS = 3_000;
 /** When clients should retry while this VM has no configuration yet. */
 const NO_CONFIGURATION_RETRY_MS = 300;
 
@@ -95,7 +114,9 @@
 export function startFrontServer(
   options: FrontServerOptions,
 ): Promise<FrontServer> {
-  const { codec, handler, callerCheck, clock, log, metrics } = options;
+  const { codec, handler, callerCheck, bodyBudget, clock, log, metrics } =
+    options;
+  const answerSizes = createAnswerSizes();
   const connections = createClientConnections();
   let openRequests = 0;
 
@@ -106,6 +127,11 @@
     requestTimeout: 0,
     noDelay: true,
   }, (message, response) => void handleMessage(message, response));
+  // Without this listener, node:http asks for each body before it is admitted.
+  server.on(
+    "checkContinue",
+    (message, response) => void handleMessage(message, response, true),
+  );
   server.on("connection", connections.open);
   server.on("clientError", (error, socket) => {
     // Bytes that can't be parsed must not cost the requests before them their
@@ -124,6 +150,7 @@
   async function handleMessage(
     message: IncomingMessage,
     response: ServerResponse,
+    expectsContinue = false,
   ): Promise<void> {
     const arrivedAtMs = clock.monotonicMs();
     const begun = connections.begin(message, response);
@@ -134,7 +161,7 @@
     }
     openRequests++;
     try {
-      await serve(begun, arrivedAtMs);
+      await serve(begun, arrivedAtMs, expectsContinue);
     } catch (cause) {
       log.error({ error: describeError(cause) }, "request failed unexpectedly");
       response.destroy();
@@ -146,6 +173,7 @@
   async function serve(
     begun: BegunRequest,
     arrivedAtMs: number,
+    expectsContinue: boolean,
   ): Promise<void> {
     const { message } = begun;
     const table = options.getRouteTable();
@@ -193,23 +221,40 @@
       });
     };
     if (checked.kind === "rejected") return finish(checked.result);
-    const body = await readBody(
-      begun,
-      table.configuration.limits.maxBodyBytes,
-    );
+    const deadlineAtMs = computeDeadlineAtMs(route, metadata, arrivedAtMs);
+    // Opened only for large bodies: small requests are not to take longer.
+    let bodies: BodyHold | undefined;
+    const holdBodies = bodyBudget.isLimited
+      ? () => {
+        if (bodies !== undefined) return bodies;
+        bodies = bodyBudget.open(deadlineAtMs);
+        begun.onSettled(bodies.release);
+        return bodies;
+      }
+      : undefined;
+    const received = await receiveBody(begun, {
+      route,
+      maxBodyBytes: table.configuration.limits.maxBodyBytes,
+      declaredBytes: Number(message.headers["content-length"] ?? 0),
+      holdBodies,
+      deadlineAtMs,
+      expectsContinue,
+    });
     if (options.isOverloaded()) await yieldToEventLoop();
-    if (body === "cut" || hasDisconnected(message)) {
+    if (received.kind === "cut" || hasDisconnected(message)) {
       return callerCheck.refund(checked);
     }
-    if (body === "too_large") {
+    if (received.kind !== "body") {
       callerCheck.refund(checked);
+      bodies?.release();
+      if (received.kind === "refused") return finish(received.result);
       return sendStatus(begun, 413, {});
     }
     const result = await handler.handle({
       method: message.method ?? "GET",
       path,
       headers: message.headers,
-      body,
+      body: received.body,
       metadata,
       caller: checked.caller,
       account: checked.account,
@@ -217,9 +262,132 @@
       homeRegions: checked.homeRegions,
       arrivedAtMs,
       signal: begun.signal,
+      holdBodies,
     });
+    const hasLargeAnswer = result.kind === "answer" &&
+      result.answer.body.length >= LARGE_BODY_BYTES;
+    if (result.kind === "answer") {
+      answerSizes.record(route, result.answer.body.length);
+      if (hasLargeAnswer) holdBodies?.();
+      bodies?.replaceByAnswer(result.answer.body.length);
+    }
     if (result.kind === "refused") callerCheck.refund(checked);
     finish(result);
+    if (bodies !== undefined && hasLargeAnswer) {
+      limitStall(begun, route, metadata.requestId);
+    }
+  }
+
+  /**
+   * Admits the bodies of a request and reads its own. It returns the promise of
+   * the reader itself, since each further one costs small requests time.
+   */
+  function receiveBody(
+    begun: BegunRequest,
+    admission: AdmissionOptions,
+  ): Promise<ReceivedBody> {
+    const { message, response } = begun;
+    const { declaredBytes, route, expectsContinue } = admission;
+    const answerBytes = answerSizes.getExpectedBytes(route);
+    const isLarge = declaredBytes >= LARGE_BODY_BYTES || answerBytes > 0;
+    const bodies = isLarge ? admission.holdBodies?.() : undefined;
+    let rejected: ReceivedBody | undefined;
+    if (declaredBytes > admission.maxBodyBytes) {
+      rejected = { kind: "too_large" };
+    } else if (bodies?.tryHoldRequest(declaredBytes) === false) {
+      rejected = refuseBody(route, declaredBytes);
+    } else if (bodies?.tryHoldAnswer(answerBytes) === false) {
+      rejected = refuseBody(route, answerBytes);
+    }
+    if (rejected !== undefined) {
+      // A client that waits for 100 doesn't send its body.
+      if (hasBody(message)) begun.closeUnread(!expectsContinue);
+      return Promise.resolve(rejected);
+    }
+    if (expectsContinue) response.writeContinue();
+    return readBody(begun, admission);
+  }
+
+  function readBody(
+    begun: BegunRequest,
+    { route, maxBodyBytes, declaredBytes, holdBodies, deadlineAtMs }:
+      AdmissionOptions,
+  ): Promise<ReceivedBody> {
+    const { message } = begun;
+    return new Promise((resolve) => {
+      let chunks: Buffer[] = [];
+      let sizeBytes = 0;
+      let hasEnded = false;
+      const end = (received: ReceivedBody) => {
+        if (hasEnded) return;
+        hasEnded = true;
+        chunks = [];
+        timer?.cancel();
+        const isUnread = received.kind !== "body" && received.kind !== "cut";
+        if (isUnread && !message.complete) begun.closeUnread(true);
+        resolve(received);
+      };
+      const endCut = () => end({ kind: "cut" });
+      // A client that stops sending would hold the body's memory.
+      const isLarge = declaredBytes >= LARGE_BODY_BYTES ||
+        message.headers["transfer-encoding"] !== undefined;
+      const timer = holdBodies !== undefined && isLarge
+        ? clock.after(Math.max(0, deadlineAtMs - clock.monotonicMs()), () => {
+          const retryAfterMs = route.timeoutMs * RETRY_AFTER_SHARE;
+          const reason = "too_late";
+          const result: ServeResult = { kind: "refused", reason, retryAfterMs };
+          end({ kind: "refused", result });
+        })
+        : undefined;
+      message.on("data", (chunk: Buffer) => {
+        if (hasEnded) return;
+        sizeBytes += chunk.length;
+        if (sizeBytes > maxBodyBytes) return end({ kind: "too_large" });
+        const isHeld = sizeBytes <= declaredBytes || holdBodies === undefined ||
+          holdBodies().tryHoldRequest(sizeBytes);
+        if (!isHeld) return end(refuseBody(route, sizeBytes));
+        chunks.push(chunk);
+      });
+      message.on("end", () => {
+        const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        end({ kind: "body", body });
+      });
+      message.on("close", endCut);
+      message.on("error", endCut);
+      begun.onSettled(endCut);
+    });
+  }
+
+  function refuseBody(route: Route, bytes: number): ReceivedBody {
+    const maxMs = route.timeoutMs * RETRY_AFTER_SHARE;
+    const result: ServeResult = {
+      kind: "refused",
+      reason: "memory_short",
+      retryAfterMs: bodyBudget.refuse(bytes, maxMs),
+    };
+    return { kind: "refused", result };
+  }
+
+  /** Disconnects a client that stops reading its answer. */
+  function limitStall(
+    { response }: BegunRequest,
+    route: Route,
+    requestId: string | undefined,
+  ): void {
+    if (response.writableLength === 0) return;
+    // The socket's own timeout notices progress within a single write.
+    response.setTimeout(route.timeoutMs, () => {
+      bodyBudget.countStalledClient();
+      log.info(
+        {
+          requestId,
+          unsentBytes: response.writableLength,
+          stalledMs: route.timeoutMs,
+        },
+        "client stopped reading, disconnected",
+      );
+      response.destroy();
+    });
   }
 
   function sendResult(
@@ -255,6 +423,25 @@
     );
   }
 
+  /** Sends a response that the gateway itself generates. */
+  function sendStatus(
+    begun: BegunRequest,
+    status: number,
+    headers: Record<string, string>,
+    body = "",
+  ): void {
+    const { response } = begun;
+    if (response.headersSent || response.destroyed) return;
+    begun.decideClose();
+    const length = Buffer.byteLength(body);
+    response.writeHead(status, { ...headers, "content-length": length });
+    if (!begun.discardsBody) return void response.end(body);
+    // Sent whole, but not ended: that would close the connection.
+    response.flushHeaders();
+    if (length > 0) response.write(body);
+    discardBody(begun, clock);
+  }
+
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(options.address.port, options.address.host, () => {
@@ -304,26 +491,49 @@
   return socket.destroyed || socket.writableEnded;
 }
 
-function readBody(
-  { message, onSettled }: BegunRequest,
-  maxBytes: number,
-): Promise<Buffer | "cut" | "too_large"> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    message.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) resolve("too_large");
-      else chunks.push(chunk);
-    });
-    message.on(
-      "end",
-      () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)),
-    );
-    message.on("close", () => resolve("cut"));
-    onSettled(() => resolve("cut"));
-    message.on("error", () => resolve("cut"));
-  });
+/** How a request's bodies are admitted. */
+interface AdmissionOptions {
+  route: Route;
+  maxBodyBytes: number;
+  /** 0 where the request declares no length. */
+  declaredBytes: number;
+  /** Undefined without a memory limit. */
+  holdBodies: (() => BodyHold) | undefined;
+  deadlineAtMs: number;
+  /** Whether the client sends the body only when it is asked for it. */
+  expectsContinue: boolean;
+}
+
+/** A request's body, or why there is none. */
+type ReceivedBody =
+  | { kind: "body"; body: Buffer }
+  | { kind: "refused"; result: ServeResult }
+  | { kind: "too_large" }
+  | { kind: "cut" };
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return Number(headers["content-length"] ?? 0) > 0 ||
+    headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Ends a response that was sent before the request's body had been read. Bytes
+ * that still arrive are discarded for a while: if the connection were closed at
+ * once, a reset could reach the client before the response does.
+ */
+function discardBody(
+  { message, response, onSettled }: BegunRequest,
+  clock: Clock,
+): void {
+  const timer = clock.after(DISCARD_MS, () => response.end());
+  const end = () => {
+    timer.cancel();
+    response.end();
+  };
+  if (message.complete) return end();
+  message.once("end", end);
+  onSettled(end);
+  message.resume();
 }
 
 function sendAnswer(
@@ -341,21 +551,6 @@
   response.end(body);
 }
 
-/** Sends a response that the gateway itself generates. */
-function sendStatus(
-  begun: BegunRequest,
-  status: number,
-  headers: Record<string, string>,
-  body = "",
-): void {
-  const { response } = begun;
-  if (response.headersSent || response.destroyed) return;
-  begun.decideClose();
-  const length = Buffer.byteLength(body);
-  response.writeHead(status, { ...headers, "content-length": length });
-  response.end(body);
-}
-
 function describeResult(result: ServeResult): Record<string, unknown> {
   switch (result.kind) {
     case "answer":
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -25,7 +25,11 @@
 import type { AttemptObserver } from "./attempt_observer.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import type { PlacedAttempt, Placer } from "./placer.ts";
-import { makeObjectName, type RequestProgress } from "./request_progress.ts";
+import {
+  computeDeadlineAtMs,
+  makeObjectName,
+  type RequestProgress,
+} from "./request_progress.ts";
 import {
   type CallerRequest,
   type ExchangeResult,
@@ -69,8 +73,6 @@
  * No attempt is made with less time left: a server needs that much to answer.
  */
 const MIN_ATTEMPT_MS = 20;
-/** Deadline of requests that don't give one. */
-const DEFAULT_DEADLINE_MS = 30_000;
 /** Why a request is not retried. */
 type RetryDenial =
   | "attempts_used"
@@ -179,14 +181,13 @@
 
   function createProgress(request: CallerRequest): RequestProgress {
     const { route, metadata, arrivedAtMs } = request;
-    const deadlineMs = metadata.deadlineMs ?? DEFAULT_DEADLINE_MS;
     return {
       request,
       fingerprint: computeFingerprint(request),
       service: options.splitter.pickService(route),
       objectKey: metadata.objectKey ?? `unkeyed ${random()}`,
       usesObjectCache: metadata.objectKey !== undefined && route.isSticky,
-      deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
+      deadlineAtMs: computeDeadlineAtMs(route, metadata, arrivedAtMs),
       triedServers: new Set(),
       lastUtilization: Infinity,
       fallback: undefined,
--- a/src/serving/request_progress.ts
+++ b/src/serving/request_progress.ts
@@ -3,7 +3,16 @@
  *
  * @module
  */
-import type { CallerRequest, LossReason, ServerAnswer } from "./types.ts";
+import type { Route } from "../routing/types.ts";
+import type {
+  CallerRequest,
+  LossReason,
+  RequestMetadata,
+  ServerAnswer,
+} from "./types.ts";
+
+/** Deadline of requests that don't give one. */
+const DEFAULT_DEADLINE_MS = 30_000;
 
 /** A request that is being served. */
 export interface RequestProgress {
@@ -29,6 +38,21 @@
   lost: LossReason | undefined;
 }
 
+/**
+ * @param route Route of a request.
+ * @param metadata Metadata of the request.
+ * @param arrivedAtMs When its headers had arrived, on the monotonic clock.
+ * @returns Time by which the request has to end, on the monotonic clock.
+ */
+export function computeDeadlineAtMs(
+  route: Route,
+  metadata: RequestMetadata,
+  arrivedAtMs: number,
+): number {
+  const deadlineMs = metadata.deadlineMs ?? DEFAULT_DEADLINE_MS;
+  return arrivedAtMs + Math.min(route.timeoutMs, deadlineMs);
+}
+
 /**
  * @param progress A request.
  * @returns Name of the object in the servers' caches. It includes the route,
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -8,6 +8,7 @@
 import type { ClientAccount } from "../accounts/types.ts";
 import type { ServerSignals } from "../servers/signals.ts";
 import type { Route } from "../routing/types.ts";
+import type { BodyHold } from "./body_budget.ts";
 
 /** Metadata that a client sends in the headers of its request. */
 export interface RequestMetadata {
@@ -60,6 +61,10 @@
   arrivedAtMs: number;
   /** Aborted when the client disconnects. */
   signal: AbortSignal;
+  /**
+   * Returns the memory held for large bodies; absent where it is not limited.
+   */
+  holdBodies?: () => BodyHold;
 }
 
 /** Metadata in the status and headers of an answer. */
@@ -128,7 +133,9 @@
   /** The home regions of the route and of the account don't overlap. */
   | "no_home"
   /** Servers crashed under the same request; it must not run for now. */
-  | "set_aside";
+  | "set_aside"
+  /** This VM has no memory for the request's bodies. */
+  | "memory_short";
 
 /** Result of a request for its client. */
 export type ServeResult =
