--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -59,6 +59,11 @@
 } from "../servers/registry.ts";
 import { createRunTimes } from "../servers/run_times.ts";
 import type { ListedServer } from "../servers/types.ts";
+import {
+  type BodyBudget,
+  computeBodyLimit,
+  createBodyBudget,
+} from "../serving/body_budget.ts";
 import {
   createDemandMeter,
   type DemandMeter,
@@ -104,6 +109,7 @@
 export interface Core {
   registry: ServerRegistry;
   exchange: Exchange;
+  bodyBudget: BodyBudget;
   demandMeter: DemandMeter;
   urgentDemand: UrgentDemand;
   waitQueue: WaitQueue;
@@ -179,6 +185,12 @@
   }
 
   const exchange = createExchange(codec, getConnectionLimit);
+  const bodyBudget = createBodyBudget({
+    clock,
+    log,
+    random,
+    limitBytes: computeBodyLimit(settings.memoryMb),
+  });
 
   function getConnectionLimit(server: ListedServer): number {
     return computeConnectionLimit(
@@ -374,6 +386,7 @@
   return {
     registry,
     exchange,
+    bodyBudget,
     demandMeter,
     urgentDemand,
     waitQueue,
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -67,6 +67,7 @@
     waitQueue: core.waitQueue.getStats(),
     members: memberTable.listKnown(),
     openRequests,
+    bodies: core.bodyBudget.getStats(),
   };
 }
 
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -13,15 +13,28 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { RouteTable } from "../routing/table.ts";
+import type { Route } from "../routing/types.ts";
 import type { HostPort } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { ServingMetrics } from "../telemetry/metrics.ts";
 import type { CallerCheck } from "../accounts/caller_check.ts";
+import { createAnswerSizes } from "./answer_sizes.ts";
+import {
+  type BodyBudget,
+  type BodyHold,
+  LARGE_BODY_BYTES,
+} from "./body_budget.ts";
+import {
+  type BegunRequest,
+  createClientConnections,
+} from "./client_connections.ts";
 import type { RequestHandler } from "./request_handler.ts";
+import { computeDeadlineAtMs } from "./request_progress.ts";
 import type { ServeResult, WireCodec } from "./types.ts";
 
 /** Options of the front server. */
@@ -31,6 +44,7 @@
   codec: WireCodec;
   handler: RequestHandler;
   callerCheck: CallerCheck;
+  bodyBudget: BodyBudget;
   clock: Clock;
   log: Log;
   metrics: ServingMetrics;
@@ -44,7 +58,10 @@
 
 /** A listening front server. */
 export interface FrontServer {
-  /** From now on, closes each connection after its next answer. */
+  /**
+   * From now on, closes each connection after the answers to the requests that
+   * have begun on it, or after its next answer.
+   */
   startLeaving(): void;
   /** Stops listening, closes idle connections and waits for open requests. */
   close(): Promise<void>;
@@ -71,6 +88,22 @@
   detail: "Backend servers ended while they ran this request. It was not run " +
     "now, and will not be before the time given in Retry-After.",
 });
+/** Status lines for bytes that aren't a request, by error code. */
+const ERROR_STATUS_LINES: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+/**
+ * A client honours Retry-After up to a third of the time it has left; this is
+ * the part of the route's timeout.
+ */
+const RETRY_AFTER_SHARE = 1 / 3;
+/**
+ * Time for which the rest of a refused body is discarded: 360 KB take 0.4 s on
+ * the slowest links if nothing else uses them.
+ */
+const DISCARD_MS = 3_000;
 /** When clients should retry while this VM has no configuration yet. */
 const NO_CONFIGURATION_RETRY_MS = 300;
 
@@ -81,8 +114,10 @@
 export function startFrontServer(
   options: FrontServerOptions,
 ): Promise<FrontServer> {
-  const { codec, handler, callerCheck, clock, log, metrics } = options;
-  let isLeaving = false;
+  const { codec, handler, callerCheck, bodyBudget, clock, log, metrics } =
+    options;
+  const answerSizes = createAnswerSizes();
+  const connections = createClientConnections();
   let openRequests = 0;
 
   const server = createServer({
@@ -92,16 +127,41 @@
     requestTimeout: 0,
     noDelay: true,
   }, (message, response) => void handleMessage(message, response));
+  // Without this listener, node:http asks for each body before it is admitted.
+  server.on(
+    "checkContinue",
+    (message, response) => void handleMessage(message, response, true),
+  );
+  server.on("connection", connections.open);
+  server.on("clientError", (error, socket) => {
+    // Bytes that can't be parsed must not cost the requests before them their
+    // answers.
+    if (connections.closeAfterBegun(socket as Socket)) return;
+    endInvalid(
+      socket as Socket,
+      error,
+      connections.isSending(socket as Socket),
+    );
+  });
+  // node:http would also close connections whose last answer is still being
+  // sent to a slow client.
+  server.closeIdleConnections = connections.closeIdle;
 
   async function handleMessage(
     message: IncomingMessage,
     response: ServerResponse,
+    expectsContinue = false,
   ): Promise<void> {
     const arrivedAtMs = clock.monotonicMs();
-    if (isLeaving) response.setHeader("connection", "close");
+    const begun = connections.begin(message, response);
+    if (begun === undefined) {
+      const { requestId } = codec.decodeRequest(message.headers);
+      log.info({ requestId }, "request behind a closing answer not begun");
+      return;
+    }
     openRequests++;
     try {
-      await serve(message, response, arrivedAtMs);
+      await serve(begun, arrivedAtMs, expectsContinue);
     } catch (cause) {
       log.error({ error: describeError(cause) }, "request failed unexpectedly");
       response.destroy();
@@ -111,10 +171,11 @@
   }
 
   async function serve(
-    message: IncomingMessage,
-    response: ServerResponse,
+    begun: BegunRequest,
     arrivedAtMs: number,
+    expectsContinue: boolean,
   ): Promise<void> {
+    const { message } = begun;
     const table = options.getRouteTable();
     const metadata = codec.decodeRequest(message.headers);
     if (table === undefined) {
@@ -123,7 +184,7 @@
         reason: "no_configuration",
         retryAfterMs: NO_CONFIGURATION_RETRY_MS,
       };
-      return sendResult(response, result, { requestId: metadata.requestId });
+      return sendResult(begun, result, { requestId: metadata.requestId });
     }
     const path = message.url ?? "/";
     const route = table.match(message.headers.host ?? "", path);
@@ -144,14 +205,14 @@
         },
         "request rejected",
       );
-      return sendStatus(response, status, {});
+      return sendStatus(begun, status, {});
     }
     applyLimits(server, table);
     const checked = callerCheck.check(table, route, metadata);
     const finish = (result: ServeResult) => {
       const tookMs = clock.monotonicMs() - arrivedAtMs;
       metrics.recordRequest(route, result, tookMs);
-      sendResult(response, result, {
+      sendResult(begun, result, {
         requestId: metadata.requestId,
         route: route.name,
         account: checked.kind === "accepted"
@@ -163,73 +224,232 @@
       });
     };
     if (checked.kind === "rejected") return finish(checked.result);
-    const body = await readBody(
-      message,
-      table.configuration.limits.maxBodyBytes,
-    );
+    const deadlineAtMs = computeDeadlineAtMs(route, metadata, arrivedAtMs);
+    // Opened only for large bodies: small requests are not to take longer.
+    let bodies: BodyHold | undefined;
+    const holdBodies = bodyBudget.isLimited
+      ? () => {
+        if (bodies !== undefined) return bodies;
+        bodies = bodyBudget.open(deadlineAtMs);
+        begun.onSettled(bodies.release);
+        return bodies;
+      }
+      : undefined;
+    const received = await receiveBody(begun, {
+      route,
+      maxBodyBytes: table.configuration.limits.maxBodyBytes,
+      declaredBytes: Number(message.headers["content-length"] ?? 0),
+      holdBodies,
+      deadlineAtMs,
+      expectsContinue,
+    });
     if (options.isOverloaded()) await yieldToEventLoop();
-    if (body === "cut" || hasDisconnected(message)) {
+    if (received.kind === "cut" || hasDisconnected(message)) {
       return callerCheck.refund(checked);
     }
-    if (body === "too_large") {
+    if (received.kind !== "body") {
       callerCheck.refund(checked);
-      return sendStatus(response, 413, {});
+      bodies?.release();
+      if (received.kind === "refused") return finish(received.result);
+      return sendStatus(begun, 413, {});
     }
     const result = await handler.handle({
       method: message.method ?? "GET",
       path,
       headers: message.headers,
-      body,
+      body: received.body,
       metadata,
       caller: checked.caller,
       account: checked.account,
       route,
       homeRegions: checked.homeRegions,
       arrivedAtMs,
-      signal: createDisconnectSignal(response),
+      signal: begun.signal,
+      holdBodies,
     });
+    const hasLargeAnswer = result.kind === "answer" &&
+      result.answer.body.length >= LARGE_BODY_BYTES;
+    if (result.kind === "answer") {
+      answerSizes.record(route, result.answer.body.length);
+      if (hasLargeAnswer) holdBodies?.();
+      bodies?.replaceByAnswer(result.answer.body.length);
+    }
     if (result.kind === "refused") callerCheck.refund(checked);
     finish(result);
+    if (bodies !== undefined && hasLargeAnswer) {
+      limitStall(begun, route, metadata.requestId);
+    }
+  }
+
+  /**
+   * Admits the bodies of a request and reads its own. It returns the promise of
+   * the reader itself, since each further one costs small requests time.
+   */
+  function receiveBody(
+    begun: BegunRequest,
+    admission: AdmissionOptions,
+  ): Promise<ReceivedBody> {
+    const { message, response } = begun;
+    const { declaredBytes, route, expectsContinue } = admission;
+    const answerBytes = answerSizes.getExpectedBytes(route);
+    const isLarge = declaredBytes >= LARGE_BODY_BYTES || answerBytes > 0;
+    const bodies = isLarge ? admission.holdBodies?.() : undefined;
+    let rejected: ReceivedBody | undefined;
+    if (declaredBytes > admission.maxBodyBytes) {
+      rejected = { kind: "too_large" };
+    } else if (bodies?.tryHoldRequest(declaredBytes) === false) {
+      rejected = refuseBody(route, declaredBytes);
+    } else if (bodies?.tryHoldAnswer(answerBytes) === false) {
+      rejected = refuseBody(route, answerBytes);
+    }
+    if (rejected !== undefined) {
+      // A client that waits for 100 doesn't send its body.
+      if (hasBody(message)) begun.closeUnread(!expectsContinue);
+      return Promise.resolve(rejected);
+    }
+    if (expectsContinue) response.writeContinue();
+    return readBody(begun, admission);
+  }
+
+  function readBody(
+    begun: BegunRequest,
+    { route, maxBodyBytes, declaredBytes, holdBodies, deadlineAtMs }:
+      AdmissionOptions,
+  ): Promise<ReceivedBody> {
+    const { message } = begun;
+    return new Promise((resolve) => {
+      let chunks: Buffer[] = [];
+      let sizeBytes = 0;
+      let hasEnded = false;
+      const end = (received: ReceivedBody) => {
+        if (hasEnded) return;
+        hasEnded = true;
+        chunks = [];
+        timer?.cancel();
+        const isUnread = received.kind !== "body" && received.kind !== "cut";
+        if (isUnread && !message.complete) begun.closeUnread(true);
+        resolve(received);
+      };
+      const endCut = () => end({ kind: "cut" });
+      // A client that stops sending would hold the body's memory.
+      const isLarge = declaredBytes >= LARGE_BODY_BYTES ||
+        message.headers["transfer-encoding"] !== undefined;
+      const timer = holdBodies !== undefined && isLarge
+        ? clock.after(Math.max(0, deadlineAtMs - clock.monotonicMs()), () => {
+          const retryAfterMs = route.timeoutMs * RETRY_AFTER_SHARE;
+          const reason = "too_late";
+          const result: ServeResult = { kind: "refused", reason, retryAfterMs };
+          end({ kind: "refused", result });
+        })
+        : undefined;
+      message.on("data", (chunk: Buffer) => {
+        if (hasEnded) return;
+        sizeBytes += chunk.length;
+        if (sizeBytes > maxBodyBytes) return end({ kind: "too_large" });
+        const isHeld = sizeBytes <= declaredBytes || holdBodies === undefined ||
+          holdBodies().tryHoldRequest(sizeBytes);
+        if (!isHeld) return end(refuseBody(route, sizeBytes));
+        chunks.push(chunk);
+      });
+      message.on("end", () => {
+        const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        end({ kind: "body", body });
+      });
+      message.on("close", endCut);
+      message.on("error", endCut);
+      begun.onSettled(endCut);
+    });
+  }
+
+  function refuseBody(route: Route, bytes: number): ReceivedBody {
+    const maxMs = route.timeoutMs * RETRY_AFTER_SHARE;
+    const result: ServeResult = {
+      kind: "refused",
+      reason: "memory_short",
+      retryAfterMs: bodyBudget.refuse(bytes, maxMs),
+    };
+    return { kind: "refused", result };
+  }
+
+  /** Disconnects a client that stops reading its answer. */
+  function limitStall(
+    { response }: BegunRequest,
+    route: Route,
+    requestId: string | undefined,
+  ): void {
+    if (response.writableLength === 0) return;
+    // The socket's own timeout notices progress within a single write.
+    response.setTimeout(route.timeoutMs, () => {
+      bodyBudget.countStalledClient();
+      log.info(
+        {
+          requestId,
+          unsentBytes: response.writableLength,
+          stalledMs: route.timeoutMs,
+        },
+        "client stopped reading, disconnected",
+      );
+      response.destroy();
+    });
   }
 
   function sendResult(
-    response: ServerResponse,
+    begun: BegunRequest,
     result: ServeResult,
     fields: Record<string, unknown>,
   ): void {
     log.info({ ...fields, ...describeResult(result) }, "request ended");
     if (result.kind === "client_left") return;
-    if (result.kind === "answer") return sendAnswer(response, result);
-    if (result.kind === "refused") return sendRefusal(response, result);
+    if (result.kind === "answer") return sendAnswer(begun, result);
+    if (result.kind === "refused") return sendRefusal(begun, result);
     if (result.kind === "limited") {
       const headers = codec.encodeRefusal(result.retryAfterMs);
-      return sendStatus(response, 429, headers);
+      return sendStatus(begun, 429, headers);
     }
     if (result.kind === "unknown_caller") {
-      return sendStatus(response, 401, codec.encodeChallenge());
+      return sendStatus(begun, 401, codec.encodeChallenge());
     }
-    sendStatus(response, result.kind === "timed_out" ? 504 : 502, {});
+    sendStatus(begun, result.kind === "timed_out" ? 504 : 502, {});
   }
 
   function sendRefusal(
-    response: ServerResponse,
+    begun: BegunRequest,
     { reason, retryAfterMs }: Extract<ServeResult, { kind: "refused" }>,
   ): void {
     const headers = codec.encodeRefusal(retryAfterMs);
-    if (reason !== "set_aside") return sendStatus(response, 503, headers);
+    if (reason !== "set_aside") return sendStatus(begun, 503, headers);
     sendStatus(
-      response,
+      begun,
       503,
       { ...headers, "content-type": "application/problem+json" },
       SET_ASIDE_PROBLEM,
     );
   }
 
+  /** Sends a response that the gateway itself generates. */
+  function sendStatus(
+    begun: BegunRequest,
+    status: number,
+    headers: Record<string, string>,
+    body = "",
+  ): void {
+    const { response } = begun;
+    if (response.headersSent || response.destroyed) return;
+    begun.decideClose();
+    const length = Buffer.byteLength(body);
+    response.writeHead(status, { ...headers, "content-length": length });
+    if (!begun.discardsBody) return void response.end(body);
+    // Sent whole, but not ended: that would close the connection.
+    response.flushHeaders();
+    if (length > 0) response.write(body);
+    discardBody(begun, clock);
+  }
+
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(options.address.port, options.address.host, () => {
       resolve({
-        startLeaving: () => void (isLeaving = true),
+        startLeaving: connections.startLeaving,
         close: () =>
           new Promise((onClosed) => {
             server.close(() => onClosed());
@@ -241,6 +461,19 @@
   });
 }
 
+/** Answers bytes that aren't a request, as node:http does, and disconnects. */
+function endInvalid(
+  socket: Socket,
+  error: Error & { code?: string },
+  isSending: boolean,
+): void {
+  if (socket.writable && !isSending) {
+    const status = ERROR_STATUS_LINES[error.code ?? ""] ?? "400 Bad Request";
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy(error);
+}
+
 /** Applies the limits of the active configuration. */
 function applyLimits(server: Server, table: RouteTable): void {
   const { limits } = table.configuration;
@@ -261,39 +494,57 @@
   return socket.destroyed || socket.writableEnded;
 }
 
-function createDisconnectSignal(response: ServerResponse): AbortSignal {
-  const controller = new AbortController();
-  response.once("close", () => {
-    if (!response.writableFinished) controller.abort();
-  });
-  return controller.signal;
+/** How a request's bodies are admitted. */
+interface AdmissionOptions {
+  route: Route;
+  maxBodyBytes: number;
+  /** 0 where the request declares no length. */
+  declaredBytes: number;
+  /** Undefined without a memory limit. */
+  holdBodies: (() => BodyHold) | undefined;
+  deadlineAtMs: number;
+  /** Whether the client sends the body only when it is asked for it. */
+  expectsContinue: boolean;
 }
 
-function readBody(
-  message: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | "cut" | "too_large"> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    message.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) resolve("too_large");
-      else chunks.push(chunk);
-    });
-    message.on(
-      "end",
-      () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)),
-    );
-    message.on("close", () => resolve("cut"));
-    message.on("error", () => resolve("cut"));
-  });
+/** A request's body, or why there is none. */
+type ReceivedBody =
+  | { kind: "body"; body: Buffer }
+  | { kind: "refused"; result: ServeResult }
+  | { kind: "too_large" }
+  | { kind: "cut" };
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return Number(headers["content-length"] ?? 0) > 0 ||
+    headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Ends a response that was sent before the request's body had been read. Bytes
+ * that still arrive are discarded for a while: if the connection were closed at
+ * once, a reset could reach the client before the response does.
+ */
+function discardBody(
+  { message, response, onSettled }: BegunRequest,
+  clock: Clock,
+): void {
+  const timer = clock.after(DISCARD_MS, () => response.end());
+  const end = () => {
+    timer.cancel();
+    response.end();
+  };
+  if (message.complete) return end();
+  message.once("end", end);
+  onSettled(end);
+  message.resume();
 }
 
 function sendAnswer(
-  response: ServerResponse,
+  begun: BegunRequest,
   { answer }: Extract<ServeResult, { kind: "answer" }>,
 ): void {
+  const { response } = begun;
+  begun.decideClose();
   const { status, headers, body } = answer;
   const hasNoBody = status === 204 || status === 304;
   response.writeHead(status, {
@@ -303,19 +554,6 @@
   response.end(body);
 }
 
-/** Sends a response that the gateway itself generates. */
-function sendStatus(
-  response: ServerResponse,
-  status: number,
-  headers: Record<string, string>,
-  body = "",
-): void {
-  if (response.headersSent || response.destroyed) return;
-  const length = Buffer.byteLength(body);
-  response.writeHead(status, { ...headers, "content-length": length });
-  response.end(body);
-}
-
 function describeResult(result: ServeResult): Record<string, unknown> {
   switch (result.kind) {
     case "answer":
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -28,7 +28,11 @@
 import type { AttemptObserver } from "./attempt_observer.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import type { PlacedAttempt, Placer } from "./placer.ts";
-import { makeObjectName, type RequestProgress } from "./request_progress.ts";
+import {
+  computeDeadlineAtMs,
+  makeObjectName,
+  type RequestProgress,
+} from "./request_progress.ts";
 import {
   type CallerRequest,
   type ExchangeResult,
@@ -74,8 +78,6 @@
  * No attempt is made with less time left: a server needs that much to answer.
  */
 const MIN_ATTEMPT_MS = 20;
-/** Deadline of requests that don't give one. */
-const DEFAULT_DEADLINE_MS = 30_000;
 /** Why a request is not retried. */
 type RetryDenial =
   | "attempts_used"
@@ -209,7 +211,6 @@
 
   function createProgress(request: CallerRequest): RequestProgress {
     const { route, account, metadata, arrivedAtMs } = request;
-    const deadlineMs = metadata.deadlineMs ?? DEFAULT_DEADLINE_MS;
     return {
       request,
       fingerprint: computeFingerprint(request),
@@ -217,7 +218,7 @@
       objectKey: metadata.objectKey ?? `unkeyed ${random()}`,
       priority: getPriority(route, account),
       usesObjectCache: metadata.objectKey !== undefined && route.isSticky,
-      deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, deadlineMs),
+      deadlineAtMs: computeDeadlineAtMs(route, metadata, arrivedAtMs),
       triedServers: new Set(),
       lastUtilization: Infinity,
       prospect: undefined,
