--- a/src/placement/overflow.ts
+++ b/src/placement/overflow.ts
@@ -3,9 +3,9 @@
  *
  * Load pattern: a region has a tenth of the servers and a third of the demand.
  * The shares of regions move slowly, so that bursts of 1.7 times are refused
- * there while other regions have free slots. Without a bound, and where memory
- * is short, such requests made servers evict objects of their own: an earlier
- * trial with at most 8% of the requests raised the number of late answers.
+ * there while other regions have free slots. Where memory is short, diverted
+ * requests make servers evict objects of their own: 8% of the requests were
+ * enough for more late answers than before.
  *
  * @module
  */
