Bound the work of a request that may overflow

For each server of each region, the overflow placer listed all serving VMs to find out whether this VM hears others, and each use of the budget summed the demand that all VMs report: 143 servers times 112 VMs per full request, and again for each try of a waiting one. It now asks once per request, sums free slots only of regions that can take the request, and reads the shift budget once per 100 ms.

--- a/src/placement/overflow.ts
+++ b/src/placement/overflow.ts
@@ -177,6 +177,8 @@
   const startedAtMs = clock.monotonicMs();
   const countsByService = new Map<string, ServiceCounts>();
   let divertedCount = 0;
+  let shiftBudget = 0;
+  let shiftBudgetIndex = -1;
 
   function getIndex(): number {
     return Math.floor(clock.monotonicMs() / INTERVAL_MS);
@@ -207,9 +209,19 @@
     return interval;
   }
 
+  /** Reads the budget once in an interval: it sums the demand of all VMs. */
+  function getShiftBudget(): number {
+    const index = getIndex();
+    if (index !== shiftBudgetIndex) {
+      shiftBudgetIndex = index;
+      shiftBudget = options.getShiftBudget();
+    }
+    return shiftBudget;
+  }
+
   function getMaxShare(service: string): number {
     return computeOverflowShare(
-      options.getShiftBudget(),
+      getShiftBudget(),
       options.getMovedShare(service),
     );
   }
--- a/src/placement/overflow_test.ts
+++ b/src/placement/overflow_test.ts
@@ -239,4 +239,34 @@
   assert.ok(mean(away.length - 200) > mean(0) + 0.1);
 });
 
+/**
+ * Load: 112 VMs, of which each reports the demand of its clients; under
+ * shortage waiting requests ask for an overflow some 1,000 times a second.
+ * Guards against a walk over all reports for each of them.
+ */
+test("the shift budget is read at most once in an interval", () => {
+  const clock = createFakeClock();
+  let reads = 0;
+  let shiftBudget = 0;
+  const budget = createOverflowBudget({
+    clock,
+    random: () => 0,
+    getShiftBudget() {
+      reads++;
+      return shiftBudget;
+    },
+    getMovedShare: () => 0,
+  });
+  clock.advance(5_000);
+  for (let count = 0; count < 100; count++) {
+    budget.recordRequest(SERVICE);
+    budget.take(SERVICE);
+  }
+  assert.is(reads, 1);
+  shiftBudget = 0.08;
+  clock.advance(100);
+  assert.ok(budget.take(SERVICE));
+  assert.is(reads, 2);
+});
+
 test.run();
--- a/src/serving/overflow_placer.ts
+++ b/src/serving/overflow_placer.ts
@@ -78,49 +78,53 @@
 ): OverflowPlacer {
   const { clock, ranking, permits, latencyModel, copyPlan, budget } = options;
 
-  /** Load that neither this VM nor others have seen lately counts as unknown. */
-  function isLoadKnown({ load }: KnownServer): boolean {
-    return options.hearsOthers() || load.getReportAgeMs() < MAX_REPORT_AGE_MS;
-  }
-
-  /** Whether a server has a free slot for requests of other regions. */
-  function isFree(server: KnownServer): boolean {
+  /**
+   * Whether a server has a free slot for requests of other regions. Load that
+   * neither this VM nor others have seen lately counts as unknown.
+   */
+  function isFree(server: KnownServer, hearsOthers: boolean): boolean {
+    const { load } = server;
     return server.coldUntilMs <= clock.monotonicMs() &&
       !server.health.isEjected() && permits.isValid(server.listed) &&
-      !permits.isRateLimited(server.listed) && isLoadKnown(server) &&
-      server.load.getUtilization() < 1;
+      !permits.isRateLimited(server.listed) &&
+      (hearsOthers || load.getReportAgeMs() < MAX_REPORT_AGE_MS) &&
+      load.getUtilization() < 1;
   }
 
   function examine(
     progress: RequestProgress,
     region: string,
     hasCachedObject: (serverId: string) => boolean,
+    hearsOthers: boolean,
   ): ExaminedRegion {
     const { service, objectKey, triedServers, usesObjectCache } = progress;
     const { route } = progress.request;
     const ranked = ranking.rank(service, region, objectKey);
-    const free = ranked.filter(isFree);
     const usable = ranked.slice(0, MAX_COPIES).filter((server) =>
-      !triedServers.has(server.listed.id) && isFree(server)
+      !triedServers.has(server.listed.id) && isFree(server, hearsOthers)
     );
     const cached = usable.filter(({ listed }) => hasCachedObject(listed.id));
     const own = ranked.slice(0, MIN_COPIES).filter((server) =>
       usable.includes(server)
     );
+    // A VM that hears nothing does not know which objects others requested.
+    const hasRoom = own.length > 0 &&
+      (!usesObjectCache || hearsOthers && copyPlan.hasRoom(service, region));
+    // A region that can't take the request isn't compared by its free slots.
+    const free = cached.length > 0 || hasRoom
+      ? ranked.filter((server) => isFree(server, hearsOthers))
+      : [];
     const freeSlots = free.reduce(
       (sum, { load }) => sum + load.getSlots() - load.getTotal(),
       0,
     );
-    // A VM that hears nothing does not know which objects others requested.
-    const hasRoom = !usesObjectCache ||
-      options.hearsOthers() && copyPlan.hasRoom(service, region);
     return {
       cached,
       own,
       region,
       freeSlots,
       cachedServers: cached.length,
-      hasRoom: own.length > 0 && hasRoom,
+      hasRoom,
       hitMs: latencyModel.getExpectedMs(route, "hit"),
       missMs: latencyModel.getExpectedMs(
         route,
@@ -133,12 +137,13 @@
     find(progress, regions, hasCachedObject) {
       const { service, request: { route, arrivedAtMs } } = progress;
       if (regions.length === 0) return { kind: "denied", denial: "no_region" };
-      // The cap is asked first, since it is cheaper than the servers' state.
+      // The cap is checked first, since it costs less than the servers' state.
       if (!budget.take(service)) {
         return { kind: "denied", denial: "cap_reached" };
       }
+      const hearsOthers = options.hearsOthers();
       const examined = regions.map((region) =>
-        examine(progress, region, hasCachedObject)
+        examine(progress, region, hasCachedObject, hearsOthers)
       );
       const elapsedMs = clock.monotonicMs() - arrivedAtMs;
       const target = chooseOverflowTarget(
--- a/src/serving/overflow_placer_test.ts
+++ b/src/serving/overflow_placer_test.ts
@@ -78,7 +78,12 @@
 function startVm(
   world: ReturnType<typeof startWorld>,
   ownRegion: Region,
-  options: { canOverflow?: boolean; hearsOthers?: boolean } = {},
+  options: {
+    canOverflow?: boolean;
+    hearsOthers?: boolean;
+    /** Called each time that the placer asks whether it hears others. */
+    onHearsOthers?: () => void;
+  } = {},
 ) {
   const { clock } = world;
   const log = createSilentLog();
@@ -119,7 +124,10 @@
       permits,
       copyPlan,
       budget,
-      hearsOthers: () => options.hearsOthers ?? true,
+      hearsOthers() {
+        options.onHearsOthers?.();
+        return options.hearsOthers ?? true;
+      },
     }),
     getServiceSettings: () => undefined,
   });
@@ -244,7 +252,7 @@
  * Fills the two servers of an object in oslo, as a VM sees them that runs for
  * longer than it has no allowance.
  */
-function startFullRegion(options: { hearsOthers?: boolean } = {}) {
+function startFullRegion(options: Parameters<typeof startVm>[2] = {}) {
   const world = startWorld();
   const { clock, registry, ranking, cacheModel, latencyModel } = world;
   latencyModel.recordUnloadedAnswer(ROUTE, undefined, 520);
@@ -349,4 +357,18 @@
   assert.is(place(), bergen[0]);
 });
 
+/**
+ * Load: 112 VMs and 143 servers. Guards against work per request that grows
+ * with their product: the answer needs a walk over all VMs.
+ */
+test("whether a VM hears others is found out once for each request", () => {
+  let asked = 0;
+  const { cacheInBergen, place } = startFullRegion({
+    onHearsOthers: () => asked++,
+  });
+  cacheInBergen(0);
+  place();
+  assert.is(asked, 1);
+});
+
 test.run();
