Expect a slot at any of an object's copies

A request that may wait estimated its wait from two servers of its object, also where a hot object has up to eight copies, and was refused as if the queue were longer.

--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -89,8 +89,6 @@
   place(progress: RequestProgress): PlacedAttempt | PlacementFailure;
 }
 
-/** Servers that share an object, which a waiting request gets a slot of. */
-const WAIT_CANDIDATES = 2;
 /** The result of an overflow, with its log fields. */
 interface OverflowChoice {
   choice?: ServerChoice;
@@ -230,17 +228,18 @@
   }
 
   /**
-   * Estimates when one of the servers that share the object accepts a request.
-   * A server does once enough of its requests have ended.
+   * Estimates when one of the servers that share the object accepts a request:
+   * once enough of the requests of one of them have ended.
    */
   function computeProspect(
     placement: PlacementRequest,
   ): SlotProspect | undefined {
     const nowMs = clock.monotonicMs();
+    const { tried, copies } = placement;
     const servers = [...new Set(placement.candidates.flat())].filter((server) =>
-      !placement.tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
+      !tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
       !server.health.isEjected() && permits.isValid(server.listed)
-    ).slice(0, WAIT_CANDIDATES);
+    ).slice(0, copies);
     if (servers.length === 0) return undefined;
     let acceptsPerRun = 0;
     let utilization = 0;
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -17,7 +17,7 @@
 import { createSilentLog } from "../telemetry/log.ts";
 import { makeProgress, makeRequest, makeUnlimitedPermits } from "./fixture.ts";
 import { createLatencyModel } from "./latency_model.ts";
-import { createPlacer } from "./placer.ts";
+import { createPlacer, type PlacerOptions } from "./placer.ts";
 
 function listTwoServers(registry: ServerRegistry, bergenColdMs: number): void {
   registry.apply(makeServerUpdate(makeServer("oslo-1"), 1));
@@ -33,6 +33,7 @@
   bergenColdMs: number,
   permits = makeUnlimitedPermits(),
   known?: ServerRegistry,
+  changes: Partial<PlacerOptions> = {},
 ) {
   const clock = createFakeClock();
   const log = createSilentLog();
@@ -69,6 +70,7 @@
       giveBack() {},
     },
     getServiceSettings: () => undefined,
+    ...changes,
   });
 }
 
@@ -153,4 +155,26 @@
   assert.not.ok(domains.includes("all_full"), `${domains}`);
 });
 
+/** @returns Runs after which a request is accepted where all servers are full. */
+function computeWaitRuns(copies: number): number {
+  const registry = makeRegistry(createFakeClock());
+  for (const id of ["1", "2", "3", "4"]) {
+    registry.apply(makeServerUpdate(makeServer(id, { slots: 4 }), 1));
+  }
+  for (const { load } of registry.listUsable("s")) {
+    for (let count = 0; count < 12; count++) load.begin();
+  }
+  const placed = startPlacer(0, makeUnlimitedPermits(), registry, {
+    copyPlan: { getCopies: () => copies },
+  }).place(makeProgress({ request: makeRequest({ homeRegions: ["oslo"] }) }));
+  assert.ok(placed.kind === "not_placed" && placed.prospect !== undefined);
+  return placed.prospect.waitRuns;
+}
+
+// Guards against refusals of requests for hot objects as if only two servers
+// could take them.
+test("a request for an object with four copies expects half the wait", () => {
+  assert.is(computeWaitRuns(4), computeWaitRuns(2) / 2);
+});
+
 test.run();
