Leave no slots free for a priority that is no longer configured

For 5 s after a configuration removed the more urgent priority, the number of slots left free was computed for -1 further priorities, and requests of a service with a single priority were refused.

--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -223,6 +223,8 @@
     if (spareMs === undefined) return undefined;
     const moreUrgent = options.getCompetingPriorities(service)
       .filter((other) => other < priority);
+    // The configuration may have lost the priority since its last request.
+    if (moreUrgent.length === 0) return undefined;
     const runMs = latencyModel.getExpectedMs(request.route, "any") ?? 0;
     return { moreUrgent, spareMs, runMs };
   }
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -177,4 +177,31 @@
   assert.is(computeWaitRuns(4), computeWaitRuns(2) / 2);
 });
 
+// Guards against slots left free after the configuration leaves a service a
+// single priority.
+test("a priority that is no longer configured leaves no slots free", () => {
+  const clock = createFakeClock();
+  const urgentDemand = createUrgentDemand(clock);
+  const registry = makeRegistry(clock);
+  registry.apply(makeServerUpdate(makeServer("1", { slots: 4 }), 1));
+  const [{ load }] = registry.listUsable("s");
+  for (let count = 0; count < 4; count++) load.begin();
+  const latencyModel = createLatencyModel();
+  const route = makeRoute({ targetLatencyMs: 1_000 });
+  latencyModel.recordAnswer(route, 400, 0);
+  const placer = startPlacer(0, makeUnlimitedPermits(), registry, {
+    urgentDemand,
+    latencyModel,
+  });
+  const place = () =>
+    placer.place(makeProgress({
+      request: makeRequest({ route, homeRegions: ["oslo"] }),
+      usesObjectCache: false,
+    })).kind;
+  const before = place();
+  urgentDemand.record("s", 0, 10);
+  assert.is(place(), before);
+  assert.is(before, "placed");
+});
+
 test.run();
