Give constants and records of demand one name each

RESERVED_SLOTS meant two things, and the bounds of Retry-After and the maximum number of copies stood in two files. The spare time of a priority is a mean of its recent requests, not that of the last one.

--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -6,6 +6,7 @@
 import { type FactStore, getOldestAgeMs } from "../news/fact_store.ts";
 import type { FreshnessTracker } from "../news/freshness.ts";
 import { SOURCE_TOPICS } from "../news/types.ts";
+import { MAX_COPIES } from "../placement/copies.ts";
 import { isUnusualSlowdown } from "../servers/speed.ts";
 import {
   createServingMetrics,
@@ -16,9 +17,6 @@
 /** Reported as the age of facts before there are any. */
 const UNKNOWN_AGE_MS = 1_000_000_000;
 
-/** Reported where there is room for more copies, or no service. */
-const MAX_REPORTED_COPIES = 8;
-
 /**
  * @param core The core of the gateway.
  * @param factStore The facts.
@@ -110,11 +108,13 @@
       read: () => core.overflowBudget.countDiverted(),
     },
     object_copies_room: {
-      help: "Least number of copies of all objects that caches have room for",
+      help:
+        "Least number of copies of all objects that caches have room for, " +
+        "at most as many as an object may have",
       read: () =>
         Math.min(
           ...core.copyPlan.list().map(({ roomCopies }) => roomCopies),
-          MAX_REPORTED_COPIES,
+          MAX_COPIES,
         ),
     },
     vms: { help: "VMs that serve, as seen here", read: countServingVms },
--- a/src/queueing/thresholds.ts
+++ b/src/queueing/thresholds.ts
@@ -2,8 +2,8 @@
  * Utilization up to which servers accept requests, by priority. Pure.
  *
  * Every VM applies the same rule to its own view of a server, so that less
- * urgent requests leave slots free for more urgent ones of all VMs without any
- * messages.
+ * urgent requests leave slots free, without any messages, for more urgent ones
+ * of all VMs that can't wait for the end of a run.
  *
  * @module
  */
@@ -20,18 +20,21 @@
  * of work and a target of 241 ms is late if it has to queue, so it needs a free
  * slot.
  */
-const RESERVED_SLOTS = 1;
+const NEXT_PRIORITY_SLOTS = 1;
 /**
  * Further slots left free for each additional priority that is more urgent. A
  * whole slot for each would leave the third priority a single slot of three.
  */
-const ADDITIONAL_RESERVED_SLOTS = 0.5;
+const FURTHER_PRIORITY_SLOTS = 0.5;
 
 /** A less urgent request and the more urgent demand that it competes with. */
 export interface CompetingDemand {
   /** More urgent priorities that compete for the service. */
   moreUrgent: readonly number[];
-  /** Least time that one of their requests may wait and still be in time. */
+  /**
+   * Least spare time among them, in the mean of a priority's recent requests;
+   * priorities that would be late in a free slot are left out.
+   */
   spareMs: number;
   /** Expected run time of the less urgent request. */
   runMs: number;
@@ -60,8 +63,8 @@
   if (spareMs >= runMs) {
     return Math.min(latencyLimit, 1 + spareMs / Math.max(1, runMs));
   }
-  const reservedSlots = RESERVED_SLOTS +
-    ADDITIONAL_RESERVED_SLOTS * (moreUrgent.length - 1);
+  const reservedSlots = NEXT_PRIORITY_SLOTS +
+    FURTHER_PRIORITY_SLOTS * (moreUrgent.length - 1);
   const usableSlots = Math.max(1, slots - reservedSlots);
   return Math.min(latencyLimit, usableSlots / slots);
 }
--- a/src/queueing/urgency.ts
+++ b/src/queueing/urgency.ts
@@ -8,13 +8,13 @@
 import type { Configuration, Route } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
 
-/** Last request of one priority for one service. */
+/** Recent requests of one priority for one service. */
 export interface PriorityDemand {
   service: string;
   priority: number;
   /** Time since the last request. */
   ageMs: number;
-  /** Time that it could have waited and still be answered in time. */
+  /** Mean time that they could have waited and still be answered in time. */
   spareMs: number;
 }
 
@@ -31,9 +31,9 @@
   /**
    * @param service A service.
    * @param priority A priority.
-   * @returns Least spare time of the more urgent requests for the service that
-   *   arrived lately and would be in time in a free slot; undefined where there
-   *   were none.
+   * @returns Least mean spare time of the more urgent priorities that were
+   *   requested lately and would be in time in a free slot; undefined where
+   *   there were none.
    */
   getLeastSpareMs(service: string, priority: number): number | undefined;
   /** @returns The priorities that were requested lately, by service. */
@@ -49,8 +49,10 @@
 /** Weight of one request in the mean spare time of its priority. */
 const SPARE_WEIGHT = 0.2;
 
-interface LastRequest {
+interface RecentRequests {
+  /** Time of the last one. */
   atMs: number;
+  /** Mean spare time. */
   spareMs: number;
 }
 
@@ -88,17 +90,17 @@
  * @returns A record without requests.
  */
 export function createUrgentDemand(clock: Clock): UrgentDemand {
-  const lastByService = new Map<string, Map<number, LastRequest>>();
+  const recentByService = new Map<string, Map<number, RecentRequests>>();
 
-  function isRecent({ atMs }: LastRequest): boolean {
+  function isRecent({ atMs }: RecentRequests): boolean {
     return clock.monotonicMs() - atMs < DEMAND_WINDOW_MS;
   }
 
   return {
     record(service, priority, spareMs) {
-      const byPriority = lastByService.get(service) ??
-        new Map<number, LastRequest>();
-      lastByService.set(service, byPriority);
+      const byPriority = recentByService.get(service) ??
+        new Map<number, RecentRequests>();
+      recentByService.set(service, byPriority);
       const previous = byPriority.get(priority);
       const isNewWindow = previous === undefined || !isRecent(previous);
       byPriority.set(priority, {
@@ -110,18 +112,18 @@
     },
     getLeastSpareMs(service, priority) {
       let least: number | undefined;
-      for (const [other, last] of lastByService.get(service) ?? []) {
-        if (other >= priority || !isRecent(last)) continue;
+      for (const [other, recent] of recentByService.get(service) ?? []) {
+        if (other >= priority || !isRecent(recent)) continue;
         // It would be late in a free slot too, so leaving one free is no use.
-        if (last.spareMs <= 0) continue;
-        least = Math.min(least ?? Infinity, last.spareMs);
+        if (recent.spareMs <= 0) continue;
+        least = Math.min(least ?? Infinity, recent.spareMs);
       }
       return least;
     },
     list: () =>
-      [...lastByService].flatMap(([service, byPriority]) =>
+      [...recentByService].flatMap(([service, byPriority]) =>
         [...byPriority]
-          .filter(([, last]) => isRecent(last))
+          .filter(([, recent]) => isRecent(recent))
           .map(([priority, { atMs, spareMs }]) => ({
             service,
             priority,
--- a/src/queueing/wait_queue.ts
+++ b/src/queueing/wait_queue.ts
@@ -9,7 +9,11 @@
 import type { Random } from "../runtime/random.ts";
 import type { ServerRegistry } from "../servers/registry.ts";
 import type { RunTimes } from "../servers/run_times.ts";
-import type { LatencyModel } from "../serving/latency_model.ts";
+import {
+  type LatencyModel,
+  MAX_RETRY_AFTER_MS,
+  MIN_RETRY_AFTER_MS,
+} from "../serving/latency_model.ts";
 import type { RequestProgress } from "../serving/request_progress.ts";
 import type { Log } from "../telemetry/log.ts";
 import {
@@ -101,9 +105,6 @@
  * free by requests of other VMs cause no event here.
  */
 const TIMED_TRIES = 4;
-/** Bounds of `Retry-After`, as for refusals without an expected wait. */
-const MIN_RETRY_AFTER_MS = 60;
-const MAX_RETRY_AFTER_MS = 600;
 
 interface QueuedRequest extends WaitEntry {
   bytes: number;
--- a/src/serving/latency_model.ts
+++ b/src/serving/latency_model.ts
@@ -92,8 +92,9 @@
 const LATE_TIMEOUT_SHARE = 0.5;
 /** Allows for cache misses that take a fifth longer than the mean. */
 const CACHE_MISS_MARGIN = 1.2;
-const MIN_RETRY_AFTER_MS = 60;
-const MAX_RETRY_AFTER_MS = 600;
+/** Bounds of `Retry-After` where servers are full. */
+export const MIN_RETRY_AFTER_MS = 60;
+export const MAX_RETRY_AFTER_MS = 600;
 /**
  * A server with free slots refuses only by chance: no capacity has to become
  * free, and a client that retries at once can still be served within its target
