Explain refusals by priority only where slots were left free

Since more urgent requests that can wait keep no slot free, the log line of a refusal still named their priorities, and hawthorngw-explain counted it as "slots left to more urgent". The line now has the number of slots left free. The test's line of such a refusal gets that field; a case without it is added.

--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -136,9 +136,7 @@
     return "refused, other";
   }
   const ownUtilization = last.uses[last.region ?? ""];
-  if (
-    last.moreUrgent.length > 0 && ownUtilization < SATURATION
-  ) {
+  if (last.slotsLeftFree > 0 && ownUtilization < SATURATION) {
     return "refused, slots left to more urgent";
   }
   const otherUtilizations = Object.entries(last.uses)
--- a/src/explain/causes_test.ts
+++ b/src/explain/causes_test.ts
@@ -78,7 +78,8 @@
   });
 }
 
-// Guards against refusals by priority that are counted as saturation.
+// Guards against refusals by priority that are counted as saturation, and
+// against ones where more urgent requests can wait and keep no slot free.
 test("a refusal that left free slots to more urgent requests is told apart", () => {
   const choice = {
     msg: "choose",
@@ -87,13 +88,14 @@
     choice: "full",
   };
   for (
-    const [use, cause] of [
-      [0.7, "refused, slots left to more urgent"],
-      [1.2, "refused, all saturated"],
+    const [use, slotsLeftFree, cause] of [
+      [0.7, 1, "refused, slots left to more urgent"],
+      [0.7, 0, "refused, all saturated"],
+      [1.2, 1, "refused, all saturated"],
     ] as const
   ) {
     const { requests } = gather(
-      { ...choice, uses: { oslo: use }, moreUrgent: [0] },
+      { ...choice, uses: { oslo: use }, moreUrgent: [0], slotsLeftFree },
       { msg: "request ended", targetMs: 200, ...refused },
     );
     assert.is(findCause(requests.get("q")!, MEDIANS), cause);
--- a/src/explain/lines.ts
+++ b/src/explain/lines.ts
@@ -23,8 +23,8 @@
   isKnown: z.boolean().optional(),
   /** Utilization by region, if the request was refused. */
   uses: z.record(z.string(), z.number()).optional(),
-  /** Priorities that slots were left free for. */
-  moreUrgent: z.array(z.number()).default([]),
+  /** Slots of each server that were left free for more urgent requests. */
+  slotsLeftFree: z.number().default(0),
 });
 
 const attemptSchema = z.object({
--- a/src/queueing/queueing_test.ts
+++ b/src/queueing/queueing_test.ts
@@ -2,7 +2,11 @@
 import { test } from "uvu";
 import { makeConfiguration, makeRoute } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
-import { type CompetingDemand, computeMaxUtilization } from "./thresholds.ts";
+import {
+  type CompetingDemand,
+  computeMaxUtilization,
+  computeSlotsLeftFree,
+} from "./thresholds.ts";
 import {
   createUrgentDemand,
   getPriority,
@@ -18,6 +22,13 @@
   }
 });
 
+// Guards against refusals that are explained by slots left free where none is.
+test("slots are left free only for requests that can't wait for a run", () => {
+  assert.is(computeSlotsLeftFree(makeDemand(1)), 1);
+  assert.is(computeSlotsLeftFree(makeDemand(2)), 1.5);
+  assert.is(computeSlotsLeftFree(makeDemand(2, 644)), 0);
+});
+
 /** Demand of a number of more urgent priorities that can't wait for a run. */
 function makeDemand(moreUrgent: number, spareMs = 24): CompetingDemand {
   const priorities = Array.from({ length: moreUrgent }, (_, index) => index);
--- a/src/queueing/thresholds.ts
+++ b/src/queueing/thresholds.ts
@@ -42,8 +42,22 @@
 
 /**
  * More urgent requests need a free slot only if they can't wait for the end of
- * a less urgent run. Where they can, the queue may be as long as they can wait:
- * reserved slots would stay empty while less urgent requests are refused.
+ * a less urgent run.
+ *
+ * @param demand The demand that competes.
+ * @returns Slots of each server that are left free for it.
+ */
+export function computeSlotsLeftFree(
+  { moreUrgent, spareMs, runMs }: CompetingDemand,
+): number {
+  if (spareMs >= runMs) return 0;
+  return NEXT_PRIORITY_SLOTS +
+    FURTHER_PRIORITY_SLOTS * (moreUrgent.length - 1);
+}
+
+/**
+ * Where no slot is left free, the queue may be as long as more urgent requests
+ * can wait: slots would stay empty while less urgent requests are refused.
  *
  * @param latencyLimit Utilization up to which a server is expected to answer in
  *   time, in requests per slot.
@@ -59,12 +73,11 @@
   demand: CompetingDemand | undefined,
 ): number {
   if (demand === undefined) return latencyLimit;
-  const { moreUrgent, spareMs, runMs } = demand;
-  if (spareMs >= runMs) {
+  const slotsLeftFree = computeSlotsLeftFree(demand);
+  if (slotsLeftFree === 0) {
+    const { spareMs, runMs } = demand;
     return Math.min(latencyLimit, 1 + spareMs / Math.max(1, runMs));
   }
-  const reservedSlots = NEXT_PRIORITY_SLOTS +
-    FURTHER_PRIORITY_SLOTS * (moreUrgent.length - 1);
-  const usableSlots = Math.max(1, slots - reservedSlots);
+  const usableSlots = Math.max(1, slots - slotsLeftFree);
   return Math.min(latencyLimit, usableSlots / slots);
 }
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -20,6 +20,7 @@
 import {
   type CompetingDemand,
   computeMaxUtilization,
+  computeSlotsLeftFree,
 } from "../queueing/thresholds.ts";
 import type { SlotProspect } from "../queueing/wait_decision.ts";
 import type { UrgentDemand } from "../queueing/urgency.ts";
@@ -164,6 +165,7 @@
         priority: progress.priority,
         moreUrgent: demand.moreUrgent,
         spareMs: Math.round(demand.spareMs),
+        slotsLeftFree: computeSlotsLeftFree(demand),
       }),
       ...overflow?.fields,
       ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
