Expect slots for large bodies outside the own failure domain, too

The estimate of the wait took the first two servers of the own failure domain alone, although a large body goes to the object's first servers of the region where those are full. Uploads were refused as if the queue were longer.

--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -240,11 +240,14 @@
   ): SlotProspect | undefined {
     const nowMs = clock.monotonicMs();
     const { tried, copies } = placement;
-    const servers = [...new Set(placement.candidates.flat())].filter((server) =>
-      !tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
-      !server.health.isEjected() && permits.isValid(server.listed)
-    ).slice(0, copies);
-    if (servers.length === 0) return undefined;
+    const sharing = placement.candidates.flatMap((servers) =>
+      servers.filter((server) =>
+        !tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
+        !server.health.isEjected() && permits.isValid(server.listed)
+      ).slice(0, copies)
+    );
+    const servers = new Set(sharing);
+    if (servers.size === 0) return undefined;
     let acceptsPerRun = 0;
     let utilization = 0;
     let isCached = false;
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -156,17 +156,25 @@
 });
 
 /** @returns Runs after which a request is accepted where all servers are full. */
-function computeWaitRuns(copies: number): number {
+function computeWaitRuns(copies: number, route = makeRoute()): number {
   const registry = makeRegistry(createFakeClock());
   for (const id of ["1", "2", "3", "4"]) {
     registry.apply(makeServerUpdate(makeServer(id, { slots: 4 }), 1));
   }
+  for (const id of ["b-1", "b-2", "b-3", "b-4"]) {
+    const changes = { slots: 4, failureDomain: "oslo-b" };
+    registry.apply(makeServerUpdate(makeServer(id, changes), 1));
+  }
   for (const { load } of registry.listUsable("s")) {
     for (let count = 0; count < 12; count++) load.begin();
   }
   const placed = startPlacer(0, makeUnlimitedPermits(), registry, {
     copyPlan: { getCopies: () => copies },
-  }).place(makeProgress({ request: makeRequest({ homeRegions: ["oslo"] }) }));
+  }).place(makeProgress({
+    request: makeRequest({ route, homeRegions: ["oslo"] }),
+    // Both of its first servers stand in oslo-b.
+    objectKey: "1",
+  }));
   assert.ok(placed.kind === "not_placed" && placed.prospect !== undefined);
   return placed.prospect.waitRuns;
 }
@@ -177,6 +185,13 @@
   assert.is(computeWaitRuns(4), computeWaitRuns(2) / 2);
 });
 
+// Load: uploads at a service with five servers in each failure domain. Guards
+// against refusals of uploads as if only the own failure domain took them.
+test("a large body expects a slot in its own failure domain and elsewhere", () => {
+  const upload = makeRoute({ transfer: "upload" });
+  assert.is(computeWaitRuns(2, upload), computeWaitRuns(2) / 2);
+});
+
 // Guards against slots left free after the configuration leaves a service a
 // single priority.
 test("a priority that is no longer configured leaves no slots free", () => {
