--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -1,6 +1,7 @@
 /**
  * Selects the backend server for an attempt: first the region of the object,
- * then a server in that region.
+ * then a server in that region. Where all of these are full, it selects one of
+ * another region, if overflow is allowed, or estimates when one has a slot.
  *
  * @module
  */
