--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -1,6 +1,7 @@
 /**
  * Selects the backend server for an attempt: first the region of the object,
- * then a server in that region.
+ * then a server in that region. Where all of these are full, it selects one of
+ * another region, if overflow is allowed, or estimates when one has a slot.
  *
  * @module
  */
@@ -20,6 +21,7 @@
 import {
   type CompetingDemand,
   computeMaxUtilization,
+  computeSlotsLeftFree,
 } from "../queueing/thresholds.ts";
 import type { SlotProspect } from "../queueing/wait_decision.ts";
 import type { UrgentDemand } from "../queueing/urgency.ts";
@@ -89,8 +91,6 @@
   place(progress: RequestProgress): PlacedAttempt | PlacementFailure;
 }
 
-/** Servers that share an object, which a waiting request gets a slot of. */
-const WAIT_CANDIDATES = 2;
 /** The result of an overflow, with its log fields. */
 interface OverflowChoice {
   choice?: ServerChoice;
@@ -166,6 +166,7 @@
         priority: progress.priority,
         moreUrgent: demand.moreUrgent,
         spareMs: Math.round(demand.spareMs),
+        slotsLeftFree: computeSlotsLeftFree(demand),
       }),
       ...overflow?.fields,
       ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
@@ -225,23 +226,29 @@
     if (spareMs === undefined) return undefined;
     const moreUrgent = options.getCompetingPriorities(service)
       .filter((other) => other < priority);
+    // The configuration may have lost the priority since its last request.
+    if (moreUrgent.length === 0) return undefined;
     const runMs = latencyModel.getExpectedMs(request.route, "any") ?? 0;
     return { moreUrgent, spareMs, runMs };
   }
 
   /**
-   * Estimates when one of the servers that share the object accepts a request.
-   * A server does once enough of its requests have ended.
+   * Estimates when one of the servers that share the object accepts a request:
+   * once enough of the requests of one of them have ended.
    */
   function computeProspect(
     placement: PlacementRequest,
   ): SlotProspect | undefined {
     const nowMs = clock.monotonicMs();
-    const servers = [...new Set(placement.candidates.flat())].filter((server) =>
-      !placement.tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
-      !server.health.isEjected() && permits.isValid(server.listed)
-    ).slice(0, WAIT_CANDIDATES);
-    if (servers.length === 0) return undefined;
+    const { tried, copies } = placement;
+    const sharing = placement.candidates.flatMap((servers) =>
+      servers.filter((server) =>
+        !tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
+        !server.health.isEjected() && permits.isValid(server.listed)
+      ).slice(0, copies)
+    );
+    const servers = new Set(sharing);
+    if (servers.size === 0) return undefined;
     let acceptsPerRun = 0;
     let utilization = 0;
     let isCached = false;
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -17,7 +17,7 @@
 import { createSilentLog } from "../telemetry/log.ts";
 import { makeProgress, makeRequest, makeUnlimitedPermits } from "./fixture.ts";
 import { createLatencyModel } from "./latency_model.ts";
-import { createPlacer } from "./placer.ts";
+import { createPlacer, type PlacerOptions } from "./placer.ts";
 
 function listTwoServers(registry: ServerRegistry, bergenColdMs: number): void {
   registry.apply(makeServerUpdate(makeServer("oslo-1"), 1));
@@ -33,6 +33,7 @@
   bergenColdMs: number,
   permits = makeUnlimitedPermits(),
   known?: ServerRegistry,
+  changes: Partial<PlacerOptions> = {},
 ) {
   const clock = createFakeClock();
   const log = createSilentLog();
@@ -69,6 +70,7 @@
       giveBack() {},
     },
     getServiceSettings: () => undefined,
+    ...changes,
   });
 }
 
@@ -153,4 +155,68 @@
   assert.not.ok(domains.includes("all_full"), `${domains}`);
 });
 
+/** @returns Runs after which a request is accepted where all servers are full. */
+function computeWaitRuns(copies: number, route = makeRoute()): number {
+  const registry = makeRegistry(createFakeClock());
+  for (const id of ["1", "2", "3", "4"]) {
+    registry.apply(makeServerUpdate(makeServer(id, { slots: 4 }), 1));
+  }
+  for (const id of ["b-1", "b-2", "b-3", "b-4"]) {
+    const changes = { slots: 4, failureDomain: "oslo-b" };
+    registry.apply(makeServerUpdate(makeServer(id, changes), 1));
+  }
+  for (const { load } of registry.listUsable("s")) {
+    for (let count = 0; count < 12; count++) load.begin();
+  }
+  const placed = startPlacer(0, makeUnlimitedPermits(), registry, {
+    copyPlan: { getCopies: () => copies },
+  }).place(makeProgress({
+    request: makeRequest({ route, homeRegions: ["oslo"] }),
+    // Both of its first servers stand in oslo-b.
+    objectKey: "1",
+  }));
+  assert.ok(placed.kind === "not_placed" && placed.prospect !== undefined);
+  return placed.prospect.waitRuns;
+}
+
+// Guards against refusals of requests for hot objects as if only two servers
+// could take them.
+test("a request for an object with four copies expects half the wait", () => {
+  assert.is(computeWaitRuns(4), computeWaitRuns(2) / 2);
+});
+
+// Load: uploads at a service with five servers in each failure domain. Guards
+// against refusals of uploads as if only the own failure domain took them.
+test("a large body expects a slot in its own failure domain and elsewhere", () => {
+  const upload = makeRoute({ transfer: "upload" });
+  assert.is(computeWaitRuns(2, upload), computeWaitRuns(2) / 2);
+});
+
+// Guards against slots left free after the configuration leaves a service a
+// single priority.
+test("a priority that is no longer configured leaves no slots free", () => {
+  const clock = createFakeClock();
+  const urgentDemand = createUrgentDemand(clock);
+  const registry = makeRegistry(clock);
+  registry.apply(makeServerUpdate(makeServer("1", { slots: 4 }), 1));
+  const [{ load }] = registry.listUsable("s");
+  for (let count = 0; count < 4; count++) load.begin();
+  const latencyModel = createLatencyModel();
+  const route = makeRoute({ targetLatencyMs: 1_000 });
+  latencyModel.recordAnswer(route, 400, 0);
+  const placer = startPlacer(0, makeUnlimitedPermits(), registry, {
+    urgentDemand,
+    latencyModel,
+  });
+  const place = () =>
+    placer.place(makeProgress({
+      request: makeRequest({ route, homeRegions: ["oslo"] }),
+      usesObjectCache: false,
+    })).kind;
+  const before = place();
+  urgentDemand.record("s", 0, 10);
+  assert.is(place(), before);
+  assert.is(before, "placed");
+});
+
 test.run();
