Examine only the servers that a choice can use

Each choice filtered all servers of the region up to four times, and a region has up to a hundred of them, while the choice is among the first few. It now reads the ranking once and stops at the last server that it can use.

Tests: the number of servers examined among 150; 400 random cases in which the choice, its rank and the permits asked for are the same as among the eligible servers alone. src/placement, src/serving and src/queueing pass.

--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -118,17 +118,16 @@
   const { candidates, tried } = placement;
   let isAnyAlive = false;
   for (const servers of candidates) {
-    const alive = servers.filter((server) =>
-      !tried.has(server.listed.id) && !server.health.isEjected()
-    );
-    if (alive.length > 0) isAnyAlive = true;
-    const choice = chooseInRegion(alive, placement, coldLimit, clock);
+    const found = findEligible(servers, placement, clock.monotonicMs());
+    if (found.first !== undefined) isAnyAlive = true;
+    const choice = chooseInRegion(found, placement, coldLimit, clock);
     if (choice !== undefined) return choice;
   }
+  if (isAnyAlive) return { kind: "full" };
   const fallback = candidates.flat().find((server) =>
     !tried.has(server.listed.id) && server.coldUntilMs <= clock.monotonicMs()
   );
-  if (!isAnyAlive && fallback !== undefined && placement.takePermit(fallback)) {
+  if (fallback !== undefined && placement.takePermit(fallback)) {
     const isCached = placement.hasCachedObject(fallback.listed.id);
     return {
       kind: "server",
@@ -138,23 +137,77 @@
       isCached,
     };
   }
-  return { kind: isAnyAlive ? "full" : "none" };
+  return { kind: "none" };
+}
+
+/** The servers of a region that a request may be sent to. */
+interface EligibleServers {
+  /** The best server that is neither tried nor ejected, warm or cold. */
+  first: KnownServer | undefined;
+  /**
+   * Warm servers, best first: those without many failures, else all. As many as
+   * the choice can use.
+   */
+  warm: readonly KnownServer[];
+}
+
+/**
+ * Finds the eligible servers of a region. It stops at the last one that can be
+ * used, since a region may have a hundred servers and the choice is among a few.
+ */
+function findEligible(
+  servers: readonly KnownServer[],
+  placement: PlacementRequest,
+  nowMs: number,
+): EligibleServers {
+  const usableCount = Math.max(CACHED_CANDIDATES, placement.copies) +
+    MAX_PERMIT_TRIES;
+  let first: KnownServer | undefined;
+  const failing: KnownServer[] = [];
+  const healthy: KnownServer[] = [];
+  let healthyRank = 0;
+  for (const server of servers) {
+    if (placement.tried.has(server.listed.id) || server.health.isEjected()) {
+      continue;
+    }
+    first ??= server;
+    if (server.coldUntilMs > nowMs) continue;
+    if (server.health.getFailureShare() >= HIGH_FAILURE_SHARE) {
+      if (healthyRank === 0) failing.push(server);
+      continue;
+    }
+    if (isOpenTo(placement, server, healthyRank)) healthy.push(server);
+    healthyRank++;
+    if (healthy.length >= usableCount) break;
+  }
+  const warm = healthyRank > 0
+    ? healthy
+    : failing.filter((server, rank) => isOpenTo(placement, server, rank));
+  return { first, warm };
+}
+
+/**
+ * Permits of rate-limited servers are kept for their own objects: used for
+ * other objects they are spent on cache misses that finish too late, and if all
+ * servers are limited, no request is answered in time.
+ */
+function isOpenTo(
+  placement: PlacementRequest,
+  server: KnownServer,
+  rank: number,
+): boolean {
+  return rank < MIN_COPIES || !placement.isRateLimited(server) ||
+    rank < CACHED_CANDIDATES && placement.hasCachedObject(server.listed.id);
 }
 
 function chooseInRegion(
-  alive: readonly KnownServer[],
+  { first, warm }: EligibleServers,
   placement: PlacementRequest,
   coldLimit: ColdLimit,
   clock: Clock,
 ): Choice | undefined {
-  const nowMs = clock.monotonicMs();
-  const warm = alive.filter((server) => server.coldUntilMs <= nowMs);
-  const healthy = warm.filter((server) =>
-    server.health.getFailureShare() < HIGH_FAILURE_SHARE
-  );
-  const eligible = healthy.length > 0 ? healthy : warm;
-  return chooseWithPermit(eligible, placement) ??
-    chooseColdServer(alive, placement, coldLimit, nowMs);
+  return chooseWithPermit(warm, placement) ??
+    chooseColdServer(first, placement, coldLimit, clock.monotonicMs());
 }
 
 /**
@@ -163,12 +216,11 @@
  * take the request: while cold it takes twice as long even for cached objects.
  */
 function chooseColdServer(
-  alive: readonly KnownServer[],
+  first: KnownServer | undefined,
   placement: PlacementRequest,
   coldLimit: ColdLimit,
   nowMs: number,
 ): Choice | undefined {
-  const first = alive[0];
   if (first === undefined || first.coldUntilMs <= nowMs) return undefined;
   const utilization = first.load.getUtilization();
   const maxUtilization = placement.getMaxUtilization?.(first.load.getSlots());
@@ -184,18 +236,13 @@
 
 /**
  * Selects a server that grants a permit; if one has none left, the next best is
- * tried. Permits of rate-limited servers are kept for their own objects: used
- * for other objects they are spent on cache misses that finish too late, and if
- * all servers are limited, no request is answered in time.
+ * tried.
  */
 function chooseWithPermit(
   servers: readonly KnownServer[],
   placement: PlacementRequest,
 ): Choice | undefined {
-  let remaining = servers.filter((server, rank) =>
-    rank < MIN_COPIES || !placement.isRateLimited(server) ||
-    rank < CACHED_CANDIDATES && placement.hasCachedObject(server.listed.id)
-  );
+  let remaining = servers;
   let constraints = placement;
   for (let tries = 0; tries < MAX_PERMIT_TRIES; tries++) {
     const choice = chooseCheapest(remaining, constraints) ??
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -423,4 +423,78 @@
   assert.ok(twoServers > anyServer + 0.05);
 });
 
+/** Counts how many servers are examined. */
+function countExamined(servers: readonly KnownServer[]): () => number {
+  let count = 0;
+  for (const { health } of servers) {
+    const { isEjected } = health;
+    health.isEjected = () => {
+      count++;
+      return isEjected();
+    };
+  }
+  return () => count;
+}
+
+// Guards against work per request that grows with the servers of a region.
+test("a choice among 150 servers examines those that it can use", () => {
+  const clock = createFakeClock();
+  const servers = createServers(clock, 150).listUsable("s");
+  const getExamined = countExamined(servers);
+  assert.is(getOutcome(choose(servers, clock)), "0");
+  assert.ok(getExamined() <= 12, `${getExamined()}`);
+});
+
+// Guards against a search that ends before the servers that could be chosen.
+test("the choice is the same as among the eligible servers alone", () => {
+  const random = createRandom(7);
+  for (let round = 0; round < 400; round++) {
+    const clock = createFakeClock();
+    const servers = createServers(clock, 40).listUsable("s");
+    const pick = (share: number) =>
+      new Set(
+        servers.filter(() => random() < share).map(({ listed }) => listed.id),
+      );
+    const failing = pick(round % 4 === 0 ? 1 : random());
+    const cold = pick(random());
+    const tried = pick(0.1);
+    const refusing = pick(random());
+    const limited = pick(random());
+    const cached = pick(0.3);
+    for (const server of servers) {
+      const { id } = server.listed;
+      if (failing.has(id)) {
+        for (let n = 0; n < 5; n++) server.health.recordOutcome("failed");
+      }
+      if (cold.has(id)) server.coldUntilMs = clock.monotonicMs() + 1_000;
+      load(server, Math.floor(random() * 12));
+    }
+    const asked: string[] = [];
+    const changes: Partial<PlacementRequest> = {
+      tried,
+      copies: 2 + Math.floor(random() * 6),
+      hasCachedObject: (id) => cached.has(id),
+      isRateLimited: ({ listed }) => limited.has(listed.id),
+      takePermit({ listed }) {
+        asked.push(listed.id);
+        return !refusing.has(listed.id);
+      },
+    };
+    const choice = choose(servers, clock, changes);
+    const untried = servers.filter(({ listed }) => !tried.has(listed.id));
+    const warm = untried.filter(({ listed }) => !cold.has(listed.id));
+    const healthy = warm.filter(({ listed }) => !failing.has(listed.id));
+    const askedFirst = asked.splice(0);
+    const eligible = healthy.length > 0 ? healthy : warm;
+    const same = choose(eligible, clock, changes);
+    assert.equal(asked, askedFirst);
+    const isKnown = choice.kind === "server" || untried.length === 0 ||
+      eligible.length > 0;
+    if (isKnown) assert.is(getOutcome(choice), getOutcome(same));
+    if (choice.kind === "server" && same.kind === "server") {
+      assert.is(choice.rank, same.rank);
+    }
+  }
+});
+
 test.run();
