Find reported and own requests of servers with less work

The load of a server is read several times per request. Each time its id was hashed and a list of the valid reports was built. The registry now keeps the hash, and the reports are read in place. And every 50 or 200 ms a VM went through all servers to find those that run its own requests; it now keeps a set of them, in the order in which they were listed, so that reports stay the same.

Tests: order and content of own requests while servers start, end and leave; totals by hash, with reports that expire. src/activity, src/servers, src/serving and src/queueing pass.

--- a/src/activity/activity_test.ts
+++ b/src/activity/activity_test.ts
@@ -199,6 +199,24 @@
   assert.is(running.getTotal("1"), 0);
 });
 
+// Guards against totals of another server where the caller keeps the hash.
+test("a server's total is the same by its hash", () => {
+  const clock = createFakeClock();
+  const running = createRunningRequests(clock);
+  const keys = ["1", "2"].map((id) => hashToUint32(id));
+  running.recordSent([keys[0], 1]);
+  running.apply("vm-2", [keys[0], 3, keys[1], 5], false);
+  running.apply("relay", [keys[0], 4], true);
+  assert.is(running.getTotal("1", keys[0]), 6);
+  assert.is(running.getTotal("1"), 6);
+  assert.is(running.getTotal("2", keys[1]), 5);
+  clock.advance(1_000);
+  running.apply("vm-3", [keys[0], 2], false);
+  clock.advance(501);
+  assert.is(running.getTotal("1", keys[0]), 2);
+  assert.equal([...running.sum()], [[keys[0], 2]]);
+});
+
 test("only the relay sends the request history to a VM that starts", () => {
   const clock = createFakeClock();
   const fleet = startFleet(clock, { oslo: 30 });
--- a/src/activity/running.ts
+++ b/src/activity/running.ts
@@ -31,9 +31,10 @@
   recordSent(running: RequestPairs): void;
   /**
    * @param serverId A server's id.
+   * @param serverKey Its hash, where the caller keeps it.
    * @returns The number of running requests of other VMs at it.
    */
-  getTotal(serverId: string): number;
+  getTotal(serverId: string, serverKey?: number): number;
   /** @returns Running requests by server hash, summed over all valid reports. */
   sum(): Map<number, number>;
 }
@@ -72,10 +73,16 @@
       reportBySource.set(source, { requests, includesOwn, untilMs });
     },
     recordSent: (running) => void (ownSent = toMap(running)),
-    getTotal(serverId) {
-      const key = hashToUint32(serverId);
+    getTotal(serverId, key = hashToUint32(serverId)) {
+      const nowMs = clock.monotonicMs();
       let total = 0;
-      for (const { requests, includesOwn } of listValid()) {
+      // Runs several times a request, so it builds no list of valid reports.
+      for (const [source, report] of reportBySource) {
+        const { requests, includesOwn, untilMs } = report;
+        if (nowMs > untilMs) {
+          reportBySource.delete(source);
+          continue;
+        }
         const reported = requests.get(key) ?? 0;
         const own = includesOwn ? ownSent.get(key) ?? 0 : 0;
         total += Math.max(0, reported - own);
--- a/src/servers/load.ts
+++ b/src/servers/load.ts
@@ -49,6 +49,10 @@
   getReported: () => number;
   /** Mean run time of the service's requests; undefined before the first. */
   getMeanRunMs: () => number | undefined;
+  /** Called when this VM's first request at the server begins. */
+  onBusy?: () => void;
+  /** Called when the last one ends. */
+  onIdle?: () => void;
 }
 
 /** Weight of a report against earlier ones, since single reports vary. */
@@ -95,8 +99,14 @@
   }
 
   return {
-    begin: () => void own++,
-    end: () => void own--,
+    begin() {
+      own++;
+      if (own === 1) sources.onBusy?.();
+    },
+    end() {
+      own--;
+      if (own === 0) sources.onIdle?.();
+    },
     report(report) {
       if (report.slots > 0) slots = report.slots;
       if (report.slowdown !== undefined) speed.report(report.slowdown);
--- a/src/servers/registry.ts
+++ b/src/servers/registry.ts
@@ -19,6 +19,10 @@
 export interface KnownServer {
   /** What the register lists. */
   listed: ListedServer;
+  /** Hash of its id. */
+  key: number;
+  /** Position in the order in which this VM listed its servers. */
+  sequence: number;
   region: string;
   load: ServerLoad;
   health: ServerHealth;
@@ -95,6 +99,9 @@
   /** By registered name. */
   const servers = new Map<string, KnownServer>();
   const regionByKey = new Map<number, string>();
+  /** Listed servers with requests of this VM. */
+  const busyServers = new Set<KnownServer>();
+  let addedServers = 0;
   const evacuated = new Set<string>();
   const drainingInstances = createDrainingInstances(clock);
   const usableByService = new Map<string, KnownServer[]>();
@@ -131,18 +138,28 @@
       );
       return;
     }
-    regionByKey.set(hashToUint32(listed.id), region);
-    servers.set(listed.registeredName, {
+    const key = hashToUint32(listed.id);
+    regionByKey.set(key, region);
+    const server: KnownServer = {
       listed,
+      key,
+      sequence: addedServers++,
       region,
       load: createServerLoad(listed.slots, clock, {
-        getReported: () => running.getTotal(listed.id),
+        getReported: () => running.getTotal(listed.id, key),
         getMeanRunMs: () => runTimes.getMeanMs(listed.service),
+        onBusy() {
+          if (servers.get(listed.registeredName) === server) {
+            busyServers.add(server);
+          }
+        },
+        onIdle: () => void busyServers.delete(server),
       }),
       health: createServerHealth(clock),
       coldUntilMs: computeColdUntilMs(listed.coldLeftMs),
       isReplaced: false,
-    });
+    };
+    servers.set(listed.registeredName, server);
     logListed(listed);
   }
 
@@ -175,9 +192,11 @@
     if (wasUsable !== mayGetRequests(server)) invalidate();
   }
 
-  function remove({ listed }: KnownServer): void {
+  function remove(server: KnownServer): void {
+    const { listed } = server;
     servers.delete(listed.registeredName);
-    regionByKey.delete(hashToUint32(listed.id));
+    busyServers.delete(server);
+    regionByKey.delete(server.key);
     log.info({ server: listed.id, service: listed.service }, "server removed");
     invalidate();
   }
@@ -256,12 +275,12 @@
     getRegion: (serverKey) => regionByKey.get(serverKey),
     listOwnRequests(getMinRunMs) {
       const pairs: RequestPairs = [];
-      for (const { listed, load } of servers.values()) {
-        if (load.getOwn() === 0) continue;
-        const { service } = listed;
+      // A fixed order, so that reports of the same requests are equal.
+      const busy = [...busyServers].sort((a, b) => a.sequence - b.sequence);
+      for (const { listed: { service }, key, load } of busy) {
         const meanRunMs = runTimes.getMeanMs(service) ?? 0;
         if (meanRunMs < getMinRunMs(service)) continue;
-        pairs.push(hashToUint32(listed.id), load.getOwn());
+        pairs.push(key, load.getOwn());
       }
       return pairs;
     },
--- a/src/servers/servers_test.ts
+++ b/src/servers/servers_test.ts
@@ -6,6 +6,7 @@
   makeServerUpdate,
 } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
+import { hashToUint32 } from "../runtime/hash.ts";
 import { createColdLimit } from "./cold_limit.ts";
 import { createServerHealth } from "./health.ts";
 import { createDrainingInstances } from "./draining_instances.ts";
@@ -149,6 +150,36 @@
   assert.not(limit.take("cold", 9, "oslo"));
 });
 
+// Guards against reports whose order changes, which would be sent again, and
+// against reports of servers that are no longer listed.
+test("own requests are reported in the order in which servers were listed", () => {
+  const registry = makeRegistry(createFakeClock());
+  const ids = ["1", "2", "3", "4"];
+  ids.forEach((id, index) =>
+    registry.apply(makeServerUpdate(makeServer(id), index + 1))
+  );
+  const [first, , third, fourth] = registry.listUsable("s");
+  const list = () => registry.listOwnRequests(() => 0);
+  assert.equal(list(), []);
+  for (const { load } of [fourth, first, third, first]) load.begin();
+  const keys = ids.map(hashToUint32);
+  assert.equal(list(), [keys[0], 2, keys[2], 1, keys[3], 1]);
+  third.load.end();
+  first.load.end();
+  assert.equal(list(), [keys[0], 1, keys[3], 1]);
+  registry.apply({
+    topic: "servers",
+    key: "server/4",
+    version: makeVersion(5),
+  });
+  fourth.load.begin();
+  assert.equal(list(), [keys[0], 1]);
+  fourth.load.end();
+  fourth.load.end();
+  fourth.load.begin();
+  assert.equal(list(), [keys[0], 1]);
+});
+
 test("load adds this VM's requests to those the server reports from others", () => {
   const clock = createFakeClock();
   const load = createServerLoad(4, clock, {
