Avoid the regular expression for IPv6 addresses

undici calls net.isIP with the host of each request, and Node checks host names with its regular expression for IPv6 addresses, which V8 compiles at its first use, on the way of the first request. The bundle replaces isIP by one that looks for a colon first.

Tests: the same IP versions as Node's for addresses, host names and malformed texts; the functions that the bundle uses are Node's. platform/bundle passes.

--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -12,7 +12,8 @@
     --tsconfig=tsconfig.bundle.json --alias:https=./platform/bundle/https.ts \
     --alias:tls=./platform/bundle/tls.ts \
     --alias:child_process=./platform/bundle/child_process.ts \
-    --alias:node:http2=./platform/bundle/http2.ts --outfile="target/$2.cjs"
+    --alias:node:http2=./platform/bundle/http2.ts \
+    --alias:node:net=./platform/bundle/net.ts --outfile="target/$2.cjs"
 }
 bundle gateway gateway_bundle
 bundle launch gateway
