Run the timers of server limits only while there are limits

Every 100 ms each VM looked for changed rate limits of backend servers, and every 200 ms for their usage, also where no server has ever set a limit: 15 of some 30 wake-ups a second of an idle VM behind hubs. Both timers now start with the first limit, own or received, and end when the last one is dropped. A limit is still sent within 100 ms and its usage within 200 ms.

--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -14,7 +14,7 @@
 } from "../limits/usage_sharing.ts";
 import type { Topology } from "../members/hubs.ts";
 import type { VmIdentity } from "../members/types.ts";
-import type { Clock } from "../runtime/clock.ts";
+import type { Clock, Timer } from "../runtime/clock.ts";
 import type { Random } from "../runtime/random.ts";
 import {
   createServerBackoffs,
@@ -117,15 +117,20 @@
   sendRateLimits: (rates: RateLimitUpdate[]) => void;
 }
 
+/** A running exchange of limits. */
+export type ServerLimitSharing = Pick<UsageSharing, "receive" | "stop">;
+
 /**
- * Starts to exchange rate limits and their usage with other VMs.
+ * Starts to exchange rate limits and their usage with other VMs. Its timers run
+ * only while a server has a limit: without one they would wake each VM 15 times
+ * a second for nothing.
  *
  * @param options Dependencies of the exchange.
  * @returns The running exchange of usage.
  */
 export function startServerLimitSharing(
   options: ServerLimitSharingOptions,
-): UsageSharing {
+): ServerLimitSharing {
   const { self, clock, limits } = options;
   const { rateLimits, limiter, limitShares } = limits;
   const usageSharing = startUsageSharing({
@@ -138,15 +143,35 @@
     getTopology: options.getTopology,
     send: options.sendUsage,
   });
-  const rateLimitTimer = clock.every(RATE_LIMIT_SEND_INTERVAL_MS, () => {
+  let timer: Timer | undefined;
+  let isStopped = false;
+
+  function pause(): void {
+    timer?.cancel();
+    timer = undefined;
+    usageSharing.stop();
+  }
+
+  function resume(): void {
+    if (isStopped) return;
+    timer ??= clock.every(RATE_LIMIT_SEND_INTERVAL_MS, sendRateLimits);
+    usageSharing.resume();
+  }
+
+  function sendRateLimits(): void {
     const rates = rateLimits.takeUpdates();
     if (rates.length > 0) options.sendRateLimits(rates);
-  });
+    if (rateLimits.count() === 0) pause();
+  }
+
+  rateLimits.subscribe(resume);
+  if (rateLimits.count() > 0) resume();
+  else pause();
   return {
     receive: usageSharing.receive,
     stop() {
-      rateLimitTimer.cancel();
-      usageSharing.stop();
+      isStopped = true;
+      pause();
     },
   };
 }
--- a/src/limits/usage_sharing.ts
+++ b/src/limits/usage_sharing.ts
@@ -9,7 +9,7 @@
  */
 import { findRelayId, type Topology } from "../members/hubs.ts";
 import type { VmIdentity } from "../members/types.ts";
-import type { Clock } from "../runtime/clock.ts";
+import type { Clock, Timer } from "../runtime/clock.ts";
 import type { LimitUsage, RateLimiter } from "./limiter.ts";
 import { HEARTBEAT_TIMEOUT_MS, type LimitShares } from "./shares.ts";
 
@@ -42,6 +42,8 @@
 export interface UsageSharing {
   /** Accounts for the usage in a message from another VM. */
   receive(from: VmIdentity, update: UsageUpdate): void;
+  /** Sends again after `stop`. */
+  resume(): void;
   /** Stops sending. */
   stop(): void;
 }
@@ -175,7 +177,7 @@
     usageByMember.set(id, sum.list());
   }
 
-  const timer = clock.every(SEND_INTERVAL_MS, share);
+  let timer: Timer | undefined = clock.every(SEND_INTERVAL_MS, share);
   return {
     receive(from, { scope, vms, usage }) {
       if (!isExpected(from, scope)) return;
@@ -188,6 +190,10 @@
       if (scope === "vm") receiveFromMember(from.id, usage);
       else usageOfRegions.push(...usage);
     },
-    stop: () => timer.cancel(),
+    resume: () => void (timer ??= clock.every(SEND_INTERVAL_MS, share)),
+    stop() {
+      timer?.cancel();
+      timer = undefined;
+    },
   };
 }
--- a/src/servers/rate_limits.ts
+++ b/src/servers/rate_limits.ts
@@ -61,6 +61,13 @@
   list(): RateLimitState[];
   /** @returns Number of servers with a rate limit. */
   count(): number;
+  /**
+   * Subscribes to the first limit where there was none.
+   *
+   * @param onFirst Called for each server that gets a limit while no other
+   *   server has one.
+   */
+  subscribe(onFirst: () => void): void;
 }
 
 /** Dependencies of `createServerRateLimits`. */
@@ -117,6 +124,7 @@
   { clock, log, ownId }: RateLimitOptions,
 ): ServerRateLimits {
   const limits = new Map<string, TrackedLimit>();
+  const listeners: (() => void)[] = [];
 
   function track(
     server: string,
@@ -137,6 +145,7 @@
       loggedAtMs: -Infinity,
     };
     limits.set(server, limit);
+    if (limits.size === 1) { for (const onFirst of listeners) onFirst(); }
     return limit;
   }
 
@@ -288,6 +297,7 @@
       return [...limits.values()].map(toState);
     },
     count: () => limits.size,
+    subscribe: (onFirst) => void listeners.push(onFirst),
   };
 }
 
