Release all bytes of a hold whose own answer waits for room

release() gave the bytes of the request back while the hold still counted as open, so the room went to the waiting answer of the same request, whose bytes were then never released. Requests abort their exchange first, which ends the wait, so this was not seen in a running gateway.

--- a/src/serving/body_budget.ts
+++ b/src/serving/body_budget.ts
@@ -261,7 +261,9 @@
         const waitMs = Math.max(0, Math.min(MAX_ANSWER_WAIT_MS, leftMs / 2));
         const answer: WaitingAnswer = {
           tryHold() {
-            if (!hasRoom(bytes, bytes - answerBytes)) return false;
+            if (!isReleased && !hasRoom(bytes, bytes - answerBytes)) {
+              return false;
+            }
             stop();
             // Held before the next waiting answer is looked at.
             if (!isReleased) heldBytes += bytes - answerBytes;
@@ -286,8 +288,10 @@
       replaceByAnswer,
       release() {
         if (isReleased) return;
-        replaceByAnswer(0);
+        // First, since a waiting answer of this hold may be next to get room.
         isReleased = true;
+        const bytes = requestBytes + answerBytes;
+        if (bytes > 0) giveBack(bytes);
       },
     };
   }
--- a/src/serving/body_budget_test.ts
+++ b/src/serving/body_budget_test.ts
@@ -60,6 +60,18 @@
   assert.is(budget.getStats().heldBytes, 800 * KB);
 });
 
+// Guards against bytes that stay held for good: the released bytes make room for
+// the answer of the same request.
+test("a hold that is released while its answer waits holds nothing", () => {
+  const hold = open();
+  hold.tryHoldRequest(800 * KB);
+  hold.awaitAnswerRoom(500 * KB, () => {});
+  hold.release();
+  clock.advance(DEADLINE_MS);
+  assert.is(budget.getStats().heldBytes, 0);
+  assert.is(budget.getStats().waitingAnswers, 0);
+});
+
 // Guards against answers that servers cut off because they are not read, and
 // against answers that arrive after the deadline because of the wait.
 test("an answer is read after its wait also without room", () => {
