End connections whose client left within a request, and keep new ones

Cause: found in review. A client that pipelines a request and a part of the next and then leaves was kept, so that its request ran on. A stop of the VM reset new connections whose first request was on its way. A request behind one with Upgrade was dropped by node:http, and its connection stayed open. Change: the socket is ended in the first case, connections on which nothing has arrived are not idle, and a request to upgrade closes its connection.

--- a/src/directory/client_subset.ts
+++ b/src/directory/client_subset.ts
@@ -98,12 +98,40 @@
   selected: Set<VmIdentity>,
   ranked: readonly { vm: VmIdentity }[],
 ): void {
+  const domains = new Set<string>();
+  for (const { failureDomain } of selected) domains.add(failureDomain);
   for (const { vm } of ranked) {
-    const domains = new Set(
-      [...selected].map(({ failureDomain }) => failureDomain),
-    );
-    const needsDomain = domains.size < MIN_FAILURE_DOMAINS &&
-      !domains.has(vm.failureDomain);
-    if (selected.size < MIN_ADDRESSES || needsDomain) selected.add(vm);
+    const hasDomains = domains.size >= MIN_FAILURE_DOMAINS;
+    const hasAddresses = selected.size >= MIN_ADDRESSES;
+    if (hasDomains && hasAddresses) return;
+    const needsDomain = !hasDomains && !domains.has(vm.failureDomain);
+    if (hasAddresses && !needsDomain) continue;
+    selected.add(vm);
+    domains.add(vm.failureDomain);
   }
 }
+
+/**
+ * Limits a client's VMs to the number of addresses that it accepts. Each client
+ * loses other ones, and keeps two failure domains.
+ *
+ * @param vms The client's VMs.
+ * @param key Identifies the client; the same in each of its look-ups.
+ * @param maxCount Most VMs to return.
+ * @returns The limited VMs.
+ */
+export function limitSubset(
+  vms: readonly VmIdentity[],
+  key: string,
+  maxCount: number,
+): readonly VmIdentity[] {
+  if (vms.length <= maxCount) return vms;
+  const candidates = vms.map((vm) => ({ id: vm.id, vm, weight: 1 }));
+  const ranked = rankByRendezvous(key, candidates).map(({ vm }) => vm);
+  const [first] = ranked;
+  const isOther = (vm: VmIdentity) => vm.failureDomain !== first.failureDomain;
+  const limited = ranked.slice(0, maxCount);
+  const other = limited.some(isOther) ? undefined : ranked.find(isOther);
+  if (other !== undefined) limited[maxCount - 1] = other;
+  return limited;
+}
--- a/src/directory/client_subset_test.ts
+++ b/src/directory/client_subset_test.ts
@@ -2,7 +2,7 @@
 import { test } from "uvu";
 import { makeVmIdentity } from "../gateway/fixture.ts";
 import type { VmIdentity } from "../members/types.ts";
-import { selectClientSubset, type SubsetClient } from "./client_subset.ts";
+import { limitSubset, selectClientSubset, type SubsetClient } from "./client_subset.ts";
 
 const LARGE_CORES = 1.35;
 const SMALL_CORES = 0.27;
@@ -113,4 +113,40 @@
   assert.ok(outside.length > 180, `${outside.length}`);
 });
 
+// Guards against an endless search for a second domain, and an empty answer.
+test("a fleet of one failure domain still gets enough addresses", () => {
+  const vms = makeUnevenRegion().map((vm) => ({ ...vm, failureDomain: "a" }));
+  const unknown = { key: "", preferredDomain: "elsewhere" };
+  for (const client of [makeClient(1, "a"), unknown]) {
+    assert.ok(selectClientSubset(vms, client).length >= 4);
+  }
+});
+
+// Load: a client without VMs in its region gets those of all regions, up to 112.
+// Guards against directing all such clients to the 64 first addresses, which may
+// be in one failure domain, and leaving the other VMs idle.
+test("a client that is given too many VMs keeps 64, in two failure domains", () => {
+  const vms = Array.from(
+    { length: 112 },
+    (_, index) =>
+      makeVmIdentity(`vm-${index}`, {
+        failureDomain: index < 110 ? "a" : "b",
+      }),
+  );
+  const used = new Set<VmIdentity>();
+  for (let index = 0; index < 200; index++) {
+    const { key } = makeClient(index);
+    const limited = limitSubset(vms, key, 64);
+    assert.is(new Set(limited).size, 64);
+    assert.is(new Set(limited.map((vm) => vm.failureDomain)).size, 2);
+    assert.equal(limitSubset([...vms].reverse(), key, 64), limited);
+    const [lost] = limited;
+    const rest = limitSubset(vms.filter((vm) => vm !== lost), key, 64);
+    const kept = limited.filter((vm) => rest.includes(vm));
+    assert.ok(kept.length >= 62, `${kept.length} kept`);
+    limited.forEach((vm) => used.add(vm));
+  }
+  assert.is(used.size, vms.length);
+});
+
 test.run();
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { VmIdentity, VmState } from "../members/types.ts";
-import { selectClientSubset } from "./client_subset.ts";
+import { limitSubset, selectClientSubset } from "./client_subset.ts";
 
 /** Answer to a client that looks up where to connect. */
 export interface DirectoryAnswer {
@@ -70,7 +70,8 @@
     key: client.key,
     preferredDomain,
   });
-  const addresses = subset.map((identity) => identity.frontAddress);
+  const addresses = limitSubset(subset, client.key, MAX_ADDRESSES)
+    .map((identity) => identity.frontAddress);
   addresses.sort();
-  return { addresses: addresses.slice(0, MAX_ADDRESSES), ttlMs: view.ttlMs };
+  return { addresses, ttlMs: view.ttlMs };
 }
--- a/src/serving/client_connections.ts
+++ b/src/serving/client_connections.ts
@@ -66,7 +66,7 @@
   closeAfterBegun(socket: Socket): boolean;
   /** From now on, closes each connection after its last begun request. */
   startLeaving(): void;
-  /** Closes the connections that have no request. */
+  /** Closes the connections that have had requests and have none now. */
   closeIdle(): void;
   /**
    * @param socket The connection.
@@ -139,8 +139,11 @@
     connection.begun.add(request);
     connection.last = request;
     response.once("close", request.settle);
-    // Set where the request itself asks to close the connection.
-    if (!response.shouldKeepAlive) connection.isClosing = true;
+    // The request itself asks to close the connection, or to upgrade it: then
+    // node:http drops bytes that arrived with it.
+    const asksToClose = !response.shouldKeepAlive ||
+      message.headers.upgrade !== undefined;
+    if (asksToClose) connection.isClosing = true;
     const decideClose = () => {
       const isClosing = isLeaving || connection.isClosing;
       if (!isClosing || connection.last !== request) return;
@@ -197,8 +200,10 @@
 
   function closeIdle(): void {
     for (const [socket, connection] of connections) {
-      // A request that has arrived in part is answered.
-      const isReceiving = socket.bytesRead !== connection.settledBytesRead;
+      // A request that has arrived in part is answered, and so is the first one
+      // of a new connection, which may be on its way.
+      const isReceiving = socket.bytesRead === 0 ||
+        socket.bytesRead !== connection.settledBytesRead;
       if (connection.begun.size === 0 && !isReceiving) socket.destroy();
     }
   }
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -136,7 +136,10 @@
   server.on("clientError", (error, socket) => {
     // Bytes that can't be parsed must not cost the requests before them their
     // answers.
-    if (connections.closeAfterBegun(socket as Socket)) return;
+    if (connections.closeAfterBegun(socket as Socket)) {
+      if (isCutOff(error)) socket.end();
+      return;
+    }
     endInvalid(
       socket as Socket,
       error,
@@ -461,6 +464,14 @@
   });
 }
 
+/**
+ * Whether the client ended its side within a request. Node.js ends the other
+ * side only where the client does so between requests.
+ */
+function isCutOff({ code }: Error & { code?: string }): boolean {
+  return code === "HPE_INVALID_EOF_STATE";
+}
+
 /** Answers bytes that aren't a request, as node:http does, and disconnects. */
 function endInvalid(
   socket: Socket,
