--- a/src/directory/client_subset_test.ts
+++ b/src/directory/client_subset_test.ts
@@ -2,7 +2,11 @@
 import { test } from "uvu";
 import { makeVmIdentity } from "../gateway/fixture.ts";
 import type { VmIdentity } from "../members/types.ts";
-import { limitSubset, selectClientSubset, type SubsetClient } from "./client_subset.ts";
+import {
+  limitSubset,
+  selectClientSubset,
+  type SubsetClient,
+} from "./client_subset.ts";
 
 const LARGE_CORES = 1.35;
 const SMALL_CORES = 0.27;
