--- a/src/directory/client_subset.ts
+++ b/src/directory/client_subset.ts
@@ -45,9 +45,9 @@
 
 /**
  * Selects a subset of VMs so that over all clients each VM is picked in
- * proportion to the square of its cores, within the preferred failure domain if there is one.
- * The subset of a client changes only by VMs that join or leave: clients close
- * connections to addresses that a later answer omits.
+ * proportion to the square of its cores, within the preferred failure domain if
+ * there is one. The subset of a client changes only by VMs that join or leave:
+ * clients close connections to addresses that a later answer omits.
  *
  * @param vms VMs that serve clients.
  * @param client The client.
