Show a wait that a minimum time between tries prolongs

A timer that is due within 20 ms of the last try is put off, also where it ends the wait, so that a request may wait longer than an eighth of its target.

--- a/src/queueing/wait_queue_test.ts
+++ b/src/queueing/wait_queue_test.ts
@@ -92,6 +92,16 @@
   assert.is(waitQueue.getStats().ended.refused, 1);
 });
 
+// Guards against a minimum time between tries that prolongs the wait.
+test("a try shortly before the end of a wait does not prolong it", async () => {
+  const { fleet, waitQueue, send } = await startFullVm();
+  const results = send(UPLOAD);
+  await fleet.advance(130);
+  waitQueue.notifyAll();
+  await fleet.advance(MAX_WAIT_MS - 130);
+  assert.equal(results, ["all_full"]);
+});
+
 // Guards against requests that wait for servers that no longer exist.
 test("when servers vanish, requests that wait for them are refused at once", async () => {
   const { fleet, waitQueue, registry, countSent, send } = await startFullVm();
