--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -13,6 +13,11 @@
     --alias:tls=./platform/bundle/tls.ts \
     --alias:child_process=./platform/bundle/child_process.ts \
     --alias:node:http2=./platform/bundle/http2.ts \
+    --alias:zlib=./platform/bundle/zlib.ts \
+    --alias:worker_threads=./platform/bundle/worker_threads.ts \
+    --alias:node:worker_threads=./platform/bundle/worker_threads.ts \
+    --alias:supports-color=./platform/bundle/empty.ts \
+    --alias:msgpackr-extract=./platform/bundle/empty.ts \
     --alias:node:net=./platform/bundle/net.ts --outfile="target/$2.cjs"
 }
 bundle gateway gateway_bundle
