Limit the body bytes that a VM has in flight to one server

Cause: a backend server crashes if the requests that it holds exceed its memory, which is not known. Bytes sent to one server were limited only by its slots and connections.

Change: uploads and bodies of 16 KB and more count from the start of their attempt to its end. Servers without room are passed over like saturated ones.

The fleet of the queueing tests has servers that crash above a number of bytes, their next instances, and a seed. The placer's tests pass the new dependency; no check was changed.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -74,6 +74,10 @@
   type RequestHandler,
 } from "../serving/request_handler.ts";
 import { createAttemptObserver } from "../serving/attempt_observer.ts";
+import {
+  createInflightBodies,
+  type InflightBodies,
+} from "../serving/inflight_bodies.ts";
 import { createLatencyModel } from "../serving/latency_model.ts";
 import { createOverflowPlacer } from "../serving/overflow_placer.ts";
 import { createPlacer } from "../serving/placer.ts";
@@ -110,6 +114,7 @@
   registry: ServerRegistry;
   exchange: Exchange;
   bodyBudget: BodyBudget;
+  inflightBodies: InflightBodies;
   demandMeter: DemandMeter;
   urgentDemand: UrgentDemand;
   waitQueue: WaitQueue;
@@ -192,6 +197,8 @@
     limitBytes: computeBodyLimit(settings.memoryMb),
   });
 
+  const inflightBodies = createInflightBodies({ clock, log });
+
   function getConnectionLimit(server: ListedServer): number {
     return computeConnectionLimit(
       getServiceSettings(server.service)?.maxConnections,
@@ -312,6 +319,7 @@
       listVms: vms.listServingIds,
     }),
     permits,
+    inflightBodies,
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
@@ -380,6 +388,7 @@
     crashCheck: createCrashCheck(dial),
     suspects,
     permits,
+    inflightBodies,
     limiter,
   });
 
@@ -387,6 +396,7 @@
     registry,
     exchange,
     bodyBudget,
+    inflightBodies,
     demandMeter,
     urgentDemand,
     waitQueue,
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -42,6 +42,11 @@
   hasCachedObject: (serverId: string) => boolean;
   /** Whether a server advertises a rate limit. */
   isRateLimited: (server: KnownServer) => boolean;
+  /**
+   * Whether a server may be sent the request's body; undefined where the body
+   * is small.
+   */
+  hasBodyRoom?: (server: KnownServer) => boolean;
   /**
    * Takes a permit to send one request to a server. Returns false if none is
    * left.
@@ -124,9 +129,11 @@
     if (choice !== undefined) return choice;
   }
   if (isAnyAlive) return { kind: "full" };
-  const fallback = candidates.flat().find((server) =>
+  const untried = candidates.flat().filter((server) =>
     !tried.has(server.listed.id) && server.coldUntilMs <= clock.monotonicMs()
   );
+  const fallback = untried.find((server) => hasBodyRoom(placement, server));
+  if (fallback === undefined && untried.length > 0) return { kind: "full" };
   if (fallback !== undefined && placement.takePermit(fallback)) {
     const isCached = placement.hasCachedObject(fallback.listed.id);
     return {
@@ -186,7 +193,15 @@
   return { first, warm };
 }
 
+function hasBodyRoom(
+  placement: PlacementRequest,
+  server: KnownServer,
+): boolean {
+  return placement.hasBodyRoom === undefined || placement.hasBodyRoom(server);
+}
+
 /**
+ * Whether a server at a rank has room for the body, and permits to spare.
  * Permits of rate-limited servers are kept for their own objects: used for
  * other objects they are spent on cache misses that finish too late, and if all
  * servers are limited, no request is answered in time.
@@ -196,6 +211,7 @@
   server: KnownServer,
   rank: number,
 ): boolean {
+  if (!hasBodyRoom(placement, server)) return false;
   return rank < MIN_COPIES || !placement.isRateLimited(server) ||
     rank < CACHED_CANDIDATES && placement.hasCachedObject(server.listed.id);
 }
@@ -222,6 +238,7 @@
   nowMs: number,
 ): Choice | undefined {
   if (first === undefined || first.coldUntilMs <= nowMs) return undefined;
+  if (!hasBodyRoom(placement, first)) return undefined;
   const utilization = first.load.getUtilization();
   const maxUtilization = placement.getMaxUtilization?.(first.load.getSlots());
   if (utilization >= Math.min(1, maxUtilization ?? 1)) return undefined;
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -31,6 +31,7 @@
 import { createAttemptObserver } from "../serving/attempt_observer.ts";
 import { createDemandMeter } from "../serving/demand_meter.ts";
 import { makeRequest, makeUnlimitedPermits } from "../serving/fixture.ts";
+import { createInflightBodies } from "../serving/inflight_bodies.ts";
 import { createLatencyModel } from "../serving/latency_model.ts";
 import { createPlacer } from "../serving/placer.ts";
 import { createRequestHandler } from "../serving/request_handler.ts";
@@ -65,6 +66,7 @@
 }
 
 interface Job {
+  bodyBytes: number;
   workMs: number;
   resolve: (result: ExchangeResult) => void;
   endsAtMs: number;
@@ -76,8 +78,13 @@
   servers: number;
   slots: number;
   competingPriorities: readonly number[];
+  /** Bytes of bodies above which a server crashes; absent if it holds all. */
+  memoryBytes?: number;
+  /** Seed of the arrivals; absent for a fixed one. */
+  seed?: number;
 }
 
+const DEFAULT_SEED = 20261203;
 const STEP_MS = 5;
 /** Interval of the reports between the VMs of a large fleet. */
 const REPORT_INTERVAL_MS = 200;
@@ -85,6 +92,8 @@
 /** Share of requests whose server has the object cached, and their work. */
 const HIT_SHARE = 0.5;
 const HIT_WORK_SHARE = 0.3;
+/** Time from the crash of a server until its next instance is listed. */
+const RESTART_MS = 2_000;
 /** Requests per slot at which a server sheds. */
 const SHED_UTILIZATION = 4;
 
@@ -114,10 +123,11 @@
 export function createFleet(options: FleetOptions) {
   const clock = createFakeClock();
   const log = createSilentLog();
-  const random = createRandom(20261203);
+  const random = createRandom(options.seed ?? DEFAULT_SEED);
   const servers = new Map<string, Job[]>();
   /** Requests at servers as the VMs last reported them to each other. */
   let reported = new Map<number, number>();
+  let crashes = 0;
   const vms = Array.from(
     { length: options.vms },
     (_, index) => createVm(index),
@@ -148,6 +158,7 @@
     const cacheModel = createObjectCacheModel();
     const cacheSizeEstimator = createCacheSizeEstimator();
     const permits = makeUnlimitedPermits();
+    const inflightBodies = createInflightBodies({ clock, log });
     const urgentDemand = createUrgentDemand(clock);
     const getCompetingPriorities = () => options.competingPriorities;
     const waitQueue = createWaitQueue({
@@ -181,6 +192,7 @@
         },
         coldLimit: { take: () => false },
         permits,
+        inflightBodies,
         latencyModel,
         cacheModel,
         cacheSizeEstimator,
@@ -207,12 +219,15 @@
       latencyModel,
       cacheModel,
       exchange: {
-        send: ({ id }, request) => send(id, Number(request.headers["x-work"])),
+        send: ({ id }, { headers, body }) =>
+          send(id, Number(headers["x-work"]), body.length),
         closePool() {},
         countConnections: () => 0,
         close: () => Promise.resolve(),
       },
-      crashCheck: { check: () => Promise.resolve("runs" as const) },
+      crashCheck: {
+        check: ({ id }) => Promise.resolve(servers.has(id) ? "runs" : "ended"),
+      },
       suspects: {
         assess: () => ({ kind: "clear" }),
         recordProbe() {},
@@ -224,6 +239,7 @@
         stop() {},
       },
       permits,
+      inflightBodies,
       limiter: new EqualShareLimiter(clock, () => 1),
     });
     return {
@@ -231,6 +247,7 @@
       registry,
       handler,
       waitQueue,
+      inflightBodies,
       report: () => {
         ownReported = new Map();
         forEachPair(
@@ -248,8 +265,33 @@
     return { ...NO_SIGNALS, load: { running, waiting, slots: options.slots } };
   }
 
-  function send(id: string, workMs: number) {
-    const jobs = servers.get(id)!;
+  /** Ends a server; its next instance is listed later under another id. */
+  function crash(id: string, jobs: readonly Job[]): void {
+    crashes++;
+    const version = crashes + options.servers;
+    servers.delete(id);
+    for (const { resolve } of jobs) {
+      resolve({ kind: "lost", reason: "cut", detail: "" });
+    }
+    clock.after(RESTART_MS, () => {
+      const registeredName = id.split(".")[0];
+      const next = makeServer(`${registeredName}.${version}`, {
+        registeredName,
+        slots: options.slots,
+      });
+      servers.set(next.id, []);
+      for (const { registry } of vms) {
+        registry.apply(makeServerUpdate(next, version));
+      }
+    });
+  }
+
+  function send(id: string, workMs: number, bodyBytes: number) {
+    const jobs = servers.get(id);
+    if (jobs === undefined) {
+      const result: ExchangeResult = { kind: "not_sent", reason: "" };
+      return { result: Promise.resolve(result), abort() {} };
+    }
     if (jobs.length >= SHED_UTILIZATION * options.slots) {
       const signals = getSignals(jobs);
       const result: ExchangeResult = {
@@ -261,9 +303,11 @@
     }
     let job: Job;
     const result = new Promise<ExchangeResult>((resolve) => {
-      job = { workMs, resolve, endsAtMs: Infinity };
+      job = { bodyBytes, workMs, resolve, endsAtMs: Infinity };
       jobs.push(job);
     });
+    const heldBytes = jobs.reduce((sum, { bodyBytes }) => sum + bodyBytes, 0);
+    if (heldBytes > (options.memoryBytes ?? Infinity)) crash(id, jobs);
     return {
       result,
       abort: (reason: "timeout" | "client_left") => {
@@ -371,7 +415,15 @@
     }));
   }
 
-  return { clock, vms, servers, advance, request, run };
+  return {
+    clock,
+    vms,
+    servers,
+    countCrashes: () => crashes,
+    advance,
+    request,
+    run,
+  };
 }
 
 /**
--- a/src/serving/overflow_placer_test.ts
+++ b/src/serving/overflow_placer_test.ts
@@ -25,6 +25,7 @@
 import type { ServerRegistry } from "../servers/registry.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { makeProgress, makeRequest, makeUnlimitedPermits } from "./fixture.ts";
+import { createInflightBodies } from "./inflight_bodies.ts";
 import { createLatencyModel } from "./latency_model.ts";
 import { createOverflowPlacer } from "./overflow_placer.ts";
 import { createPlacer } from "./placer.ts";
@@ -114,6 +115,7 @@
     log,
     plan,
     permits,
+    inflightBodies: createInflightBodies({ clock, log }),
     ownDomain: `${ownRegion}-a`,
     urgentDemand: createUrgentDemand(clock),
     getCompetingPriorities: () => [1],
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -33,6 +33,7 @@
 import { isUnusualSlowdown } from "../servers/speed.ts";
 import type { ListedServer } from "../servers/types.ts";
 import type { Log } from "../telemetry/log.ts";
+import { getCountedBytes, type InflightBodies } from "./inflight_bodies.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import type { OverflowDenial, OverflowPlacer } from "./overflow_placer.ts";
 import { makeObjectName, type RequestProgress } from "./request_progress.ts";
@@ -49,6 +50,7 @@
   ownDomain: string;
   coldLimit: ColdLimit;
   permits: ServerPermits;
+  inflightBodies: Pick<InflightBodies, "hasRoom" | "recordPassedOver">;
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
@@ -126,6 +128,8 @@
       ? []
       : listCandidates(route, ranking.rank(service, region, objectKey));
     const throttled: ListedServer[] = [];
+    const bodyBytes = getCountedBytes(request);
+    const withoutRoom = bodyBytes > 0 ? new Set<string>() : undefined;
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
     const placement: PlacementRequest = {
@@ -146,6 +150,11 @@
       coldRatePerS: options.getServiceSettings(service)?.coldRequestsPerS ?? 0,
       hasCachedObject: (id) => hasCachedObject(progress, id),
       isRateLimited: ({ listed }) => permits.isRateLimited(listed),
+      hasBodyRoom: withoutRoom && ((server) => {
+        const hasRoom = options.inflightBodies.hasRoom(server, bodyBytes);
+        if (!hasRoom) withoutRoom.add(server.listed.id);
+        return hasRoom;
+      }),
       takePermit({ listed }) {
         const isTaken = permits.take(listed);
         if (!isTaken) throttled.push(listed);
@@ -157,6 +166,9 @@
       ? chooseOverflow(progress, placement, shares, region)
       : undefined;
     const choice = overflow?.choice ?? ownChoice;
+    if (withoutRoom !== undefined && withoutRoom.size > 0) {
+      options.inflightBodies.recordPassedOver(choice.kind === "server");
+    }
     const inputs = {
       requestId,
       service,
@@ -173,6 +185,8 @@
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
         : {}),
+      // Absent where the body is small or all servers had room.
+      noBodyRoom: withoutRoom?.size || undefined,
     };
     if (choice.kind !== "server") {
       // A waiting request fails many times; the end of its wait is logged.
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import {
@@ -16,6 +17,7 @@
 import type { ListedServer } from "../servers/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { makeProgress, makeRequest, makeUnlimitedPermits } from "./fixture.ts";
+import { createInflightBodies } from "./inflight_bodies.ts";
 import { createLatencyModel } from "./latency_model.ts";
 import { createPlacer, type PlacerOptions } from "./placer.ts";
 
@@ -59,6 +61,7 @@
     ownDomain: "oslo-a",
     coldLimit: { take: () => false },
     permits,
+    inflightBodies: createInflightBodies({ clock, log }),
     latencyModel: createLatencyModel(),
     cacheModel: createObjectCacheModel(),
     cacheSizeEstimator: createCacheSizeEstimator(),
@@ -155,6 +158,80 @@
   assert.not.ok(domains.includes("all_full"), `${domains}`);
 });
 
+/**
+ * Places an upload of 60 KB; the servers in `full` have no room for its body.
+ */
+function placeUploadBeside(full: string[], ejected: string[] = []) {
+  const clock = createFakeClock();
+  const registry = makeRegistry(clock);
+  for (const id of ["1", "2", "3", "4", "5", "6"]) {
+    registry.apply(makeServerUpdate(makeServer(id), 1));
+  }
+  for (const { listed, health } of registry.listUsable("s")) {
+    if (!ejected.includes(listed.id)) continue;
+    health.recordOutcome("unreachable");
+    health.recordOutcome("unreachable");
+  }
+  const passedOver: boolean[] = [];
+  const placer = startPlacer(0, makeUnlimitedPermits(), registry, {
+    inflightBodies: {
+      hasRoom: ({ listed }) => !full.includes(listed.id),
+      recordPassedOver: (isPlaced) => void passedOver.push(isPlaced),
+    },
+  });
+  const request = makeRequest({
+    route: makeRoute({ transfer: "upload", kind: "non_idempotent" }),
+    homeRegions: ["oslo"],
+    body: Buffer.alloc(60_000),
+  });
+  const placed = placer.place(
+    makeProgress({ request, usesObjectCache: false }),
+  );
+  const result = placed.kind === "placed"
+    ? placed.server.listed.id
+    : placed.reason;
+  return { result, passedOver };
+}
+
+// Guards against refusals while any server of the region has room.
+test("a body for which servers lack room goes to another one", () => {
+  const { result, passedOver } = placeUploadBeside(["1", "2", "3", "5", "6"]);
+  assert.is(result, "4");
+  assert.equal(passedOver, [true]);
+});
+
+test("a body is refused with all_full where no server has room", () => {
+  const full = ["1", "2", "3", "4", "5", "6"];
+  const { result, passedOver } = placeUploadBeside(full);
+  assert.is(result, "all_full");
+  assert.equal(passedOver, [false]);
+});
+
+// Guards against sending to servers that don't respond while others lack room,
+// and against sending one of them, as the last resort, more than it can hold.
+test("a body is not sent to an ejected server for lack of room", () => {
+  const ejected = ["4", "5", "6"];
+  assert.is(placeUploadBeside(["1", "2", "3"], ejected).result, "all_full");
+  const all = ["1", "2", "3", "4", "5", "6"];
+  assert.is(placeUploadBeside(all, all).result, "all_full");
+  assert.is(placeUploadBeside(["1", "2", "3", "4", "5"], all).result, "6");
+});
+
+// Guards against work that requests with small bodies would have to do.
+test("a request with a small body does not ask for room", () => {
+  const fail = () => {
+    throw new Error("asked for room");
+  };
+  const placer = startPlacer(0, makeUnlimitedPermits(), undefined, {
+    inflightBodies: { hasRoom: fail, recordPassedOver: fail },
+  });
+  const request = makeRequest({
+    homeRegions: ["oslo"],
+    body: Buffer.alloc(16_383),
+  });
+  assert.is(placer.place(makeProgress({ request })).kind, "placed");
+});
+
 /** @returns Runs after which a request is accepted where all servers are full. */
 function computeWaitRuns(copies: number, route = makeRoute()): number {
   const registry = makeRegistry(createFakeClock());
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -26,6 +26,7 @@
 import type { DemandMeter } from "./demand_meter.ts";
 import type { Attempt, Exchange } from "./exchange.ts";
 import type { AttemptObserver } from "./attempt_observer.ts";
+import { getCountedBytes, type InflightBodies } from "./inflight_bodies.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import type { PlacedAttempt, Placer } from "./placer.ts";
 import {
@@ -61,6 +62,7 @@
   crashCheck: CrashCheck;
   suspects: SuspectTracker;
   permits: ServerPermits;
+  inflightBodies: Pick<InflightBodies, "begin" | "end" | "recordServerEnd">;
   /** Rate limits of client accounts. */
   limiter: RateLimiter;
 }
@@ -132,6 +134,7 @@
     cacheModel,
     suspects,
     waitQueue,
+    inflightBodies,
   } = options;
 
   async function handle(request: CallerRequest): Promise<ServeResult> {
@@ -246,6 +249,10 @@
       ? cacheModel.recordRequest(server.listed.id, makeObjectName(progress))
       : undefined;
     server.load.begin();
+    const bodyBytes = getCountedBytes(request);
+    if (bodyBytes > 0) {
+      inflightBodies.begin(server, request.route.name, bodyBytes);
+    }
     const attempt = exchange.send(
       server.listed,
       request,
@@ -269,10 +276,17 @@
       isCached,
     });
     server.load.end();
+    const heldBytes = bodyBytes > 0
+      ? inflightBodies.end(server, bodyBytes, result.kind === "answer")
+      : 0;
+    if (
+      heldBytes > 0 && result.kind === "lost" && result.reason === "timeout" &&
+      !server.health.hasRespondedSince(startedAtMs)
+    ) inflightBodies.recordServerEnd(server, heldBytes);
     options.permits.end(server.listed, toPermitOutcome(result));
     waitQueue.notify(progress.service);
     if (result.kind === "lost" && result.reason === "cut") {
-      const checkDone = recordCut(progress, server);
+      const checkDone = recordCut(progress, server, heldBytes);
       // A request that must not run twice isn't retried, so it doesn't wait.
       if (request.route.kind === "idempotent") await checkDone;
     }
@@ -292,10 +306,18 @@
     return suspects.watch(fingerprint, () => attempt.abort("set_aside"));
   }
 
-  /** Records a crash if the server is gone, not only the connection to it. */
+  /**
+   * Records a crash if the server is gone, not only the connection to it.
+   *
+   * @param progress The request.
+   * @param server The server that it was sent to.
+   * @param heldBytes Bytes of large bodies that the server held of this VM; 0
+   *   where the request's body is small.
+   */
   async function recordCut(
     progress: RequestProgress,
     server: KnownServer,
+    heldBytes: number,
   ): Promise<void> {
     const { request, fingerprint } = progress;
     const verdict = await options.crashCheck.check(server.listed);
@@ -312,7 +334,9 @@
       "connection cut",
     );
     // A draining server would have stopped under any request.
-    if (verdict !== "ended" || !registry.isUsable(server)) return;
+    if (verdict === "runs" || !registry.isUsable(server)) return;
+    if (heldBytes > 0) inflightBodies.recordServerEnd(server, heldBytes);
+    if (verdict !== "ended") return;
     suspects.recordCrash(fingerprint, server.listed.id);
   }
 
--- a/src/serving/shared_machines_test.ts
+++ b/src/serving/shared_machines_test.ts
@@ -24,6 +24,7 @@
 import { createSilentLog } from "../telemetry/log.ts";
 import { createAttemptObserver } from "./attempt_observer.ts";
 import { makeProgress, makeRequest, makeUnlimitedPermits } from "./fixture.ts";
+import { createInflightBodies } from "./inflight_bodies.ts";
 import { createLatencyModel } from "./latency_model.ts";
 import { createPlacer } from "./placer.ts";
 import { makeObjectName } from "./request_progress.ts";
@@ -120,6 +121,7 @@
     },
     coldLimit: { take: () => false },
     permits: makeUnlimitedPermits(),
+    inflightBodies: createInflightBodies({ clock, log }),
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
