--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -48,6 +48,14 @@
       help: "1 while large bodies lack room",
       read: () => Number(core.bodyBudget.getStats().isShort),
     },
+    inflight_body_bytes: {
+      help: "Bytes of large request bodies sent to servers and unanswered",
+      read: () => core.inflightBodies.getStats().heldBytes,
+    },
+    lowered_body_limits: {
+      help: "Services whose servers get fewer body bytes since some ended",
+      read: () => core.inflightBodies.getStats().loweredLimits,
+    },
     waiting_answers: {
       help: "Answers that wait for room in their servers' connections",
       read: () => core.bodyBudget.getStats().waitingAnswers,
@@ -142,6 +150,18 @@
       read: () => core.waitQueue.getStats().waitingBytes,
     },
   }, {
+    body_limit_lowerings_total: {
+      help: "Servers that ended and lowered their service's body limit",
+      read: () => core.inflightBodies.getStats().lowerings,
+    },
+    body_limit_passed_over_total: {
+      help: "Placements that passed over a server at its body limit",
+      read: () => core.inflightBodies.getStats().passedOver,
+    },
+    body_limit_unplaced_total: {
+      help: "Those of them that found no other server",
+      read: () => core.inflightBodies.getStats().unplaced,
+    },
     waits_placed_total: {
       help: "Requests that were sent to a server after they had waited",
       read: () => core.waitQueue.getStats().ended.placed,
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -68,6 +68,7 @@
     members: memberTable.listKnown(),
     openRequests,
     bodies: core.bodyBudget.getStats(),
+    inflightBodies: core.inflightBodies.getStats(),
   };
 }
 
