--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -9,6 +9,11 @@
 import type { Configuration, Route } from "../routing/types.ts";
 import { createRunningRequests } from "../activity/running.ts";
 import type { Clock } from "../runtime/clock.ts";
+import {
+  createServerReachability,
+  type ReachabilityOptions,
+  type ServerReachability,
+} from "../servers/reachability.ts";
 import {
   createServerRegistry,
   type ServerRegistry,
@@ -153,6 +158,32 @@
   };
 }
 
+/**
+ * @param clock The clock.
+ * @param registry The servers.
+ * @param vm The VM.
+ * @param changes Options that differ from the default, a VM that draws 0.5.
+ * @returns A state without reports.
+ */
+export function makeReachability(
+  clock: Clock,
+  registry: Pick<ServerRegistry, "listAll" | "listUsable">,
+  vm = makeVmIdentity("vm-1"),
+  changes: Partial<ReachabilityOptions> = {},
+): ServerReachability {
+  return createServerReachability({
+    clock,
+    log: createSilentLog(),
+    random: () => 0.5,
+    ownId: vm.id,
+    ownDomain: vm.failureDomain,
+    countVms: () => 112,
+    listAll: registry.listAll,
+    listUsable: registry.listUsable,
+    ...changes,
+  });
+}
+
 /** Regions by failure domain, for tests. */
 export const TEST_REGIONS: ReadonlyMap<string, string> = new Map([
   ["oslo-a", "oslo"],
