Avoid backend servers that other VMs report unresponsive

The placer asks the reachability state where it asks for an ejection: a server with one report is chosen last, an excluded one like an ejected one, and overflow leaves out both, since a dead server looks idle. One idempotent request at a time is a trial. Only a connect timeout is reported at once: a refused connection is found without loss, and a request may outlast its deadline at a healthy server.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -53,6 +53,10 @@
 import { createColdLimit } from "../servers/cold_limit.ts";
 import { computeConnectionLimit } from "../servers/connection_limit.ts";
 import { createCrashCheck } from "../servers/crash_check.ts";
+import {
+  createServerReachability,
+  type ServerReachability,
+} from "../servers/reachability.ts";
 import {
   createServerRegistry,
   type ServerRegistry,
@@ -119,6 +123,7 @@
   limitShares: LimitShares;
   suspects: SuspectTracker;
   serverLimits: ServerLimits;
+  reachability: ServerReachability;
   /** @returns Priorities that compete for a service, in ascending order. */
   getCompetingPriorities(service: string): readonly number[];
   copyPlan: CopyPlan;
@@ -175,6 +180,17 @@
     running: options.running,
     runTimes,
   });
+  const reachability = createServerReachability({
+    clock,
+    log,
+    random,
+    ownId: self.id,
+    ownDomain: self.failureDomain,
+    countVms: countKnownVms,
+    listAll: registry.listAll,
+    listUsable: registry.listUsable,
+  });
+
   function getCompetingPriorities(service: string): readonly number[] {
     if (routes === undefined) return [];
     const known = competingPriorities.get(service);
@@ -312,6 +328,7 @@
       listVms: vms.listServingIds,
     }),
     permits,
+    reachability,
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
@@ -322,6 +339,7 @@
       clock,
       ranking,
       permits,
+      reachability,
       latencyModel,
       copyPlan,
       budget: overflowBudget,
@@ -362,6 +380,7 @@
       rateLimits,
       backoffs,
       registry,
+      reachability,
     }),
     budget,
     splitter: createSplitter(),
@@ -396,6 +415,7 @@
     limitShares,
     suspects,
     serverLimits,
+    reachability,
     getCompetingPriorities,
     copyPlan,
     overflowBudget,
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -12,6 +12,7 @@
  * @module
  */
 import type { ColdLimit } from "../servers/cold_limit.ts";
+import type { Avoidance } from "../servers/reachability.ts";
 import type { KnownServer } from "../servers/registry.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { MIN_COPIES } from "./copies.ts";
@@ -40,6 +41,11 @@
   coldRatePerS: number;
   /** Whether a server is expected to have the object cached. */
   hasCachedObject: (serverId: string) => boolean;
+  /**
+   * Returns how a server is used because other VMs report it unresponsive;
+   * absent where there are no reports.
+   */
+  getAvoidance?: (server: KnownServer) => Avoidance;
   /** Whether a server advertises a rate limit. */
   isRateLimited: (server: KnownServer) => boolean;
   /**
@@ -117,11 +123,18 @@
 ): Choice {
   const { candidates, tried } = placement;
   let isAnyAlive = false;
+  const doubtful = new Set<KnownServer>();
   for (const servers of candidates) {
     const found = findEligible(servers, placement, clock.monotonicMs());
     if (found.first !== undefined) isAnyAlive = true;
     const choice = chooseInRegion(found, placement, coldLimit, clock);
     if (choice !== undefined) return choice;
+    for (const server of found.doubtful) doubtful.add(server);
+  }
+  if (doubtful.size > 0) {
+    isAnyAlive = true;
+    const choice = chooseWithPermit([...doubtful], placement);
+    if (choice !== undefined) return choice;
   }
   if (isAnyAlive) return { kind: "full" };
   const fallback = candidates.flat().find((server) =>
@@ -149,6 +162,11 @@
    * the choice can use.
    */
   warm: readonly KnownServer[];
+  /**
+   * Warm servers that a report calls unresponsive, best first. They are chosen
+   * after all others.
+   */
+  doubtful: readonly KnownServer[];
 }
 
 /**
@@ -165,11 +183,20 @@
   let first: KnownServer | undefined;
   const failing: KnownServer[] = [];
   const healthy: KnownServer[] = [];
+  const doubtful: KnownServer[] = [];
   let healthyRank = 0;
   for (const server of servers) {
     if (placement.tried.has(server.listed.id) || server.health.isEjected()) {
       continue;
     }
+    const avoidance = placement.getAvoidance?.(server) ?? "none";
+    if (avoidance !== "none") {
+      const isLast = avoidance === "last" && server.coldUntilMs <= nowMs;
+      if (isLast && isOpenTo(placement, server, doubtful.length)) {
+        doubtful.push(server);
+      }
+      continue;
+    }
     first ??= server;
     if (server.coldUntilMs > nowMs) continue;
     if (server.health.getFailureShare() >= HIGH_FAILURE_SHARE) {
@@ -183,7 +210,7 @@
   const warm = healthyRank > 0
     ? healthy
     : failing.filter((server, rank) => isOpenTo(placement, server, rank));
-  return { first, warm };
+  return { first, warm, doubtful };
 }
 
 /**
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -497,4 +497,35 @@
   }
 });
 
+test("a server that a report calls unresponsive is chosen last", () => {
+  const { clock, servers } = createFourServers();
+  const getAvoidance = (server: KnownServer) =>
+    server === servers[0] ? "last" : "none";
+  const changes = { getAvoidance } as const;
+  assert.is(getOutcome(choose(servers, clock, changes)), "1");
+  for (const server of servers.slice(1)) load(server, 8);
+  assert.is(getOutcome(choose(servers, clock, changes)), "0");
+  load(servers[0], 8);
+  assert.is(getOutcome(choose(servers, clock, changes)), "full");
+});
+
+// Guards against the own failure domain's doubtful server going before others.
+test("a doubtful server comes after those of all candidate lists", () => {
+  const { clock, servers } = createFourServers();
+  const choice = choose(servers, clock, {
+    candidates: [[servers[0]], servers],
+    getAvoidance: (server) => server === servers[0] ? "last" : "none",
+  });
+  assert.is(getOutcome(choice), "1");
+});
+
+test("an excluded server is chosen as little as an ejected one", () => {
+  const { clock, servers } = createFourServers();
+  for (const server of servers.slice(1)) load(server, 8);
+  const choice = choose(servers, clock, {
+    getAvoidance: (server) => server === servers[0] ? "excluded" : "none",
+  });
+  assert.is(getOutcome(choice), "full");
+});
+
 test.run();
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -9,6 +9,7 @@
 import type { ClientAccount } from "../accounts/types.ts";
 import { addRequests } from "../activity/running.ts";
 import {
+  makeReachability,
   makeRoute,
   makeServer,
   makeServerUpdate,
@@ -148,6 +149,7 @@
     const cacheModel = createObjectCacheModel();
     const cacheSizeEstimator = createCacheSizeEstimator();
     const permits = makeUnlimitedPermits();
+    const reachability = makeReachability(clock, registry);
     const urgentDemand = createUrgentDemand(clock);
     const getCompetingPriorities = () => options.competingPriorities;
     const waitQueue = createWaitQueue({
@@ -181,6 +183,7 @@
         },
         coldLimit: { take: () => false },
         permits,
+        reachability,
         latencyModel,
         cacheModel,
         cacheSizeEstimator,
@@ -198,6 +201,7 @@
         rateLimits: { record() {} },
         backoffs: { begin() {} },
         registry,
+        reachability,
       }),
       budget: { recordRequest() {}, take: () => true },
       splitter: { pickService: () => "s" },
--- a/src/servers/reachability.ts
+++ b/src/servers/reachability.ts
@@ -161,9 +161,9 @@
 /**
  * Requests in a row without a response that count as an unreachable server.
  * Three in 100 requests take seven times as long and outlast their deadline at
- * a healthy server, so a single one is not reported.
+ * a healthy server. With two in a row, 112 VMs made two false reports in 30 s.
  */
-const MIN_UNANSWERED = 2;
+const MIN_UNANSWERED = 3;
 /** Largest share of a service's servers that is avoided on reports. */
 const MAX_AVOIDED_SHARE = 1 / 3;
 /** Interval at which a server is reported again. */
@@ -582,9 +582,11 @@
 
   /** Whether this VM's link works, judged by responses of other servers. */
   function reachesOthers(server: string, sinceMs: number): boolean {
+    // When a broken link works again, the failures of before still count.
+    const failingFromMs = sinceMs - HOLD_MS;
     let failing = 0;
     for (const { failedAtMs, respondedAtMs } of contacts.values()) {
-      if (failedAtMs >= sinceMs && failedAtMs > respondedAtMs) failing++;
+      if (failedAtMs >= failingFromMs && failedAtMs > respondedAtMs) failing++;
     }
     const reached = countReached(server, sinceMs);
     return reached >= MIN_REACHED && reached >= MIN_REACHED_RATIO * failing;
--- a/src/serving/attempt_observer.ts
+++ b/src/serving/attempt_observer.ts
@@ -10,6 +10,7 @@
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { ServerBackoffs } from "../servers/backoffs.ts";
 import type { ServerRateLimits } from "../servers/rate_limits.ts";
+import type { ServerReachability } from "../servers/reachability.ts";
 import type { RunTimes } from "../servers/run_times.ts";
 import { limitSlowdown } from "../servers/speed.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -32,6 +33,7 @@
   rateLimits: Pick<ServerRateLimits, "record">;
   registry: Pick<ServerRegistry, "markDraining">;
   backoffs: Pick<ServerBackoffs, "begin">;
+  reachability: Pick<ServerReachability, "recordOwn" | "endTrial">;
 }
 
 /** Outcome of one attempt. */
@@ -48,6 +50,8 @@
   depth: number | undefined;
   /** Whether the server was expected to have cached the object. */
   isCached: boolean;
+  /** Whether it was the trial request of an avoided server. */
+  isTrial?: boolean;
 }
 
 /** Updates this VM's knowledge from finished attempts. */
@@ -88,6 +92,7 @@
     cacheModel,
     cacheSizeEstimator,
     runTimes,
+    reachability,
   } = options;
 
   function recordAttempt(
@@ -97,6 +102,8 @@
   ): void {
     const { result, tookMs } = outcome;
     recordSignals(server, result);
+    recordReachability(server, result);
+    if (outcome.isTrial) reachability.endTrial(server.listed.id);
     if (result.kind === "answer") recordAnswer(progress, server, outcome);
     if (result.kind === "not_run") server.health.recordOutcome("shed");
     if (result.kind === "not_sent") server.health.recordOutcome("unreachable");
@@ -192,6 +199,23 @@
     const sentAtMs = clock.monotonicMs() - tookMs;
     if (server.health.hasRespondedSince(sentAtMs)) return;
     server.health.recordOutcome("unreachable");
+    reachability.recordOwn(server.listed.id, "unanswered");
+  }
+
+  /**
+   * Records whether the server responded. A connection that was refused or cut
+   * shows neither: something responded, but not the server.
+   */
+  function recordReachability(
+    { listed }: KnownServer,
+    result: ExchangeResult,
+  ): void {
+    const isResponse = result.kind === "answer" ||
+      result.kind === "not_run" && result.reason !== "other_server";
+    if (isResponse) reachability.recordOwn(listed.id, "responded");
+    if (result.kind === "not_sent" && result.isUnresponsive) {
+      reachability.recordOwn(listed.id, "unreachable");
+    }
   }
 
   return { recordAttempt };
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -9,7 +9,11 @@
 import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool } from "undici";
-import { classifyTransportError, describeError } from "../runtime/errors.ts";
+import {
+  classifyTransportError,
+  describeError,
+  isConnectTimeout,
+} from "../runtime/errors.ts";
 import { NO_SIGNALS } from "../servers/signals.ts";
 import type { ListedServer } from "../servers/types.ts";
 import { LARGE_BODY_BYTES } from "./body_budget.ts";
@@ -312,7 +316,11 @@
     return { kind: "lost", reason: abortReason, detail };
   }
   if (classifyTransportError(error) === "not_sent") {
-    return { kind: "not_sent", reason: detail };
+    return {
+      kind: "not_sent",
+      reason: detail,
+      isUnresponsive: isConnectTimeout(error),
+    };
   }
   const isMalformed = error.name === "HTTPParserError";
   return { kind: "lost", reason: isMalformed ? "malformed" : "cut", detail };
--- a/src/serving/overflow_placer.ts
+++ b/src/serving/overflow_placer.ts
@@ -13,6 +13,7 @@
 import type { Ranking } from "../placement/ranking.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { ServerPermits } from "../servers/permits.ts";
+import type { ServerReachability } from "../servers/reachability.ts";
 import type { KnownServer } from "../servers/registry.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import type { RequestProgress } from "./request_progress.ts";
@@ -51,6 +52,7 @@
   clock: Clock;
   ranking: Ranking;
   permits: Pick<ServerPermits, "isValid" | "isRateLimited">;
+  reachability: Pick<ServerReachability, "getAvoidance">;
   latencyModel: Pick<LatencyModel, "getExpectedMs">;
   copyPlan: Pick<CopyPlan, "hasRoom">;
   budget: OverflowBudget;
@@ -76,16 +78,27 @@
 export function createOverflowPlacer(
   options: OverflowPlacerOptions,
 ): OverflowPlacer {
-  const { clock, ranking, permits, latencyModel, copyPlan, budget } = options;
+  const {
+    clock,
+    ranking,
+    permits,
+    reachability,
+    latencyModel,
+    copyPlan,
+    budget,
+  } = options;
 
   /**
-   * Whether a server has a free slot for requests of other regions. Load that
+   * Whether a server has a free slot for requests of other regions. One that a
+   * VM reports unresponsive looks idle, so it is left out. Load that
    * neither this VM nor others have seen lately counts as unknown.
    */
   function isFree(server: KnownServer, hearsOthers: boolean): boolean {
     const { load } = server;
     return server.coldUntilMs <= clock.monotonicMs() &&
-      !server.health.isEjected() && permits.isValid(server.listed) &&
+      !server.health.isEjected() &&
+      reachability.getAvoidance(server.listed) === "none" &&
+      permits.isValid(server.listed) &&
       !permits.isRateLimited(server.listed) &&
       (hearsOthers || load.getReportAgeMs() < MAX_REPORT_AGE_MS) &&
       load.getUtilization() < 1;
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -29,6 +29,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { ServerPermits } from "../servers/permits.ts";
+import type { Avoidance, ServerReachability } from "../servers/reachability.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import { isUnusualSlowdown } from "../servers/speed.ts";
 import type { ListedServer } from "../servers/types.ts";
@@ -49,6 +50,10 @@
   ownDomain: string;
   coldLimit: ColdLimit;
   permits: ServerPermits;
+  reachability: Pick<
+    ServerReachability,
+    "hasReports" | "getAvoidance" | "isTrialDue" | "beginTrial"
+  >;
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
@@ -67,6 +72,8 @@
   server: KnownServer;
   /** Whether the server is expected to have cached the object. */
   isCached: boolean;
+  /** Whether it is the trial request of an avoided server. */
+  isTrial: boolean;
 }
 
 /** Why no server can take an attempt. */
@@ -99,6 +106,9 @@
     | { region: string; overflowFrom: string | undefined };
 }
 
+/** Maximum number of avoided servers in a log line. */
+const MAX_LOGGED_SERVERS = 8;
+
 /**
  * @param options Dependencies.
  * @returns A placer.
@@ -113,6 +123,7 @@
     latencyModel,
     cacheModel,
     permits,
+    reachability,
   } = options;
 
   function place(progress: RequestProgress): PlacedAttempt | PlacementFailure {
@@ -126,6 +137,7 @@
       ? []
       : listCandidates(route, ranking.rank(service, region, objectKey));
     const throttled: ListedServer[] = [];
+    const avoided = new Map<string, Avoidance>();
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
     const placement: PlacementRequest = {
@@ -145,6 +157,12 @@
         : Infinity,
       coldRatePerS: options.getServiceSettings(service)?.coldRequestsPerS ?? 0,
       hasCachedObject: (id) => hasCachedObject(progress, id),
+      ...(reachability.hasReports()
+        ? {
+          getAvoidance: ({ listed }) =>
+            getAvoidance(listed, route.kind === "idempotent", avoided),
+        }
+        : {}),
       isRateLimited: ({ listed }) => permits.isRateLimited(listed),
       takePermit({ listed }) {
         const isTaken = permits.take(listed);
@@ -173,6 +191,7 @@
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
         : {}),
+      ...(avoided.size > 0 ? { avoided: Object.fromEntries(avoided) } : {}),
     };
     if (choice.kind !== "server") {
       // A waiting request fails many times; the end of its wait is logged.
@@ -188,6 +207,8 @@
       return { ...refuse("all_full"), prospect: computeProspect(placement) };
     }
     const { server, rank, utilization, isCached } = choice;
+    const isTrial = isTrialOf(server, route);
+    if (isTrial) reachability.beginTrial(server.listed.id);
     log.info(
       {
         ...inputs,
@@ -197,10 +218,39 @@
         slowdown: describeSlowdown(server),
         slots: server.load.getSlots(),
         isKnown: isCached,
+        ...(isTrial ? { isTrial } : {}),
       },
       "choose",
     );
-    return { kind: "placed", server, isCached };
+    return { kind: "placed", server, isCached, isTrial };
+  }
+
+  /**
+   * Returns how a server is used because of reports. One that is due for a
+   * trial is used as any other by an idempotent request.
+   */
+  function getAvoidance(
+    listed: ListedServer,
+    isIdempotent: boolean,
+    avoided: Map<string, Avoidance>,
+  ): Avoidance {
+    const avoidance = reachability.getAvoidance(listed);
+    if (avoidance === "none") return avoidance;
+    if (isIdempotent && reachability.isTrialDue(listed.id)) return "none";
+    if (avoided.size < MAX_LOGGED_SERVERS) avoided.set(listed.id, avoidance);
+    return avoidance;
+  }
+
+  function isTrialOf({ listed }: KnownServer, { kind }: Route): boolean {
+    return kind === "idempotent" &&
+      reachability.getAvoidance(listed) !== "none" &&
+      reachability.isTrialDue(listed.id);
+  }
+
+  /** Whether a server is neither ejected nor excluded on reports. */
+  function isOpen({ health, listed }: KnownServer): boolean {
+    return !health.isEjected() &&
+      reachability.getAvoidance(listed) !== "excluded";
   }
 
   /**
@@ -245,7 +295,7 @@
     const sharing = placement.candidates.flatMap((servers) =>
       servers.filter((server) =>
         !tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
-        !server.health.isEjected() && permits.isValid(server.listed)
+        isOpen(server) && permits.isValid(server.listed)
       ).slice(0, copies)
     );
     const servers = new Set(sharing);
@@ -345,7 +395,7 @@
   ): boolean {
     const nowMs = clock.monotonicMs();
     return ranking.rank(service, region, objectKey).some((server) =>
-      server.coldUntilMs <= nowMs && !server.health.isEjected() &&
+      server.coldUntilMs <= nowMs && isOpen(server) &&
       permits.isValid(server.listed)
     );
   }
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import {
+  makeReachability,
   makeRegistry,
   makeRoute,
   makeServer,
@@ -13,6 +14,7 @@
 import { createUrgentDemand } from "../queueing/urgency.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import type { ServerRegistry } from "../servers/registry.ts";
+import type { Route } from "../routing/types.ts";
 import type { ListedServer } from "../servers/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { makeProgress, makeRequest, makeUnlimitedPermits } from "./fixture.ts";
@@ -59,6 +61,7 @@
     ownDomain: "oslo-a",
     coldLimit: { take: () => false },
     permits,
+    reachability: makeReachability(clock, registry),
     latencyModel: createLatencyModel(),
     cacheModel: createObjectCacheModel(),
     cacheSizeEstimator: createCacheSizeEstimator(),
@@ -219,4 +222,65 @@
   assert.is(before, "placed");
 });
 
+/** A placer of a VM to which the first server of two is reported. */
+function startWithReport(isTrialDue: boolean) {
+  const clock = createFakeClock();
+  const registry = makeRegistry(clock);
+  for (const [index, id] of ["oslo-1", "oslo-2"].entries()) {
+    registry.apply(makeServerUpdate(makeServer(id), index + 1));
+  }
+  const [first] = createRanking(registry).rank("s", "oslo", "17");
+  let trials = 0;
+  const placer = startPlacer(0, makeUnlimitedPermits(), registry, {
+    reachability: {
+      hasReports: () => true,
+      getAvoidance: ({ id }) => id === first.listed.id ? "excluded" : "none",
+      isTrialDue: () => isTrialDue && trials === 0,
+      beginTrial: () => void trials++,
+    },
+  });
+  const place = (kind: Route["kind"]) => {
+    const placed = placer.place(
+      makeProgress({
+        request: makeRequest({
+          route: makeRoute({ kind }),
+          homeRegions: ["oslo"],
+        }),
+      }),
+    );
+    assert.ok(placed.kind === "placed");
+    return { isFirst: placed.server === first, isTrial: placed.isTrial };
+  };
+  return { place };
+}
+
+test("a reported server gets no request before a trial is due", () => {
+  const { place } = startWithReport(false);
+  assert.equal(place("idempotent"), { isFirst: false, isTrial: false });
+});
+
+// Guards against losing requests that must not run twice, and against a flood.
+test("one idempotent request at a time is the trial of a reported server", () => {
+  const { place } = startWithReport(true);
+  assert.equal(place("non_idempotent"), { isFirst: false, isTrial: false });
+  assert.equal(place("idempotent"), { isFirst: true, isTrial: true });
+  assert.equal(place("idempotent"), { isFirst: false, isTrial: false });
+});
+
+test("a region whose servers are all excluded is skipped", () => {
+  const placer = startPlacer(0, makeUnlimitedPermits(), undefined, {
+    reachability: {
+      hasReports: () => true,
+      getAvoidance: ({ id }) => id === "bergen-1" ? "excluded" : "none",
+      isTrialDue: () => false,
+      beginTrial() {},
+    },
+  });
+  const placed = placer.place(
+    makeProgress({ request: makeRequest({ homeRegions: ["bergen", "oslo"] }) }),
+  );
+  assert.ok(placed.kind === "placed");
+  assert.is(placed.server.listed.id, "oslo-1");
+});
+
 test.run();
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -230,7 +230,7 @@
 
   async function runAttempt(
     progress: RequestProgress,
-    { server, isCached }: PlacedAttempt,
+    { server, isCached, isTrial }: PlacedAttempt,
     remainingMs: number,
   ): Promise<NextStep> {
     const { request } = progress;
@@ -267,6 +267,7 @@
       utilizationAtStart,
       depth,
       isCached,
+      isTrial,
     });
     server.load.end();
     options.permits.end(server.listed, toPermitOutcome(result));
--- a/src/serving/shared_machines_test.ts
+++ b/src/serving/shared_machines_test.ts
@@ -4,6 +4,7 @@
 import { createRunningRequests } from "../activity/running.ts";
 import { startSharing } from "../activity/sharing.ts";
 import {
+  makeReachability,
   makeRoute,
   makeServer,
   makeServerUpdate,
@@ -101,6 +102,7 @@
     const server = makeServer(`${id}`, { slots: SLOTS });
     registry.apply(makeServerUpdate(server, id + 1));
   }
+  const reachability = makeReachability(clock, registry);
   const placer = createPlacer({
     clock,
     log,
@@ -120,6 +122,7 @@
     },
     coldLimit: { take: () => false },
     permits: makeUnlimitedPermits(),
+    reachability,
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
@@ -135,6 +138,7 @@
     rateLimits: { record() {} },
     backoffs: { begin() {} },
     registry,
+    reachability,
   });
   const sharing = startSharing({
     self: IDENTITIES[index],
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -114,7 +114,12 @@
    */
   | { kind: "withdrawn" }
   /** No byte of the request can have reached the server. */
-  | { kind: "not_sent"; reason: string }
+  | {
+    kind: "not_sent";
+    reason: string;
+    /** Whether the address did not respond, rather than refusing. */
+    isUnresponsive?: boolean;
+  }
   /** The request may have run. */
   | { kind: "lost"; reason: LossReason; detail: string };
 
