Send reports of unresponsive servers to the other VMs

VMs of earlier builds ignore the message. Metrics and the state dump show the reports in force, how many were sent and received, and the trials.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -50,6 +50,7 @@
 import { createGatewayMetrics } from "./gauges.ts";
 import { leave } from "./leave.ts";
 import { startServerLimitSharing } from "./server_limits.ts";
+import { startReachabilitySharing } from "./server_reachability.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { dumpState } from "./state_dump.ts";
 
@@ -181,6 +182,7 @@
     onServerUsage: (from, update) => serverLimitSharing.receive(from, update),
     onServerRateLimits: ({ id }, rates) =>
       core.serverLimits.rateLimits.receive(id, rates),
+    onUnreachableServers: core.reachability.receive,
   });
   const usageSharing = startUsageSharing({
     self,
@@ -213,6 +215,11 @@
       }),
     sendRateLimits: mesh.broadcastServerRateLimits,
   });
+  const reachabilitySharing = startReachabilitySharing({
+    clock,
+    reachability: core.reachability,
+    send: mesh.broadcastUnreachableServers,
+  });
   const activitySharing = startSharing({
     self,
     clock,
@@ -304,6 +311,7 @@
       activitySharing.stop();
       usageSharing.stop();
       serverLimitSharing.stop();
+      reachabilitySharing.stop();
       core.suspects.stop();
       core.waitQueue.stop();
       return leave({
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -102,6 +102,12 @@
       help: "Backend servers with a rate limit",
       read: () => core.serverLimits.rateLimits.count(),
     },
+    avoided_servers: {
+      help: "Backend servers avoided since other VMs report them unresponsive",
+      read: () =>
+        core.reachability.list().filter(({ avoidance }) => avoidance !== "none")
+          .length,
+    },
     overflow_requests: {
       help:
         "Requests sent to another region since the start, as theirs was full",
@@ -142,6 +148,23 @@
       read: () => core.waitQueue.getStats().waitingBytes,
     },
   }, {
+    reachability_sent_total: {
+      help:
+        "Reports sent to other VMs that a server is unresponsive or responds",
+      read: () => core.reachability.getStats().sent,
+    },
+    reachability_received_total: {
+      help: "New reports received from other VMs about servers' reachability",
+      read: () => core.reachability.getStats().received,
+    },
+    reachability_dropped_total: {
+      help: "Such reports that exceeded the permitted rate",
+      read: () => core.reachability.getStats().dropped,
+    },
+    reachability_trials_total: {
+      help: "Requests sent to avoided servers to see whether they respond",
+      read: () => core.reachability.getStats().trials,
+    },
     waits_placed_total: {
       help: "Requests that were sent to a server after they had waited",
       read: () => core.waitQueue.getStats().ended.placed,
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -56,6 +56,8 @@
     serverRateLimits: core.serverLimits.rateLimits.list(),
     serverBackoffs: core.serverLimits.backoffs.list(),
     serverLimitPart: core.serverLimits.limitShares.getShare(),
+    unresponsiveServers: core.reachability.list(),
+    reachability: core.reachability.getStats(),
     objectCaches: core.copyPlan.list(),
     overflow: core.overflowBudget.list(),
     evacuated: core.registry.listEvacuated(),
--- a/src/members/hub_mesh_test.ts
+++ b/src/members/hub_mesh_test.ts
@@ -1,7 +1,12 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import { setTimeout as sleep } from "node:timers/promises";
-import { makeServer, makeServerUpdate } from "../gateway/fixture.ts";
+import {
+  makeReachability,
+  makeRegistry,
+  makeServer,
+  makeServerUpdate,
+} from "../gateway/fixture.ts";
 import { createFactStore } from "../news/fact_store.ts";
 import { createFreshnessTracker } from "../news/freshness.ts";
 import { makeCrashUpdate } from "../quarantine/suspect_facts.ts";
@@ -51,6 +56,7 @@
   let state: VmState = "serving";
   const log = createSilentLog();
   const rateLimits = createServerRateLimits({ clock, log, ownId: self.id });
+  const reachability = makeReachability(clock, makeRegistry(clock), self);
   const mesh = startMesh({
     self,
     table,
@@ -73,6 +79,7 @@
     onUsage: () => {},
     onServerUsage: () => {},
     onServerRateLimits: ({ id }, rates) => rateLimits.receive(id, rates),
+    onUnreachableServers: reachability.receive,
   });
   return {
     self,
@@ -80,6 +87,7 @@
     table,
     mesh,
     rateLimits,
+    reachability,
     leave() {
       state = "leaving";
       mesh.sendReport();
@@ -167,6 +175,38 @@
   await stop();
 });
 
+function tellReachability({ reachability, mesh }: TestVm): void {
+  mesh.broadcastUnreachableServers(reachability.takeReports());
+}
+
+function countReceived(vms: readonly TestVm[], reports: number): number {
+  return vms.filter(({ reachability }) =>
+    reachability.getStats().received === reports
+  ).length;
+}
+
+// Guards against reports that stop at a hub, circulate between hubs, or need
+// both hubs of a region.
+test("reports of an unresponsive server reach all VMs once, also without one hub", async () => {
+  const { vms, hubs, others, stop } = await startFleet();
+  const [reporter] = others;
+  const rest = vms.filter((vm) => vm !== reporter);
+  for (const id of ["2", "3"]) reporter.reachability.recordOwn(id, "responded");
+  reporter.reachability.recordOwn("1", "unreachable");
+  tellReachability(reporter);
+  await waitUntil(() => countReceived(rest, 1) === VMS - 1);
+  const [lostHub] = hubs;
+  await lostHub.stop();
+  reporter.reachability.recordOwn("1", "responded");
+  tellReachability(reporter);
+  const left = rest.filter((vm) => vm !== lostHub);
+  await waitUntil(() => countReceived(left, 2) === VMS - 2);
+  await sleep(300);
+  assert.is(countReceived(left, 2), VMS - 2);
+  assert.is(reporter.reachability.getStats().received, 0);
+  await stop();
+});
+
 test("no VM of a large fleet lists a VM that leaves", async () => {
   const { vms, others, stop } = await startFleet();
   const [leaver] = others;
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -14,6 +14,7 @@
 import type { FreshnessTracker } from "../news/freshness.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { RateLimitUpdate } from "../servers/rate_limits.ts";
+import type { ReachabilityReport } from "../servers/reachability.ts";
 import { acceptLinks, maintainLink } from "../runtime/peer_link.ts";
 import type { Log } from "../telemetry/log.ts";
 import { createDialer } from "./dialer.ts";
@@ -80,6 +81,12 @@
    * @param rates The rate limits.
    */
   broadcastServerRateLimits(rates: RateLimitUpdate[]): void;
+  /**
+   * Sends reports about backend servers that don't respond to all linked VMs.
+   *
+   * @param reports The reports.
+   */
+  broadcastUnreachableServers(reports: ReachabilityReport[]): void;
   /**
    * Announces to all linked VMs that this VM just read a topic from its source.
    *
@@ -351,6 +358,8 @@
     broadcastFacts: (items) => links.send(makeFactMessage(factStore, items)),
     broadcastServerRateLimits: (rates) =>
       links.send({ kind: "server_rate_limits", rates }),
+    broadcastUnreachableServers: (reports) =>
+      links.send({ kind: "unreachable_servers", reports }),
     announceRead(topic) {
       sendRead(topic, true);
       if (topic === "operations") proofs.sendProofs();
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -73,6 +73,7 @@
     onUsage: () => {},
     onServerUsage: () => {},
     onServerRateLimits: () => [],
+    onUnreachableServers: () => [],
   });
   const stop = async () => {
     mesh.stop();
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -10,6 +10,7 @@
 const MAX_MEMBERS = 4_096;
 const MAX_ITEMS = 10_000;
 const MAX_SERVER_NAME = 200;
+const MAX_REPORTED_SERVERS = 64;
 const MAX_EPOCHS = 64;
 /** Pairs of 4,096 servers with 128 objects each, two numbers per pair. */
 const MAX_NUMBERS = 1_100_000;
@@ -121,6 +122,19 @@
       ageMs: z.number().nonnegative(),
     })).max(MAX_ITEMS),
   }),
+  /** Backend servers that don't respond, or that responded after that. */
+  z.object({
+    kind: z.literal("unreachable_servers"),
+    reports: z.array(z.object({
+      server: z.string().max(MAX_SERVER_NAME),
+      by: z.string().max(128),
+      failureDomain: z.string().max(64),
+      news: z.enum(["unreachable", "responded"]),
+      stampMs: z.number().nonnegative(),
+      ageMs: z.number().nonnegative(),
+      reached: z.number().int().nonnegative(),
+    })).max(MAX_REPORTED_SERVERS),
+  }),
   /** Announces that a topic was just read from its source. */
   z.object({
     kind: z.literal("read"),
--- a/src/members/payloads.ts
+++ b/src/members/payloads.ts
@@ -16,6 +16,7 @@
 } from "../news/types.ts";
 import { decodeUpdates, encodeUpdates } from "../news/wire_format.ts";
 import type { RateLimitUpdate } from "../servers/rate_limits.ts";
+import type { ReachabilityReport } from "../servers/reachability.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { LinkSet, VmLink } from "./link_set.ts";
 import type { VmMessage } from "./messages.ts";
@@ -60,6 +61,15 @@
     from: VmIdentity,
     rates: RateLimitUpdate[],
   ) => RateLimitUpdate[];
+  /**
+   * Called with reports about backend servers that don't respond.
+   *
+   * @param reports The reports.
+   * @returns Those that were new to this VM.
+   */
+  onUnreachableServers: (
+    reports: ReachabilityReport[],
+  ) => ReachabilityReport[];
 }
 
 type FactMessage = Extract<VmMessage, { kind: "news" }>;
@@ -171,6 +181,15 @@
     forward(link, { kind: "server_rate_limits", rates: changed });
   }
 
+  function receiveUnreachableServers(
+    link: VmLink,
+    reports: ReachabilityReport[],
+  ): void {
+    const changed = options.onUnreachableServers(reports);
+    if (changed.length === 0) return;
+    forward(link, { kind: "unreachable_servers", reports: changed });
+  }
+
   function forward(from: VmLink, message: VmMessage): void {
     if (options.isRelay()) links.sendWhere(message, () => true, from);
   }
@@ -195,6 +214,8 @@
           return options.onServerUsage(sender, toUsage(message));
         case "server_rate_limits":
           return receiveRateLimits(link, sender, message.rates);
+        case "unreachable_servers":
+          return receiveUnreachableServers(link, message.reports);
         case "activity": {
           const { scope, asked, forgotten, running } = message;
           const activity = { asked, forgotten, running };
