Send reports of servers only to VMs that understand them

A VM closes a link on which a message of an unknown kind arrives ("malformed message"), so that in a rolling update each report would have closed the links to all VMs of earlier builds. The hello now names the added kinds that its sender understands; earlier builds ignore that field and get no reports. The new test failed before the change: its link was closed.

--- a/src/members/link_set.ts
+++ b/src/members/link_set.ts
@@ -17,6 +17,8 @@
 export interface LinkState {
   /** The VM at the other end; undefined until its hello arrives. */
   identity: VmIdentity | undefined;
+  /** Kinds of messages of later builds that it understands. */
+  understands: ReadonlySet<string>;
   /** When the last message arrived (monotonic). */
   heardAtMs: number;
   /** The peer as the fact repair sees it. */
@@ -60,6 +62,14 @@
    * @param message The message.
    */
   send(message: VmMessage): void;
+  /**
+   * Sends a message of a kind that earlier builds lack to the VMs that
+   * understand it.
+   *
+   * @param message The message.
+   * @param except A link to leave out.
+   */
+  sendIfUnderstood(message: VmMessage, except?: VmLink): void;
   /**
    * Sends a message to selected VMs.
    *
@@ -110,7 +120,8 @@
         requestTopic: (topic) => link.send({ kind: "want", topic }),
       };
       const heardAtMs = clock.monotonicMs();
-      links.set(link, { identity: undefined, heardAtMs, facts });
+      const understands = new Set<string>();
+      links.set(link, { identity: undefined, understands, heardAtMs, facts });
     },
     remove(link) {
       const identity = links.get(link)?.identity;
@@ -126,6 +137,13 @@
       const frame = encodeBroadcastFrame(message);
       for (const link of links.keys()) link.sendFrame(message.kind, frame);
     },
+    sendIfUnderstood(message, except) {
+      const frame = encodeBroadcastFrame(message);
+      for (const [link, { understands }] of links) {
+        if (link === except || !understands.has(message.kind)) continue;
+        link.sendFrame(message.kind, frame);
+      }
+    },
     sendWhere(message, isWanted, except) {
       const frame = encodeBroadcastFrame(message);
       for (const [link, { identity }] of links) {
--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -22,7 +22,7 @@
 import { createHubViews } from "./hub_views.ts";
 import { isHub, type Topology } from "./hubs.ts";
 import { createLinkSet, type LinkState, type VmLink } from "./link_set.ts";
-import { type VmMessage, vmMessageSchema } from "./messages.ts";
+import { ADDED_KINDS, type VmMessage, vmMessageSchema } from "./messages.ts";
 import {
   createPayloadReceiver,
   makeFactMessage,
@@ -82,7 +82,8 @@
    */
   broadcastServerRateLimits(rates: RateLimitUpdate[]): void;
   /**
-   * Sends reports about backend servers that don't respond to all linked VMs.
+   * Sends reports about backend servers that don't respond to all linked VMs
+   * that understand them.
    *
    * @param reports The reports.
    */
@@ -183,7 +184,8 @@
   function onOpen(link: VmLink): void {
     links.add(link);
     const members = table.countKnown();
-    link.send({ kind: "hello", identity: self, members });
+    const understands = [...ADDED_KINDS];
+    link.send({ kind: "hello", identity: self, members, understands });
     const report = { ...options.makeReport(), ...proofs.makeRequest() };
     link.send({ kind: "report", ...report });
   }
@@ -215,10 +217,11 @@
   function receiveHello(
     link: VmLink,
     state: LinkState,
-    { identity, members }: Extract<VmMessage, { kind: "hello" }>,
+    { identity, members, understands }: Extract<VmMessage, { kind: "hello" }>,
   ): void {
     const before = table.get(identity.id)?.identity.incarnation;
     state.identity = identity;
+    state.understands = new Set(understands);
     table.recordHello(identity);
     if (before !== identity.incarnation) {
       const { id, region, frontAddress } = identity;
@@ -359,7 +362,7 @@
     broadcastServerRateLimits: (rates) =>
       links.send({ kind: "server_rate_limits", rates }),
     broadcastUnreachableServers: (reports) =>
-      links.send({ kind: "unreachable_servers", reports }),
+      links.sendIfUnderstood({ kind: "unreachable_servers", reports }),
     announceRead(topic) {
       sendRead(topic, true);
       if (topic === "operations") proofs.sendProofs();
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -82,27 +82,44 @@
   return { address: http.address, factStore, found, activities, mesh, stop };
 }
 
+/** The schema of a VM of an earlier build, which lacks a message kind. */
+const EARLIER_SCHEMA: typeof vmMessageSchema = Object.create(vmMessageSchema, {
+  safeParse: {
+    value(data: VmMessage) {
+      const isUnknown = data.kind === "unreachable_servers";
+      return vmMessageSchema.safeParse(isUnknown ? {} : data);
+    },
+  },
+});
+
 /** Opens a link to a mesh; sends a hello only if an identity is given. */
-async function openLink(address: string, identity?: VmIdentity) {
+async function openLink(
+  address: string,
+  identity?: VmIdentity,
+  understands?: string[],
+) {
+  let closed = 0;
   const received: VmMessage[] = [];
   let link: PeerLink<VmMessage> | undefined;
   const dialed = maintainLink(address, {
-    schema: vmMessageSchema,
+    schema: understands === undefined ? EARLIER_SCHEMA : vmMessageSchema,
     clock,
     isSelfContained: true,
     events: {
       onOpen(opened) {
         link = opened;
-        if (identity) opened.send({ kind: "hello", identity, members: 0 });
+        if (identity === undefined) return;
+        opened.send({ kind: "hello", identity, members: 0, understands });
       },
       onMessage: (_link, message) => void received.push(message),
-      onClose() {},
+      onClose: () => void closed++,
     },
   });
   await waitUntil(() => received.some(({ kind }) => kind === "report"));
   received.length = 0;
   const send = (message: VmMessage) => link!.send(message);
-  return { received, send, close: () => dialed.close() };
+  const close = () => dialed.close();
+  return { received, send, close, countClosed: () => closed };
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -245,6 +262,39 @@
   await stop();
 });
 
+// Guards against closing the links to VMs of earlier builds in a rolling update:
+// they close a link on which a message of an unknown kind arrives.
+test("reports of unresponsive servers go only to VMs that understand them", async () => {
+  const { address, mesh, stop } = await startTestMesh();
+  const links = [
+    await openLink(address, makeIdentity("earlier", "127.0.0.1:2")),
+    await openLink(address, makeIdentity("new", "127.0.0.1:3"), [
+      "unreachable_servers",
+    ]),
+  ];
+  await sleep(100);
+  mesh.broadcastUnreachableServers([{
+    server: "1",
+    by: "self",
+    failureDomain: "oslo-a",
+    news: "unreachable",
+    stampMs: 1,
+    ageMs: 2,
+    reached: 3,
+  }]);
+  const countReports = () =>
+    links.map(({ received }) =>
+      received.filter(({ kind }) => kind === "unreachable_servers").length
+    );
+  await sleep(300);
+  const reports = countReports();
+  const closed = links.map(({ countClosed }) => countClosed());
+  links.forEach((link) => link.close());
+  await stop();
+  assert.equal(reports, [0, 1]);
+  assert.equal(closed, [0, 0]);
+});
+
 test("the listener is called for each VM that sends a hello", async () => {
   const { address, found, stop } = await startTestMesh();
   const link = await openLink(address, makeIdentity("new", "127.0.0.1:2"));
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -12,6 +12,7 @@
 const MAX_SERVER_NAME = 200;
 const MAX_REPORTED_SERVERS = 64;
 const MAX_EPOCHS = 64;
+const MAX_ADDED_KINDS = 64;
 /** Pairs of 4,096 servers with 128 objects each, two numbers per pair. */
 const MAX_NUMBERS = 1_100_000;
 
@@ -75,6 +76,11 @@
     identity: identitySchema,
     /** The number of VMs that the sender knows. */
     members: z.number().int().nonnegative(),
+    /**
+     * Kinds of messages that earlier builds lack and that the sender
+     * understands; absent from VMs of earlier builds.
+     */
+    understands: z.array(z.string().max(64)).max(MAX_ADDED_KINDS).optional(),
   }),
   /** The sender's periodic report; absent fields are unchanged. */
   z.object({
@@ -189,3 +195,11 @@
 
 /** A message between VMs. */
 export type VmMessage = z.infer<typeof vmMessageSchema>;
+
+/**
+ * Kinds of messages that are sent only to VMs whose hello names them: a VM
+ * closes a link on which a message of an unknown kind arrives.
+ */
+export const ADDED_KINDS: readonly VmMessage["kind"][] = [
+  "unreachable_servers",
+];
--- a/src/members/payloads.ts
+++ b/src/members/payloads.ts
@@ -186,8 +186,9 @@
     reports: ReachabilityReport[],
   ): void {
     const changed = options.onUnreachableServers(reports);
-    if (changed.length === 0) return;
-    forward(link, { kind: "unreachable_servers", reports: changed });
+    if (changed.length === 0 || !options.isRelay()) return;
+    const message = { kind: "unreachable_servers", reports: changed } as const;
+    links.sendIfUnderstood(message, link);
   }
 
   function forward(from: VmLink, message: VmMessage): void {
