--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -53,6 +53,10 @@
 import { createColdLimit } from "../servers/cold_limit.ts";
 import { computeConnectionLimit } from "../servers/connection_limit.ts";
 import { createCrashCheck } from "../servers/crash_check.ts";
+import {
+  createServerReachability,
+  type ServerReachability,
+} from "../servers/reachability.ts";
 import {
   createServerRegistry,
   type ServerRegistry,
@@ -124,6 +128,7 @@
   limitShares: LimitShares;
   suspects: SuspectTracker;
   serverLimits: ServerLimits;
+  reachability: ServerReachability;
   /** @returns Priorities that compete for a service, in ascending order. */
   getCompetingPriorities(service: string): readonly number[];
   copyPlan: CopyPlan;
@@ -180,6 +185,17 @@
     running: options.running,
     runTimes,
   });
+  const reachability = createServerReachability({
+    clock,
+    log,
+    random,
+    ownId: self.id,
+    ownDomain: self.failureDomain,
+    countVms: countKnownVms,
+    listAll: registry.listAll,
+    listUsable: registry.listUsable,
+  });
+
   function getCompetingPriorities(service: string): readonly number[] {
     if (routes === undefined) return [];
     const known = competingPriorities.get(service);
@@ -320,6 +336,7 @@
     }),
     permits,
     inflightBodies,
+    reachability,
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
@@ -330,6 +347,7 @@
       clock,
       ranking,
       permits,
+      reachability,
       latencyModel,
       copyPlan,
       budget: overflowBudget,
@@ -370,6 +388,7 @@
       rateLimits,
       backoffs,
       registry,
+      reachability,
     }),
     budget,
     splitter: createSplitter(),
@@ -406,6 +425,7 @@
     limitShares,
     suspects,
     serverLimits,
+    reachability,
     getCompetingPriorities,
     copyPlan,
     overflowBudget,
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -9,6 +9,7 @@
 import type { ClientAccount } from "../accounts/types.ts";
 import { addRequests } from "../activity/running.ts";
 import {
+  makeReachability,
   makeRoute,
   makeServer,
   makeServerUpdate,
@@ -159,6 +160,7 @@
     const cacheSizeEstimator = createCacheSizeEstimator();
     const permits = makeUnlimitedPermits();
     const inflightBodies = createInflightBodies({ clock, log });
+    const reachability = makeReachability(clock, registry);
     const urgentDemand = createUrgentDemand(clock);
     const getCompetingPriorities = () => options.competingPriorities;
     const waitQueue = createWaitQueue({
@@ -193,6 +195,7 @@
         coldLimit: { take: () => false },
         permits,
         inflightBodies,
+        reachability,
         latencyModel,
         cacheModel,
         cacheSizeEstimator,
@@ -210,6 +213,7 @@
         rateLimits: { record() {} },
         backoffs: { begin() {} },
         registry,
+        reachability,
       }),
       budget: { recordRequest() {}, take: () => true },
       splitter: { pickService: () => "s" },
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -29,6 +29,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { ColdLimit } from "../servers/cold_limit.ts";
 import type { ServerPermits } from "../servers/permits.ts";
+import type { Avoidance, ServerReachability } from "../servers/reachability.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import { isUnusualSlowdown } from "../servers/speed.ts";
 import type { ListedServer } from "../servers/types.ts";
@@ -51,6 +52,10 @@
   coldLimit: ColdLimit;
   permits: ServerPermits;
   inflightBodies: Pick<InflightBodies, "hasRoom" | "recordPassedOver">;
+  reachability: Pick<
+    ServerReachability,
+    "hasReports" | "getAvoidance" | "isTrialDue" | "beginTrial"
+  >;
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
@@ -69,6 +74,8 @@
   server: KnownServer;
   /** Whether the server is expected to have cached the object. */
   isCached: boolean;
+  /** Whether it is the trial request of an avoided server. */
+  isTrial: boolean;
 }
 
 /** Why no server can take an attempt. */
@@ -101,6 +108,9 @@
     | { region: string; overflowFrom: string | undefined };
 }
 
+/** Maximum number of avoided servers in a log line. */
+const MAX_LOGGED_SERVERS = 8;
+
 /**
  * @param options Dependencies.
  * @returns A placer.
@@ -115,6 +125,7 @@
     latencyModel,
     cacheModel,
     permits,
+    reachability,
   } = options;
 
   function place(progress: RequestProgress): PlacedAttempt | PlacementFailure {
@@ -130,6 +141,7 @@
     const throttled: ListedServer[] = [];
     const bodyBytes = getCountedBytes(request);
     const withoutRoom = bodyBytes > 0 ? new Set<string>() : undefined;
+    const avoided = new Map<string, Avoidance>();
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
     const placement: PlacementRequest = {
@@ -149,6 +161,12 @@
         : Infinity,
       coldRatePerS: options.getServiceSettings(service)?.coldRequestsPerS ?? 0,
       hasCachedObject: (id) => hasCachedObject(progress, id),
+      ...(reachability.hasReports()
+        ? {
+          getAvoidance: ({ listed }) =>
+            getAvoidance(listed, route.kind === "idempotent", avoided),
+        }
+        : {}),
       isRateLimited: ({ listed }) => permits.isRateLimited(listed),
       hasBodyRoom: withoutRoom && ((server) => {
         const hasRoom = options.inflightBodies.hasRoom(server, bodyBytes);
@@ -187,6 +205,7 @@
         : {}),
       // Absent where the body is small or all servers had room.
       noBodyRoom: withoutRoom?.size || undefined,
+      ...(avoided.size > 0 ? { avoided: Object.fromEntries(avoided) } : {}),
     };
     if (choice.kind !== "server") {
       // A waiting request fails many times; the end of its wait is logged.
@@ -202,6 +221,8 @@
       return { ...refuse("all_full"), prospect: computeProspect(placement) };
     }
     const { server, rank, utilization, isCached } = choice;
+    const isTrial = isTrialOf(server, route);
+    if (isTrial) reachability.beginTrial(server.listed.id);
     log.info(
       {
         ...inputs,
@@ -211,10 +232,39 @@
         slowdown: describeSlowdown(server),
         slots: server.load.getSlots(),
         isKnown: isCached,
+        ...(isTrial ? { isTrial } : {}),
       },
       "choose",
     );
-    return { kind: "placed", server, isCached };
+    return { kind: "placed", server, isCached, isTrial };
+  }
+
+  /**
+   * Returns how a server is used because of reports. One that is due for a
+   * trial is used as any other by an idempotent request.
+   */
+  function getAvoidance(
+    listed: ListedServer,
+    isIdempotent: boolean,
+    avoided: Map<string, Avoidance>,
+  ): Avoidance {
+    const avoidance = reachability.getAvoidance(listed);
+    if (avoidance === "none") return avoidance;
+    if (isIdempotent && reachability.isTrialDue(listed.id)) return "none";
+    if (avoided.size < MAX_LOGGED_SERVERS) avoided.set(listed.id, avoidance);
+    return avoidance;
+  }
+
+  function isTrialOf({ listed }: KnownServer, { kind }: Route): boolean {
+    return kind === "idempotent" &&
+      reachability.getAvoidance(listed) !== "none" &&
+      reachability.isTrialDue(listed.id);
+  }
+
+  /** Whether a server is neither ejected nor excluded on reports. */
+  function isOpen({ health, listed }: KnownServer): boolean {
+    return !health.isEjected() &&
+      reachability.getAvoidance(listed) !== "excluded";
   }
 
   /**
@@ -259,7 +309,7 @@
     const sharing = placement.candidates.flatMap((servers) =>
       servers.filter((server) =>
         !tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
-        !server.health.isEjected() && permits.isValid(server.listed)
+        isOpen(server) && permits.isValid(server.listed)
       ).slice(0, copies)
     );
     const servers = new Set(sharing);
@@ -359,7 +409,7 @@
   ): boolean {
     const nowMs = clock.monotonicMs();
     return ranking.rank(service, region, objectKey).some((server) =>
-      server.coldUntilMs <= nowMs && !server.health.isEjected() &&
+      server.coldUntilMs <= nowMs && isOpen(server) &&
       permits.isValid(server.listed)
     );
   }
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -233,7 +233,7 @@
 
   async function runAttempt(
     progress: RequestProgress,
-    { server, isCached }: PlacedAttempt,
+    { server, isCached, isTrial }: PlacedAttempt,
     remainingMs: number,
   ): Promise<NextStep> {
     const { request } = progress;
@@ -274,6 +274,7 @@
       utilizationAtStart,
       depth,
       isCached,
+      isTrial,
     });
     server.load.end();
     const heldBytes = bodyBytes > 0
--- a/src/serving/shared_machines_test.ts
+++ b/src/serving/shared_machines_test.ts
@@ -4,6 +4,7 @@
 import { createRunningRequests } from "../activity/running.ts";
 import { startSharing } from "../activity/sharing.ts";
 import {
+  makeReachability,
   makeRoute,
   makeServer,
   makeServerUpdate,
@@ -102,6 +103,7 @@
     const server = makeServer(`${id}`, { slots: SLOTS });
     registry.apply(makeServerUpdate(server, id + 1));
   }
+  const reachability = makeReachability(clock, registry);
   const placer = createPlacer({
     clock,
     log,
@@ -122,6 +124,7 @@
     coldLimit: { take: () => false },
     permits: makeUnlimitedPermits(),
     inflightBodies: createInflightBodies({ clock, log }),
+    reachability,
     latencyModel,
     cacheModel,
     cacheSizeEstimator,
@@ -137,6 +140,7 @@
     rateLimits: { record() {} },
     backoffs: { begin() {} },
     registry,
+    reachability,
   });
   const sharing = startSharing({
     self: IDENTITIES[index],
