--- a/src/servers/reachability_replay_test.ts
+++ b/src/servers/reachability_replay_test.ts
@@ -26,6 +26,7 @@
   makeRequest,
   makeUnlimitedPermits,
 } from "../serving/fixture.ts";
+import { createInflightBodies } from "../serving/inflight_bodies.ts";
 import { createLatencyModel } from "../serving/latency_model.ts";
 import { createPlacer } from "../serving/placer.ts";
 import type { RequestProgress } from "../serving/request_progress.ts";
@@ -98,6 +99,7 @@
     ownDomain: failureDomain,
     urgentDemand: createUrgentDemand(clock),
     getCompetingPriorities: () => [1],
+    inflightBodies: createInflightBodies({ clock, log }),
     copyPlan: { getCopies: () => 2 },
     overflow: {
       find: () => ({ kind: "denied", denial: "no_region" }),
