Keep the list of serving VMs until a VM comes, goes or expires

Cause: the retry budget counts the serving VMs for each request. Change: the list of serving VMs is kept until a VM is found, changes state, disconnects or is heard again, a view changes, or the earliest of the members and views that it comes from may expire. The list with reports is kept for 100 ms as before. A VM in a full mesh lists the receivers of its activity only when it sends some, instead of 20 times a second. A random test compares a table that is read after each step with one that is read once at the end.

--- a/src/activity/sharing.ts
+++ b/src/activity/sharing.ts
@@ -29,7 +29,7 @@
   /** Running requests of other VMs, as used for choosing servers. */
   running: RunningRequests;
   /** @returns Other VMs that serve clients. */
-  listServing: () => VmIdentity[];
+  listServing: () => readonly VmIdentity[];
   /** @returns The link topology. */
   getTopology: () => Topology;
   /** @returns This VM's requests at servers where they run long enough to share. */
@@ -133,7 +133,7 @@
   }
 
   /** Sends changes, and repeats unchanged reports before they expire. */
-  function sendToAll(others: readonly string[]): void {
+  function sendToAll(): void {
     const own = takeOwn();
     const nowMs = clock.monotonicMs();
     const hasChanged = own.asked.length + own.forgotten.length > 0 ||
@@ -143,7 +143,7 @@
     if (!hasChanged && !mustRepeat) return;
     sentRunning = own.running;
     sentAtMs = nowMs;
-    options.send(others, "vm", own);
+    options.send(listOthers(), "vm", own);
   }
 
   /** Sends an empty message only once, after the last one that was not empty. */
@@ -188,7 +188,7 @@
   function share(): number {
     if (options.getTopology().isFullMesh) {
       updateRole(false);
-      sendToAll(listOthers());
+      sendToAll();
       return DIRECT_INTERVAL_MS;
     }
     const relayId = findRelayId(options.getTopology(), self.region);
--- a/src/members/table.ts
+++ b/src/members/table.ts
@@ -91,7 +91,7 @@
    */
   listHubCandidates(): VmIdentity[];
   /** @returns VMs that are up and serve clients. */
-  listServing(): VmIdentity[];
+  listServing(): readonly VmIdentity[];
   /**
    * @returns VMs linked to this VM or to another hub. Views of scope `fleet` are
    *   left out: if hubs passed them on, each would keep alive what the other
@@ -144,6 +144,14 @@
   const views = new Map<string, HubView>();
   let alive: Member[] | undefined;
   let aliveAtMs = 0;
+  /** Read for each request, so it is kept until a VM comes, goes or expires. */
+  let serving: readonly VmIdentity[] | undefined;
+  let servingUntilMs = 0;
+
+  function invalidateLists(): void {
+    alive = undefined;
+    serving = undefined;
+  }
 
   function isRecent(heardAtMs: number | undefined): boolean {
     return heardAtMs !== undefined &&
@@ -155,7 +163,7 @@
     const report = known?.report;
     const knownSinceMs = known?.knownSinceMs ?? clock.monotonicMs();
     members.set(identity.id, { identity, report, heardAtMs, knownSinceMs });
-    alive = undefined;
+    invalidateLists();
   }
 
   function toMember({ identity, report, heardAtMs }: MemberRecord): Member {
@@ -201,6 +209,22 @@
     return alive;
   }
 
+  function listServing(): readonly VmIdentity[] {
+    if (serving !== undefined && clock.monotonicMs() < servingUntilMs) {
+      return serving;
+    }
+    const members = listAlive();
+    let oldestMs = Infinity;
+    for (const { heardAtMs = 0 } of members) {
+      oldestMs = Math.min(oldestMs, heardAtMs);
+    }
+    servingUntilMs = oldestMs + PEER_TIMEOUT_MS;
+    serving = members
+      .filter(({ state }) => state === "serving")
+      .map(({ identity }) => identity);
+    return serving;
+  }
+
   function applyChanges(known: HubView, view: FleetView): void {
     for (const { identity, state } of view.up) {
       known.members.set(identity.id, { identity, state });
@@ -209,7 +233,7 @@
       }
     }
     for (const id of view.gone) known.members.delete(id);
-    if (view.up.length + view.gone.length > 0) alive = undefined;
+    if (view.up.length + view.gone.length > 0) invalidateLists();
   }
 
   return {
@@ -230,14 +254,15 @@
       const member = members.get(id);
       if (member === undefined) return;
       const before = member.report?.state;
+      const wasRecent = isRecent(member.heardAtMs);
       member.report = mergeReport(member.report, delta);
       member.heardAtMs = clock.monotonicMs();
-      if (member.report?.state !== before) alive = undefined;
+      if (!wasRecent || member.report?.state !== before) invalidateLists();
     },
     recordDisconnect(id) {
       const member = members.get(id);
       if (member !== undefined) member.heardAtMs = undefined;
-      alive = undefined;
+      invalidateLists();
     },
     applyView(hubId, view) {
       const known = views.get(hubId);
@@ -246,6 +271,7 @@
       const next: HubView = isWhole
         ? { ...view, heardAtMs: 0, members: new Map() }
         : known;
+      if (isWhole || !isRecent(known.heardAtMs)) invalidateLists();
       applyChanges(next, view);
       next.revision = view.revision;
       next.demandPerS = view.demandPerS;
@@ -254,7 +280,7 @@
       return true;
     },
     dropView(hubId) {
-      if (views.delete(hubId)) alive = undefined;
+      if (views.delete(hubId)) invalidateLists();
     },
     get(id) {
       const known = members.get(id);
@@ -275,10 +301,7 @@
       );
       return [...alive, ...others.map(({ identity }) => identity)];
     },
-    listServing: () =>
-      listAlive()
-        .filter(({ state }) => state === "serving")
-        .map(({ identity }) => identity),
+    listServing,
     listLinkedToAnyHub: () => collect(["linked"]),
     listDemands: (scope) =>
       listViews([scope]).map(({ demandPerS }) => demandPerS),
--- a/src/members/table_test.ts
+++ b/src/members/table_test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import { makeVmIdentity } from "../gateway/fixture.ts";
@@ -116,4 +117,78 @@
   assert.is(table.listServing()[0].incarnation, "2");
 });
 
+const ids = fc.constantFrom("1", "2", "3");
+const hubs = fc.constantFrom("2", "3");
+const states = fc.constantFrom<VmState>("serving", "serving", "leaving");
+const steps = fc.oneof(
+  fc.record({ kind: fc.constant("hello" as const), id: ids }),
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("report" as const),
+      id: ids,
+      state: states,
+    }),
+  },
+  fc.record({ kind: fc.constant("disconnect" as const), id: ids }),
+  fc.record({
+    kind: fc.constant("view" as const),
+    id: hubs,
+    up: fc.uniqueArray(ids),
+    state: states,
+    isWhole: fc.boolean(),
+  }),
+  fc.record({ kind: fc.constant("drop_view" as const), id: hubs }),
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("wait" as const),
+      durationMs: fc.constantFrom(50, 150, 800, 1_200, 2_000),
+    }),
+  },
+);
+type Step = typeof steps extends fc.Arbitrary<infer T> ? T : never;
+
+/** Applies steps to a table; may read the list after each of them. */
+function playSteps(list: readonly Step[], isReadOften: boolean): string[] {
+  const { clock, table, listServing } = startTable();
+  const senders = new Map(
+    ["2", "3"].map((id) => [id, createViewSender("linked")]),
+  );
+  const digest = { facts: 0, versionSum: 0 };
+  const digests = { operations: digest, servers: digest, suspects: digest };
+  for (const step of list) {
+    if (step.kind === "hello") table.recordHello(makeVm(step.id));
+    if (step.kind === "report") {
+      table.recordReport(step.id, {
+        state: step.state,
+        demandPerS: {},
+        digests,
+      });
+    }
+    if (step.kind === "disconnect") table.recordDisconnect(step.id);
+    if (step.kind === "drop_view") table.dropView(step.id);
+    if (step.kind === "view") {
+      const sender = senders.get(step.id)!;
+      const up = step.up.map((id) => makeEntry(id, step.state));
+      const changes = sender.update(up, {});
+      table.applyView(step.id, step.isWhole ? sender.makeSnapshot() : changes);
+    }
+    if (step.kind === "wait") clock.advance(step.durationMs);
+    if (isReadOften) listServing();
+  }
+  clock.advance(101);
+  return listServing();
+}
+
+// Guards against a kept list that names VMs which are down, or lacks others.
+test("the list of serving VMs doesn't depend on when it was read before", () => {
+  fc.assert(
+    fc.property(fc.array(steps, { maxLength: 25 }), (list) => {
+      assert.equal(playSteps(list, true), playSteps(list, false));
+    }),
+    { seed: 20261203, numRuns: 3_000 },
+  );
+});
+
 test.run();
--- a/src/members/views.ts
+++ b/src/members/views.ts
@@ -45,7 +45,7 @@
   }
 
   return {
-    countServing: () => listServing().length,
+    countServing: () => table.listServing().length + 1,
     listServingIds: (region) =>
       listServing()
         .filter((identity) => identity.region === region)
