Apply other VMs' requests to the cache model in batches

Cause: in a fleet of 112 VMs, each VM applies the requests of its region five times a second, some 440 a second. For each it searched up to 128 objects with `lastIndexOf`, which V8 doesn't optimize as it does `indexOf`, and read the clock and the registry's revision. Change: an object is listed once, so the search may run from the front. The model's listener gets all pairs of a message in one call.

--- a/src/placement/object_cache_model.ts
+++ b/src/placement/object_cache_model.ts
@@ -52,13 +52,13 @@
   /**
    * Subscribes to requests, those of this VM and those of others.
    *
-   * @param onRequest Called for each with the hashes of server and object.
+   * @param onRequests Called with the pairs of requests that arrived together.
    */
-  subscribe(onRequest: RequestListener): void;
+  subscribe(onRequests: RequestListener): void;
 }
 
-/** Receives the hashes of a server and of an object requested from it. */
-export type RequestListener = (serverKey: number, objectKey: number) => void;
+/** Receives the hashes of servers and of objects requested from them. */
+export type RequestListener = (requests: ObjectPairs) => void;
 
 /** Objects tracked per server; more than any observed server caches. */
 export const MAX_TRACKED_OBJECTS = 128;
@@ -91,7 +91,6 @@
     serverKey: number,
     objectKey: number,
   ): number | undefined {
-    for (const onRequest of listeners) onRequest(serverKey, objectKey);
     const objects = touchServer(serverKey);
     const depth = findDepth(objects, objectKey);
     if (depth !== undefined) objects.splice(objects.length - 1 - depth, 1);
@@ -100,6 +99,10 @@
     return depth;
   }
 
+  function notify(requests: ObjectPairs): void {
+    for (const onRequests of listeners) onRequests(requests);
+  }
+
   /** Returns whether the object was tracked. */
   function removeObject(serverKey: number, objectKey: number): boolean {
     const objects = lists.get(serverKey) ?? [];
@@ -114,6 +117,7 @@
       const serverKey = hashToUint32(serverId);
       const objectKey = hashToUint32(objectName);
       appendPair(pending.asked, serverKey, objectKey);
+      notify([serverKey, objectKey]);
       return touchObject(serverKey, objectKey);
     },
     forget(serverId, objectName) {
@@ -130,6 +134,7 @@
         : findDepth(objects, hashToUint32(objectName));
     },
     apply({ asked, forgotten }) {
+      notify(asked);
       forEachPair(asked, touchObject);
       forEachPair(forgotten, removeObject);
     },
@@ -145,7 +150,7 @@
       }
       return all;
     },
-    subscribe: (onRequest) => void listeners.push(onRequest),
+    subscribe: (onRequests) => void listeners.push(onRequests),
   };
 }
 
@@ -177,10 +182,11 @@
   if (pairs.length < MAX_PENDING_NUMBERS) pairs.push(serverKey, objectKey);
 }
 
+/** Each object is listed once, and `indexOf` is faster than `lastIndexOf`. */
 function findDepth(
   objects: readonly number[],
   objectKey: number,
 ): number | undefined {
-  const index = objects.lastIndexOf(objectKey);
+  const index = objects.indexOf(objectKey);
   return index < 0 ? undefined : objects.length - 1 - index;
 }
--- a/src/placement/object_demand.ts
+++ b/src/placement/object_demand.ts
@@ -8,16 +8,16 @@
 import type { Clock } from "../runtime/clock.ts";
 import { hashToUint32 } from "../runtime/hash.ts";
 import type { ServerRegistry } from "../servers/registry.ts";
+import type { ObjectPairs } from "./object_cache_model.ts";
 
 /** Requests for objects by service and region. */
 export interface ObjectDemand {
   /**
-   * Records a request.
+   * Records requests.
    *
-   * @param serverKey Hash of the server's id.
-   * @param objectKey Hash of the object's name.
+   * @param requests Hashes of servers' ids and of objects' names, alternating.
    */
-  record(serverKey: number, objectKey: number): void;
+  record(requests: ObjectPairs): void;
   /**
    * @param service The name of the service.
    * @param region A region; undefined for all regions.
@@ -71,6 +71,28 @@
   objects: Map<number, ObjectRequests>;
 }
 
+/** Counts a request for an object. */
+function countRequest(
+  objects: Map<number, ObjectRequests>,
+  objectKey: number,
+  window: number,
+): void {
+  const requests = objects.get(objectKey);
+  if (requests === undefined) {
+    if (objects.size >= MAX_OBJECTS) return;
+    objects.set(objectKey, { window, count: 1, previousCount: 0 });
+    return;
+  }
+  if (requests.window !== window) {
+    requests.previousCount = requests.window === window - 1
+      ? requests.count
+      : 0;
+    requests.count = 0;
+    requests.window = window;
+  }
+  requests.count++;
+}
+
 /**
  * @param options Dependencies.
  * @returns Demand without any objects.
@@ -117,26 +139,15 @@
     }
   }
 
-  function record(serverKey: number, objectKey: number): void {
+  function record(requests: ObjectPairs): void {
     updateServers();
     const window = getWindow();
     purge(window);
-    const objects = regionsByServer.get(serverKey)?.objects;
-    if (objects === undefined) return;
-    const requests = objects.get(objectKey);
-    if (requests === undefined) {
-      if (objects.size >= MAX_OBJECTS) return;
-      objects.set(objectKey, { window, count: 1, previousCount: 0 });
-      return;
-    }
-    if (requests.window !== window) {
-      requests.previousCount = requests.window === window - 1
-        ? requests.count
-        : 0;
-      requests.count = 0;
-      requests.window = window;
+    for (let index = 0; index + 1 < requests.length; index += 2) {
+      const objects = regionsByServer.get(requests[index])?.objects;
+      if (objects === undefined) continue;
+      countRequest(objects, requests[index + 1], window);
     }
-    requests.count++;
   }
 
   function countObjects(service: string, region?: string): number {
