Tell of a client's disconnect without an event target for each request

Cause: each request created an AbortController, added a listener and removed it. At the pace of 10 requests a second V8 has not optimized that code. Change: a signal with the same three members that are used, as a closure. Whoever takes one also takes an AbortSignal, as the tests do.

--- a/src/serving/client_connections.ts
+++ b/src/serving/client_connections.ts
@@ -10,13 +10,14 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { ClientSignal } from "./types.ts";
 
 /** A request whose serving has begun. */
 export interface BegunRequest {
   message: IncomingMessage;
   response: ServerResponse;
   /** Aborted when the client disconnects before it has the whole response. */
-  signal: AbortSignal;
+  signal: ClientSignal;
   /**
    * Adds a function to call when the client has taken the response or has
    * disconnected; at once if it has.
@@ -91,6 +92,29 @@
   settle(): void;
 }
 
+/** @returns A signal that is not aborted, and its `abort`. */
+function createClientSignal(): ClientSignal & { abort(): void } {
+  // Empty for nearly all of a request's life: an attempt adds one listener.
+  let listeners: (() => void)[] = [];
+  let aborted = false;
+  return {
+    get aborted() {
+      return aborted;
+    },
+    addEventListener: (_type, listener) => void listeners.push(listener),
+    removeEventListener(_type, listener) {
+      listeners = listeners.filter((other) => other !== listener);
+    },
+    abort() {
+      if (aborted) return;
+      aborted = true;
+      const notified = listeners;
+      listeners = [];
+      for (const listener of notified) listener();
+    },
+  };
+}
+
 /** @returns Connections, none open. */
 export function createClientConnections(): ClientConnections {
   const connections = new Map<Socket, Connection>();
@@ -120,14 +144,14 @@
     const { socket } = message;
     const connection = connections.get(socket) ?? open(socket);
     if (connection.isClosing) return undefined;
-    const controller = new AbortController();
+    const signal = createClientSignal();
     const settledCallbacks: (() => void)[] = [];
     const request: OpenRequest = {
       message,
       response,
       settle() {
         if (!connection.begun.delete(request)) return;
-        if (!response.writableFinished) controller.abort();
+        if (!response.writableFinished) signal.abort();
         for (const run of settledCallbacks) run();
         connection.settledBytesRead = socket.bytesRead;
         if (connection.begun.size > 0) endReadLimit(socket, connection);
@@ -155,7 +179,7 @@
     const begun: BegunRequest = {
       message,
       response,
-      signal: controller.signal,
+      signal,
       onSettled(run) {
         if (connection.begun.has(request)) settledCallbacks.push(run);
         else run();
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -40,6 +40,25 @@
   caller: CallerIdentity;
 }
 
+/**
+ * Tells that a client has disconnected. An `AbortSignal` is one, but it is an
+ * event target, whose creation and listeners cost more than the rest of the
+ * record of a request.
+ */
+export interface ClientSignal {
+  readonly aborted: boolean;
+  /**
+   * @param type The event.
+   * @param listener Called once, when the client disconnects.
+   */
+  addEventListener(type: "abort", listener: () => void): void;
+  /**
+   * @param type The event.
+   * @param listener A listener to remove.
+   */
+  removeEventListener(type: "abort", listener: () => void): void;
+}
+
 /** A request of a client, read completely. */
 export interface CallerRequest {
   method: string;
@@ -60,7 +79,7 @@
   /** When the headers had arrived, on the monotonic clock. */
   arrivedAtMs: number;
   /** Aborted when the client disconnects. */
-  signal: AbortSignal;
+  signal: ClientSignal;
   /**
    * Returns the memory held for large bodies; absent where it is not limited.
    */
