Copy end-to-end headers without a list of connection options

Cause: the list was split from the header Connection twice for each request, though it is absent or names only headers that are never copied.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -325,14 +325,26 @@
 export function copyEndToEndHeaders(
   headers: IncomingHttpHeaders,
 ): IncomingHttpHeaders {
-  const connectionOptions = String(headers.connection ?? "").toLowerCase()
-    .split(",")
-    .map((name) => name.trim());
+  const connectionOptions = listConnectionOptions(headers.connection);
   const copy: IncomingHttpHeaders = {};
-  for (const [name, value] of Object.entries(headers)) {
+  for (const name in headers) {
     const isHopByHop = HOP_BY_HOP_HEADERS.has(name) ||
       connectionOptions.includes(name);
-    if (!isHopByHop && name !== "content-length") copy[name] = value;
+    if (!isHopByHop && name !== "content-length") copy[name] = headers[name];
   }
   return copy;
 }
+
+/** @returns Names of headers that concern this connection only. */
+function listConnectionOptions(
+  connection: string | undefined,
+): readonly string[] {
+  // Both are hop-by-hop headers anyway.
+  if (
+    connection === undefined || connection === "keep-alive" ||
+    connection === "close"
+  ) {
+    return [];
+  }
+  return String(connection).toLowerCase().split(",").map((name) => name.trim());
+}
