Share one timer among the deadlines of requests

Cause: Node.js keeps a list for each delay and a queue of these lists. Time left differs from request to request, so each deadline made a list, entered the queue and left it again, although nearly all deadlines are cancelled. Change: deadlines are kept in a set, with one timer for the earliest. It runs those that are due at their own times; timers of Node.js leave out fractions of a millisecond, as before.

--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -23,6 +23,7 @@
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { PermitOutcome, ServerPermits } from "../servers/permits.ts";
 import type { Log } from "../telemetry/log.ts";
+import { createDeadlineTimers } from "./deadline_timers.ts";
 import type { DemandMeter } from "./demand_meter.ts";
 import type { Attempt, Exchange } from "./exchange.ts";
 import type { AttemptObserver } from "./attempt_observer.ts";
@@ -133,6 +134,7 @@
     suspects,
     waitQueue,
   } = options;
+  const deadlineTimers = createDeadlineTimers(clock);
 
   async function handle(request: CallerRequest): Promise<ServeResult> {
     const progress = createProgress(request);
@@ -254,7 +256,10 @@
     );
     const onClientLeft = () => attempt.abort("client_left");
     request.signal.addEventListener("abort", onClientLeft);
-    const timer = clock.after(remainingMs, () => attempt.abort("timeout"));
+    const timer = deadlineTimers.after(
+      remainingMs,
+      () => attempt.abort("timeout"),
+    );
     const stopWatching = abortWhenSetAside(progress, attempt);
     const result = await attempt.result;
     timer.cancel();
