Serve a request that has no body without reading one

Cause: a request without content-length and transfer-encoding has no body, but was read with four listeners, and served three ticks later.

--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -104,6 +104,7 @@
  * the slowest links if nothing else uses them.
  */
 const DISCARD_MS = 3_000;
+const NO_BODY = Buffer.alloc(0);
 /** When clients should retry while this VM has no configuration yet. */
 const NO_CONFIGURATION_RETRY_MS = 300;
 
@@ -311,6 +312,10 @@
       return Promise.resolve(rejected);
     }
     if (expectsContinue) response.writeContinue();
+    // Reading a body that can't have bytes takes four listeners and three ticks.
+    if (!hasBody(message)) {
+      return Promise.resolve({ kind: "body", body: NO_BODY });
+    }
     return readBody(begun, admission);
   }
 
