Read no clock for servers that ask for no pause

Cause: a request that finds the shares of its regions older than 250 ms, at 10 requests a second every second or third one, adds up the slots of all servers of its service. For each server it read the clock and the mean run time, which matter only where the server asks for a pause or advertises a rate limit.

--- a/src/servers/backoffs.ts
+++ b/src/servers/backoffs.ts
@@ -59,8 +59,9 @@
   const backoffs = new Map<string, Backoff>();
 
   function getLeftMs(server: string): number {
-    const untilMs = backoffs.get(server)?.untilMs ?? -Infinity;
-    return Math.max(0, untilMs - clock.monotonicMs());
+    const backoff = backoffs.get(server);
+    if (backoff === undefined) return 0;
+    return Math.max(0, backoff.untilMs - clock.monotonicMs());
   }
 
   function forgetOld(): void {
--- a/src/servers/permits.ts
+++ b/src/servers/permits.ts
@@ -122,8 +122,9 @@
     getEffectiveSlots({ id, service, slots }) {
       if (backoffs.getLeftMs(id) > 0) return 0;
       const ratePerS = rateLimits.getRatePerS(id);
+      if (ratePerS === undefined) return slots;
       const runMs = runTimes.getMeanMs(service);
-      if (ratePerS === undefined || runMs === undefined) return slots;
+      if (runMs === undefined) return slots;
       return Math.min(slots, ratePerS * runMs / 1_000);
     },
     getWaitMs(servers) {
