Lower no body limit on timeouts after a short time

A client's short deadline ends before a server that runs has answered anything. Such a timeout, beside one more body, lowered the limit of the whole service. The test sent a body with a deadline of 100 ms beside one that was answered, and saw one lowering.

--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -52,7 +52,10 @@
 }
 
 /** A request with fixed work, for tests that send single requests. */
-export type SingleRequest = Omit<Load, "getRatePerS">;
+export interface SingleRequest extends Omit<Load, "getRatePerS"> {
+  /** Deadline that the client gives; absent if it gives none. */
+  deadlineMs?: number;
+}
 
 /** What became of the requests of one load. */
 export interface Outcome {
@@ -355,7 +358,7 @@
       headers: { "x-work": `${load.workMs}` },
       metadata: {
         requestId: "q",
-        deadlineMs: undefined,
+        deadlineMs: load.deadlineMs,
         objectKey: `${Math.floor(random() * OBJECTS)}`,
         callerKey: undefined,
         apiKey: undefined,
--- a/src/serving/inflight_bodies_test.ts
+++ b/src/serving/inflight_bodies_test.ts
@@ -178,6 +178,20 @@
   assert.is(inflightBodies.getStats().lowerings, 1);
 });
 
+// Guards against lower limits, and refusals, where clients give up early on
+// servers that run.
+test("a timeout after a short deadline lowers nothing", async () => {
+  const { fleet, upload, inflightBodies } = startVm();
+  const results = [100, 3_000].map((deadlineMs) =>
+    fleet.request(0, { ...upload, deadlineMs })
+  );
+  await fleet.advance(700);
+  const [timedOut, answered] = await Promise.all(results);
+  assert.is(timedOut.kind, "timed_out");
+  assert.is(answered.kind, "answer");
+  assert.is(inflightBodies.getStats().lowerings, 0);
+});
+
 /**
  * Load: 71 uploads a second over 31 servers of 3 slots, 60 KB in the mean and
  * up to 360 KB, three bursts of 2.6 times.
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -80,6 +80,12 @@
  * No attempt is made with less time left: a server needs that much to answer.
  */
 const MIN_ATTEMPT_MS = 20;
+/**
+ * Least share of the route's timeout after which a timeout without a response
+ * suggests that the server ended. After a short deadline of the client, or the
+ * little time that is left for a retry, a server that runs may be silent too.
+ */
+const LONG_TIMEOUT_SHARE = 0.5;
 /** Why a request is not retried. */
 type RetryDenial =
   | "attempts_used"
@@ -114,6 +120,15 @@
   return result.signals.backoffMs === undefined ? "taken" : "turned_away";
 }
 
+function isLongTimeout(
+  { route }: CallerRequest,
+  result: ExchangeResult,
+  tookMs: number,
+): boolean {
+  return result.kind === "lost" && result.reason === "timeout" &&
+    tookMs >= LONG_TIMEOUT_SHARE * route.timeoutMs;
+}
+
 /** How to proceed after an attempt. */
 type NextStep = { kind: "again" } | { kind: "done"; result: ServeResult };
 
@@ -280,7 +295,7 @@
       ? inflightBodies.end(server, bodyBytes, result.kind === "answer")
       : 0;
     if (
-      heldBytes > 0 && result.kind === "lost" && result.reason === "timeout" &&
+      heldBytes > 0 && isLongTimeout(request, result, tookMs) &&
       !server.health.hasRespondedSince(startedAtMs)
     ) inflightBodies.recordServerEnd(server, heldBytes);
     options.permits.end(server.listed, toPermitOutcome(result));
