Exceed a body limit rather than refuse, where no server crashed

At half load, a single VM with one server refused bodies above the usual size and others beside them, since the server was rarely idle. Where no server has room, a body may now use the limit that answers could raise it to, unless a limit of the service was lowered in the last two minutes.

--- a/src/serving/inflight_bodies.ts
+++ b/src/serving/inflight_bodies.ts
@@ -52,14 +52,25 @@
   unplaced: number;
 }
 
+/** Which limit a body has to fit within. */
+export type BodyLimitKind =
+  /** The limit as raised and lowered so far. */
+  | "current"
+  /**
+   * The limit that answers could raise it to, for bodies that would be refused
+   * otherwise. It is the current one for a time after a server ended.
+   */
+  | "largest";
+
 /** The bytes of request bodies in flight to each server. */
 export interface InflightBodies {
   /**
    * @param server A server.
    * @param bytes Size of a body.
+   * @param kind The limit that applies.
    * @returns Whether the body may be sent to the server.
    */
-  hasRoom(server: KnownServer, bytes: number): boolean;
+  hasRoom(server: KnownServer, bytes: number, kind: BodyLimitKind): boolean;
   /**
    * Records that a body is sent, whether or not there is room.
    *
@@ -119,6 +130,11 @@
 const RECOVERY_HALF_LIFE_MS = 30_000;
 /** A limit above this share of its start counts as recovered. */
 const RECOVERED_FACTOR = 0.95;
+/**
+ * Time after a lowering in which no body may exceed the current limit. A limit
+ * that was lowered to a third has then nearly recovered.
+ */
+const CAUTION_MS = 120_000;
 /**
  * Requests that one end of a server interrupts are recorded as lost within this
  * time: at once after a reset, by their deadlines if the server stays silent.
@@ -134,6 +150,8 @@
   factor: number;
   changedAtMs: number;
   isLowered: boolean;
+  /** Time of the last lowering; -Infinity if there was none. */
+  loweredAtMs: number;
   /** When servers ended, by id. */
   endedAtMs: Map<string, number>;
 }
@@ -170,6 +188,7 @@
       factor: 1,
       changedAtMs: clock.monotonicMs(),
       isLowered: false,
+      loweredAtMs: -Infinity,
       endedAtMs: new Map(),
     };
     services.set(service, state);
@@ -193,6 +212,16 @@
     return bodies * state.usualBytes;
   }
 
+  function getLargestLimitBytes(
+    state: ServiceState,
+    server: KnownServer,
+  ): number {
+    const sinceLoweredMs = clock.monotonicMs() - state.loweredAtMs;
+    return sinceLoweredMs < CAUTION_MS
+      ? getLimitBytes(state, server)
+      : MAX_FACTOR * server.load.getSlots() * state.usualBytes;
+  }
+
   function recordSize(
     state: ServiceState,
     routeName: string,
@@ -222,11 +251,14 @@
   }
 
   return {
-    hasRoom(server, bytes) {
+    hasRoom(server, bytes, kind) {
       const heldBytes = held.get(server.listed.id);
       if (heldBytes === undefined) return true;
       const state = getState(server.listed.service);
-      return heldBytes + bytes <= getLimitBytes(state, server);
+      const limitBytes = kind === "current"
+        ? getLimitBytes(state, server)
+        : getLargestLimitBytes(state, server);
+      return heldBytes + bytes <= limitBytes;
     },
     begin({ listed }, routeName, bytes) {
       const state = getState(listed.service);
@@ -263,6 +295,7 @@
       if (lowered >= getFactor(state)) return;
       setFactor(state, lowered);
       state.isLowered = state.factor < RECOVERED_FACTOR;
+      state.loweredAtMs = state.changedAtMs;
       lowerings++;
       log.info(
         {
--- a/src/serving/inflight_bodies_test.ts
+++ b/src/serving/inflight_bodies_test.ts
@@ -32,7 +32,7 @@
   /** Sends bodies of the usual size; returns how many there was room for. */
   function fill(server = first, count = 20): number {
     for (let sent = 0; sent < count; sent++) {
-      if (!bodies.hasRoom(server, USUAL)) return sent;
+      if (!bodies.hasRoom(server, USUAL, "current")) return sent;
       bodies.begin(server, "r", USUAL);
     }
     return count;
@@ -60,7 +60,7 @@
 // Guards against bodies that no server would ever be sent.
 test("a server without bytes in flight takes a body of any size", () => {
   const { bodies, first } = startBodies();
-  assert.ok(bodies.hasRoom(first, 20 * USUAL));
+  assert.ok(bodies.hasRoom(first, 20 * USUAL, "current"));
 });
 
 // Guards against refusals at deployments with few VMs, whose servers hold more.
@@ -106,6 +106,22 @@
   assert.is(bodies.getStats().loweredLimits, 0);
 });
 
+// Guards against sending more than a server held when it crashed, for lack of
+// another one.
+test("only the current limit applies for two minutes after a crash", () => {
+  const { clock, bodies, first, second, fill, endAll } = startBodies();
+  const fits = (bytes: number) => bodies.hasRoom(second, bytes, "largest");
+  fill(second, 1);
+  assert.equal([fits(11 * USUAL), fits(11 * USUAL + 1)], [true, false]);
+  fill(first);
+  bodies.recordServerEnd(first, endAll(false)[0]);
+  assert.not.ok(fits(USUAL));
+  clock.advance(119_999);
+  assert.not.ok(fits(3 * USUAL));
+  clock.advance(1);
+  assert.ok(fits(11 * USUAL));
+});
+
 // Guards against limits that fall with each crash, whatever its cause.
 test("a server that ends under a single usual body lowers nothing", () => {
   const { bodies, first, fill, endAll } = startBodies();
@@ -192,6 +208,27 @@
   assert.is(inflightBodies.getStats().lowerings, 0);
 });
 
+// Guards against refusals of bodies above the usual size, and of others beside
+// them, where few servers have a free slot for them.
+test("a single VM refuses no large bodies at half load", async () => {
+  for (const servers of [1, 2]) {
+    const { fleet, inflightBodies } = startVm({ servers });
+    const load = (ratePerS: number, bodyBytes: number) => ({
+      route: UPLOADS,
+      workMs: 644,
+      bodyBytes,
+      getRatePerS: () => ratePerS * servers,
+    });
+    const outcomes = await fleet.run(
+      [load(2.1, 48_000), load(0.1, 130_000), load(0.1, 360_000)],
+      60_000,
+    );
+    const unanswered = outcomes.map((outcome) => outcome.unanswered);
+    assert.equal(unanswered, [0, 0, 0]);
+    assert.is(inflightBodies.getStats().unplaced, 0);
+  }
+});
+
 /**
  * Load: 71 uploads a second over 31 servers of 3 slots, 60 KB in the mean and
  * up to 360 KB, three bursts of 2.6 times.
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -33,7 +33,11 @@
 import { isUnusualSlowdown } from "../servers/speed.ts";
 import type { ListedServer } from "../servers/types.ts";
 import type { Log } from "../telemetry/log.ts";
-import { getCountedBytes, type InflightBodies } from "./inflight_bodies.ts";
+import {
+  type BodyLimitKind,
+  getCountedBytes,
+  type InflightBodies,
+} from "./inflight_bodies.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import type { OverflowDenial, OverflowPlacer } from "./overflow_placer.ts";
 import { makeObjectName, type RequestProgress } from "./request_progress.ts";
@@ -130,6 +134,7 @@
     const throttled: ListedServer[] = [];
     const bodyBytes = getCountedBytes(request);
     const withoutRoom = bodyBytes > 0 ? new Set<string>() : undefined;
+    let bodyLimit: BodyLimitKind = "current";
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
     const placement: PlacementRequest = {
@@ -151,7 +156,11 @@
       hasCachedObject: (id) => hasCachedObject(progress, id),
       isRateLimited: ({ listed }) => permits.isRateLimited(listed),
       hasBodyRoom: withoutRoom && ((server) => {
-        const hasRoom = options.inflightBodies.hasRoom(server, bodyBytes);
+        const hasRoom = options.inflightBodies.hasRoom(
+          server,
+          bodyBytes,
+          bodyLimit,
+        );
         if (!hasRoom) withoutRoom.add(server.listed.id);
         return hasRoom;
       }),
@@ -165,8 +174,12 @@
     const overflow = ownChoice.kind === "full" && throttled.length === 0
       ? chooseOverflow(progress, placement, shares, region)
       : undefined;
-    const choice = overflow?.choice ?? ownChoice;
+    let choice = overflow?.choice ?? ownChoice;
     if (withoutRoom !== undefined && withoutRoom.size > 0) {
+      if (choice.kind === "full" && throttled.length === 0) {
+        bodyLimit = "largest";
+        choice = chooseServer(placement, options.coldLimit, clock);
+      }
       options.inflightBodies.recordPassedOver(choice.kind === "server");
     }
     const inputs = {
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -159,9 +159,14 @@
 });
 
 /**
- * Places an upload of 60 KB; the servers in `full` have no room for its body.
+ * Places an upload of 60 KB; the servers in `full` have no room for its body,
+ * those in `above` only above their current limit.
  */
-function placeUploadBeside(full: string[], ejected: string[] = []) {
+function placeUploadBeside(
+  full: string[],
+  ejected: string[] = [],
+  above: string[] = [],
+) {
   const clock = createFakeClock();
   const registry = makeRegistry(clock);
   for (const id of ["1", "2", "3", "4", "5", "6"]) {
@@ -175,7 +180,9 @@
   const passedOver: boolean[] = [];
   const placer = startPlacer(0, makeUnlimitedPermits(), registry, {
     inflightBodies: {
-      hasRoom: ({ listed }) => !full.includes(listed.id),
+      hasRoom: ({ listed }, _bytes, kind) =>
+        !full.includes(listed.id) &&
+        (kind === "largest" || !above.includes(listed.id)),
       recordPassedOver: (isPlaced) => void passedOver.push(isPlaced),
     },
   });
@@ -207,6 +214,15 @@
   assert.equal(passedOver, [false]);
 });
 
+// Guards against refusals for lack of room at servers that may hold more, and
+// against exceeding a limit while another server has room.
+test("a body exceeds a limit only where no server has room", () => {
+  const full = ["1", "2", "3", "5"];
+  const last = placeUploadBeside([...full, "6"], [], ["4"]);
+  assert.equal(last, { result: "4", passedOver: [true] });
+  assert.is(placeUploadBeside(full, [], ["4"]).result, "6");
+});
+
 // Guards against sending to servers that don't respond while others lack room,
 // and against sending one of them, as the last resort, more than it can hold.
 test("a body is not sent to an ejected server for lack of room", () => {
