--- a/src/serving/inflight_bodies.ts
+++ b/src/serving/inflight_bodies.ts
@@ -58,7 +58,8 @@
   | "current"
   /**
    * The limit that answers could raise it to, for bodies that would be refused
-   * otherwise. It is the current one for a time after a server ended.
+   * otherwise. It is the current one for a time after a server ended while it
+   * held many bytes.
    */
   | "largest";
 
@@ -131,8 +132,9 @@
 /** A limit above this share of its start counts as recovered. */
 const RECOVERED_FACTOR = 0.95;
 /**
- * Time after a lowering in which no body may exceed the current limit. A limit
- * that was lowered to a third has then nearly recovered.
+ * Time in which no body may exceed the current limit after a server ended while
+ * it held many bytes. A limit that was lowered to a third has then nearly
+ * recovered.
  */
 const CAUTION_MS = 120_000;
 /**
@@ -150,9 +152,11 @@
   factor: number;
   changedAtMs: number;
   isLowered: boolean;
-  /** Time of the last lowering; -Infinity if there was none. */
-  loweredAtMs: number;
-  /** When servers ended, by id. */
+  /**
+   * When a server last ended while it held many bytes; -Infinity if none did.
+   */
+  lastEndAtMs: number;
+  /** When servers ended, by id; those of the last `SAME_END_MS` count. */
   endedAtMs: Map<string, number>;
 }
 
@@ -188,7 +192,7 @@
       factor: 1,
       changedAtMs: clock.monotonicMs(),
       isLowered: false,
-      loweredAtMs: -Infinity,
+      lastEndAtMs: -Infinity,
       endedAtMs: new Map(),
     };
     services.set(service, state);
@@ -216,8 +220,8 @@
     state: ServiceState,
     server: KnownServer,
   ): number {
-    const sinceLoweredMs = clock.monotonicMs() - state.loweredAtMs;
-    return sinceLoweredMs < CAUTION_MS
+    const sinceEndMs = clock.monotonicMs() - state.lastEndAtMs;
+    return sinceEndMs < CAUTION_MS
       ? getLimitBytes(state, server)
       : MAX_FACTOR * server.load.getSlots() * state.usualBytes;
   }
@@ -239,15 +243,19 @@
     log.info({ service }, "body limit recovered");
   }
 
-  /** Whether an end of the server was recorded already; if not, records it. */
-  function isRecordedEnd({ endedAtMs }: ServiceState, id: string): boolean {
+  /**
+   * Notes the end of a server.
+   *
+   * @returns Whether it is a new one, not that of another request.
+   */
+  function noteEnd({ endedAtMs }: ServiceState, id: string): boolean {
     const nowMs = clock.monotonicMs();
     for (const [other, atMs] of endedAtMs) {
       if (nowMs - atMs >= SAME_END_MS) endedAtMs.delete(other);
     }
-    if (endedAtMs.has(id)) return true;
+    if (endedAtMs.has(id)) return false;
     endedAtMs.set(id, nowMs);
-    return false;
+    return true;
   }
 
   return {
@@ -288,14 +296,15 @@
         MIN_MANY_BODIES * state.usualBytes,
         MIN_MANY_SHARE * limitBytes,
       );
-      if (heldBytes < manyBytes || isRecordedEnd(state, id)) return;
+      if (heldBytes < manyBytes || !noteEnd(state, id)) return;
+      state.lastEndAtMs = clock.monotonicMs();
       const startBytes = server.load.getSlots() * state.usualBytes;
       const lowered = LOWERED_SHARE * heldBytes / startBytes;
-      // A single large body, which is sent without room too.
+      // A single body above the limit, which an idle server is sent as well,
+      // may have been all that the server held.
       if (lowered >= getFactor(state)) return;
       setFactor(state, lowered);
       state.isLowered = state.factor < RECOVERED_FACTOR;
-      state.loweredAtMs = state.changedAtMs;
       lowerings++;
       log.info(
         {
--- a/src/serving/inflight_bodies_test.ts
+++ b/src/serving/inflight_bodies_test.ts
@@ -122,6 +122,17 @@
   assert.ok(fits(11 * USUAL));
 });
 
+// Guards against servers that crash again and again under bodies above the
+// limit, whose ends lower nothing.
+test("only the current limit applies after a crash above it", () => {
+  const { bodies, first, second, fill, endAll } = startBodies();
+  for (let sent = 0; sent < 9; sent++) bodies.begin(first, "r", USUAL);
+  bodies.recordServerEnd(first, endAll(false)[0]);
+  fill(second);
+  assert.is(bodies.getStats().lowerings, 0);
+  assert.not.ok(bodies.hasRoom(second, USUAL, "largest"));
+});
+
 // Guards against limits that fall with each crash, whatever its cause.
 test("a server that ends under a single usual body lowers nothing", () => {
   const { bodies, first, fill, endAll } = startBodies();
