--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -155,7 +155,7 @@
       read: () => core.inflightBodies.getStats().lowerings,
     },
     body_limit_passed_over_total: {
-      help: "Placements that passed over a server at its body limit",
+      help: "Placements that left out a server at its body limit",
       read: () => core.inflightBodies.getStats().passedOver,
     },
     body_limit_unplaced_total: {
--- a/src/serving/inflight_bodies.ts
+++ b/src/serving/inflight_bodies.ts
@@ -46,9 +46,12 @@
   loweredLimits: number;
   /** Number of times that a limit was lowered, since the start. */
   lowerings: number;
-  /** Placements that passed over a server without room, since the start. */
+  /**
+   * Placements that left out a server without room, since the start. The server
+   * may rank behind the chosen one.
+   */
   passedOver: number;
-  /** Those of them that found no other server. */
+  /** Those of them that found no server. */
   unplaced: number;
 }
 
@@ -98,9 +101,9 @@
    */
   recordServerEnd(server: KnownServer, heldBytes: number): void;
   /**
-   * Counts a placement that passed over a server without room.
+   * Counts a placement that left out a server without room.
    *
-   * @param isPlaced Whether it found another server.
+   * @param isPlaced Whether it found a server.
    */
   recordPassedOver(isPlaced: boolean): void;
   /** @returns The current use. */
--- a/src/serving/inflight_bodies_test.ts
+++ b/src/serving/inflight_bodies_test.ts
@@ -172,6 +172,26 @@
   assert.equal(inflightBodies.getStats().servers, []);
 });
 
+// Guards against bytes that stay counted after attempts that no server ran.
+test("the bytes of attempts that did not run are given back", async () => {
+  const { fleet, upload, inflightBodies } = startVm({ servers: 2 });
+  const [shedding, gone] = [...fleet.servers.keys()];
+  const queued = {
+    bodyBytes: 0,
+    workMs: 9_000,
+    resolve() {},
+    endsAtMs: Infinity,
+  };
+  fleet.servers.set(shedding, Array.from({ length: 12 }, () => queued));
+  fleet.servers.delete(gone);
+  const result = fleet.request(0, upload);
+  await fleet.advance(1);
+  assert.is((await result).kind, "refused");
+  const { heldBytes, services } = inflightBodies.getStats();
+  assert.is(heldBytes, 0);
+  assert.is(services.length, 1);
+});
+
 // Failure: a server crashes under three uploads; its next instance is listed
 // under the same name.
 test("after a crash, the next instance gets fewer bytes", async () => {
