Forget body sizes of routes and services without requests

A route that the configuration no longer has set the usual size, and so the limit, until the process ended. Services that it no longer has were kept too.

--- a/src/serving/inflight_bodies.ts
+++ b/src/serving/inflight_bodies.ts
@@ -110,6 +110,12 @@
   getStats(): InflightBodiesStats;
 }
 
+/**
+ * Routes are forgotten after this time without bodies, since the configuration
+ * may no longer have them; so are services, once another one is added. Lowered
+ * limits have recovered by then.
+ */
+const RETENTION_MS = 600_000;
 /** Usual size before the first body; uploads of 60 KB are common. */
 const INITIAL_USUAL_BYTES = 65_536;
 /** Weight of the newest body in the mean of its route. */
@@ -146,11 +152,20 @@
  */
 const SAME_END_MS = 10_000;
 
+/** Mean size of the bodies of a route. */
+interface BodySizes {
+  meanBytes: number;
+  /** When its last body was sent. */
+  lastAtMs: number;
+}
+
 interface ServiceState {
-  /** Mean body size by route name. */
-  meanBytes: Map<string, number>;
+  /** By route name. */
+  sizes: Map<string, BodySizes>;
   /** Largest of these means, at least `LARGE_BODY_BYTES`. */
   usualBytes: number;
+  /** When its last body was sent. */
+  lastBodyAtMs: number;
   /** As of `changedAtMs`; below 1 it recovers with time. */
   factor: number;
   changedAtMs: number;
@@ -189,11 +204,16 @@
   function getState(service: string): ServiceState {
     const known = services.get(service);
     if (known !== undefined) return known;
+    const nowMs = clock.monotonicMs();
+    for (const [other, { lastBodyAtMs }] of services) {
+      if (nowMs - lastBodyAtMs >= RETENTION_MS) services.delete(other);
+    }
     const state: ServiceState = {
-      meanBytes: new Map(),
+      sizes: new Map(),
       usualBytes: INITIAL_USUAL_BYTES,
       factor: 1,
-      changedAtMs: clock.monotonicMs(),
+      lastBodyAtMs: nowMs,
+      changedAtMs: nowMs,
       isLowered: false,
       lastEndAtMs: -Infinity,
       endedAtMs: new Map(),
@@ -234,9 +254,19 @@
     routeName: string,
     bytes: number,
   ): void {
-    const mean = state.meanBytes.get(routeName) ?? INITIAL_USUAL_BYTES;
-    state.meanBytes.set(routeName, mean + NEWEST_WEIGHT * (bytes - mean));
-    state.usualBytes = Math.max(LARGE_BODY_BYTES, ...state.meanBytes.values());
+    const { sizes } = state;
+    const mean = sizes.get(routeName)?.meanBytes ?? INITIAL_USUAL_BYTES;
+    const nowMs = clock.monotonicMs();
+    sizes.set(routeName, {
+      meanBytes: mean + NEWEST_WEIGHT * (bytes - mean),
+      lastAtMs: nowMs,
+    });
+    state.lastBodyAtMs = nowMs;
+    state.usualBytes = LARGE_BODY_BYTES;
+    for (const [name, { meanBytes, lastAtMs }] of sizes) {
+      if (nowMs - lastAtMs >= RETENTION_MS) sizes.delete(name);
+      else state.usualBytes = Math.max(state.usualBytes, meanBytes);
+    }
   }
 
   function noteRecovery(service: string, state: ServiceState): void {
--- a/src/serving/inflight_bodies_test.ts
+++ b/src/serving/inflight_bodies_test.ts
@@ -141,6 +141,30 @@
   assert.is(bodies.getStats().lowerings, 0);
 });
 
+// Guards against state that grows with each change of the configuration, and
+// against limits that stay at the size of a route's former bodies.
+test("routes and services without bodies for 10 minutes are forgotten", () => {
+  const { clock, bodies, first } = startBodies();
+  const [other, added] = ["t", "u"].map((service) => ({
+    ...first,
+    listed: { ...first.listed, service },
+  }));
+  const getServices = () =>
+    bodies.getStats().services.map(({ service, usualBytes }) => [
+      service,
+      usualBytes,
+    ]);
+  bodies.begin(first, "former", 11 * USUAL);
+  bodies.begin(other, "r", USUAL);
+  clock.advance(599_999);
+  bodies.begin(first, "r", USUAL);
+  assert.equal(getServices(), [["s", 2 * USUAL], ["t", USUAL]]);
+  clock.advance(1);
+  bodies.begin(first, "r", USUAL);
+  bodies.begin(added, "r", USUAL);
+  assert.equal(getServices(), [["s", USUAL], ["u", USUAL]]);
+});
+
 test("only uploads and bodies of 16 KB and more count", () => {
   const count = (bytes: number, route = makeRequest().route) =>
     getCountedBytes(makeRequest({ body: Buffer.alloc(bytes), route }));
