--- a/src/serving/inflight_bodies.ts
+++ b/src/serving/inflight_bodies.ts
@@ -46,20 +46,35 @@
   loweredLimits: number;
   /** Number of times that a limit was lowered, since the start. */
   lowerings: number;
-  /** Placements that passed over a server without room, since the start. */
+  /**
+   * Placements that left out a server without room, since the start. The server
+   * may rank behind the chosen one.
+   */
   passedOver: number;
-  /** Those of them that found no other server. */
+  /** Those of them that found no server. */
   unplaced: number;
 }
 
+/** Which limit a body has to fit within. */
+export type BodyLimitKind =
+  /** The limit as raised and lowered so far. */
+  | "current"
+  /**
+   * The limit that answers could raise it to, for bodies that would be refused
+   * otherwise. It is the current one for a time after a server ended while it
+   * held many bytes.
+   */
+  | "largest";
+
 /** The bytes of request bodies in flight to each server. */
 export interface InflightBodies {
   /**
    * @param server A server.
    * @param bytes Size of a body.
+   * @param kind The limit that applies.
    * @returns Whether the body may be sent to the server.
    */
-  hasRoom(server: KnownServer, bytes: number): boolean;
+  hasRoom(server: KnownServer, bytes: number, kind: BodyLimitKind): boolean;
   /**
    * Records that a body is sent, whether or not there is room.
    *
@@ -86,15 +101,21 @@
    */
   recordServerEnd(server: KnownServer, heldBytes: number): void;
   /**
-   * Counts a placement that passed over a server without room.
+   * Counts a placement that left out a server without room.
    *
-   * @param isPlaced Whether it found another server.
+   * @param isPlaced Whether it found a server.
    */
   recordPassedOver(isPlaced: boolean): void;
   /** @returns The current use. */
   getStats(): InflightBodiesStats;
 }
 
+/**
+ * Routes are forgotten after this time without bodies, since the configuration
+ * may no longer have them; so are services, once another one is added. Lowered
+ * limits have recovered by then.
+ */
+const RETENTION_MS = 600_000;
 /** Usual size before the first body; uploads of 60 KB are common. */
 const INITIAL_USUAL_BYTES = 65_536;
 /** Weight of the newest body in the mean of its route. */
@@ -119,22 +140,41 @@
 const RECOVERY_HALF_LIFE_MS = 30_000;
 /** A limit above this share of its start counts as recovered. */
 const RECOVERED_FACTOR = 0.95;
+/**
+ * Time in which no body may exceed the current limit after a server ended while
+ * it held many bytes. A limit that was lowered to a third has then nearly
+ * recovered.
+ */
+const CAUTION_MS = 120_000;
 /**
  * Requests that one end of a server interrupts are recorded as lost within this
  * time: at once after a reset, by their deadlines if the server stays silent.
  */
 const SAME_END_MS = 10_000;
 
+/** Mean size of the bodies of a route. */
+interface BodySizes {
+  meanBytes: number;
+  /** When its last body was sent. */
+  lastAtMs: number;
+}
+
 interface ServiceState {
-  /** Mean body size by route name. */
-  meanBytes: Map<string, number>;
+  /** By route name. */
+  sizes: Map<string, BodySizes>;
   /** Largest of these means, at least `LARGE_BODY_BYTES`. */
   usualBytes: number;
+  /** When its last body was sent. */
+  lastBodyAtMs: number;
   /** As of `changedAtMs`; below 1 it recovers with time. */
   factor: number;
   changedAtMs: number;
   isLowered: boolean;
-  /** When servers ended, by id. */
+  /**
+   * When a server last ended while it held many bytes; -Infinity if none did.
+   */
+  lastEndAtMs: number;
+  /** When servers ended, by id; those of the last `SAME_END_MS` count. */
   endedAtMs: Map<string, number>;
 }
 
@@ -164,12 +204,18 @@
   function getState(service: string): ServiceState {
     const known = services.get(service);
     if (known !== undefined) return known;
+    const nowMs = clock.monotonicMs();
+    for (const [other, { lastBodyAtMs }] of services) {
+      if (nowMs - lastBodyAtMs >= RETENTION_MS) services.delete(other);
+    }
     const state: ServiceState = {
-      meanBytes: new Map(),
+      sizes: new Map(),
       usualBytes: INITIAL_USUAL_BYTES,
       factor: 1,
-      changedAtMs: clock.monotonicMs(),
+      lastBodyAtMs: nowMs,
+      changedAtMs: nowMs,
       isLowered: false,
+      lastEndAtMs: -Infinity,
       endedAtMs: new Map(),
     };
     services.set(service, state);
@@ -193,14 +239,34 @@
     return bodies * state.usualBytes;
   }
 
+  function getLargestLimitBytes(
+    state: ServiceState,
+    server: KnownServer,
+  ): number {
+    const sinceEndMs = clock.monotonicMs() - state.lastEndAtMs;
+    return sinceEndMs < CAUTION_MS
+      ? getLimitBytes(state, server)
+      : MAX_FACTOR * server.load.getSlots() * state.usualBytes;
+  }
+
   function recordSize(
     state: ServiceState,
     routeName: string,
     bytes: number,
   ): void {
-    const mean = state.meanBytes.get(routeName) ?? INITIAL_USUAL_BYTES;
-    state.meanBytes.set(routeName, mean + NEWEST_WEIGHT * (bytes - mean));
-    state.usualBytes = Math.max(LARGE_BODY_BYTES, ...state.meanBytes.values());
+    const { sizes } = state;
+    const mean = sizes.get(routeName)?.meanBytes ?? INITIAL_USUAL_BYTES;
+    const nowMs = clock.monotonicMs();
+    sizes.set(routeName, {
+      meanBytes: mean + NEWEST_WEIGHT * (bytes - mean),
+      lastAtMs: nowMs,
+    });
+    state.lastBodyAtMs = nowMs;
+    state.usualBytes = LARGE_BODY_BYTES;
+    for (const [name, { meanBytes, lastAtMs }] of sizes) {
+      if (nowMs - lastAtMs >= RETENTION_MS) sizes.delete(name);
+      else state.usualBytes = Math.max(state.usualBytes, meanBytes);
+    }
   }
 
   function noteRecovery(service: string, state: ServiceState): void {
@@ -210,23 +276,30 @@
     log.info({ service }, "body limit recovered");
   }
 
-  /** Whether an end of the server was recorded already; if not, records it. */
-  function isRecordedEnd({ endedAtMs }: ServiceState, id: string): boolean {
+  /**
+   * Notes the end of a server.
+   *
+   * @returns Whether it is a new one, not that of another request.
+   */
+  function noteEnd({ endedAtMs }: ServiceState, id: string): boolean {
     const nowMs = clock.monotonicMs();
     for (const [other, atMs] of endedAtMs) {
       if (nowMs - atMs >= SAME_END_MS) endedAtMs.delete(other);
     }
-    if (endedAtMs.has(id)) return true;
+    if (endedAtMs.has(id)) return false;
     endedAtMs.set(id, nowMs);
-    return false;
+    return true;
   }
 
   return {
-    hasRoom(server, bytes) {
+    hasRoom(server, bytes, kind) {
       const heldBytes = held.get(server.listed.id);
       if (heldBytes === undefined) return true;
       const state = getState(server.listed.service);
-      return heldBytes + bytes <= getLimitBytes(state, server);
+      const limitBytes = kind === "current"
+        ? getLimitBytes(state, server)
+        : getLargestLimitBytes(state, server);
+      return heldBytes + bytes <= limitBytes;
     },
     begin({ listed }, routeName, bytes) {
       const state = getState(listed.service);
@@ -256,10 +329,12 @@
         MIN_MANY_BODIES * state.usualBytes,
         MIN_MANY_SHARE * limitBytes,
       );
-      if (heldBytes < manyBytes || isRecordedEnd(state, id)) return;
+      if (heldBytes < manyBytes || !noteEnd(state, id)) return;
+      state.lastEndAtMs = clock.monotonicMs();
       const startBytes = server.load.getSlots() * state.usualBytes;
       const lowered = LOWERED_SHARE * heldBytes / startBytes;
-      // A single large body, which is sent without room too.
+      // A single body above the limit, which an idle server is sent as well,
+      // may have been all that the server held.
       if (lowered >= getFactor(state)) return;
       setFactor(state, lowered);
       state.isLowered = state.factor < RECOVERED_FACTOR;
--- a/src/serving/inflight_bodies_test.ts
+++ b/src/serving/inflight_bodies_test.ts
@@ -32,7 +32,7 @@
   /** Sends bodies of the usual size; returns how many there was room for. */
   function fill(server = first, count = 20): number {
     for (let sent = 0; sent < count; sent++) {
-      if (!bodies.hasRoom(server, USUAL)) return sent;
+      if (!bodies.hasRoom(server, USUAL, "current")) return sent;
       bodies.begin(server, "r", USUAL);
     }
     return count;
@@ -60,7 +60,7 @@
 // Guards against bodies that no server would ever be sent.
 test("a server without bytes in flight takes a body of any size", () => {
   const { bodies, first } = startBodies();
-  assert.ok(bodies.hasRoom(first, 20 * USUAL));
+  assert.ok(bodies.hasRoom(first, 20 * USUAL, "current"));
 });
 
 // Guards against refusals at deployments with few VMs, whose servers hold more.
@@ -106,6 +106,33 @@
   assert.is(bodies.getStats().loweredLimits, 0);
 });
 
+// Guards against sending more than a server held when it crashed, for lack of
+// another one.
+test("only the current limit applies for two minutes after a crash", () => {
+  const { clock, bodies, first, second, fill, endAll } = startBodies();
+  const fits = (bytes: number) => bodies.hasRoom(second, bytes, "largest");
+  fill(second, 1);
+  assert.equal([fits(11 * USUAL), fits(11 * USUAL + 1)], [true, false]);
+  fill(first);
+  bodies.recordServerEnd(first, endAll(false)[0]);
+  assert.not.ok(fits(USUAL));
+  clock.advance(119_999);
+  assert.not.ok(fits(3 * USUAL));
+  clock.advance(1);
+  assert.ok(fits(11 * USUAL));
+});
+
+// Guards against servers that crash again and again under bodies above the
+// limit, whose ends lower nothing.
+test("only the current limit applies after a crash above it", () => {
+  const { bodies, first, second, fill, endAll } = startBodies();
+  for (let sent = 0; sent < 9; sent++) bodies.begin(first, "r", USUAL);
+  bodies.recordServerEnd(first, endAll(false)[0]);
+  fill(second);
+  assert.is(bodies.getStats().lowerings, 0);
+  assert.not.ok(bodies.hasRoom(second, USUAL, "largest"));
+});
+
 // Guards against limits that fall with each crash, whatever its cause.
 test("a server that ends under a single usual body lowers nothing", () => {
   const { bodies, first, fill, endAll } = startBodies();
@@ -114,6 +141,30 @@
   assert.is(bodies.getStats().lowerings, 0);
 });
 
+// Guards against state that grows with each change of the configuration, and
+// against limits that stay at the size of a route's former bodies.
+test("routes and services without bodies for 10 minutes are forgotten", () => {
+  const { clock, bodies, first } = startBodies();
+  const [other, added] = ["t", "u"].map((service) => ({
+    ...first,
+    listed: { ...first.listed, service },
+  }));
+  const getServices = () =>
+    bodies.getStats().services.map(({ service, usualBytes }) => [
+      service,
+      usualBytes,
+    ]);
+  bodies.begin(first, "former", 11 * USUAL);
+  bodies.begin(other, "r", USUAL);
+  clock.advance(599_999);
+  bodies.begin(first, "r", USUAL);
+  assert.equal(getServices(), [["s", 2 * USUAL], ["t", USUAL]]);
+  clock.advance(1);
+  bodies.begin(first, "r", USUAL);
+  bodies.begin(added, "r", USUAL);
+  assert.equal(getServices(), [["s", USUAL], ["u", USUAL]]);
+});
+
 test("only uploads and bodies of 16 KB and more count", () => {
   const count = (bytes: number, route = makeRequest().route) =>
     getCountedBytes(makeRequest({ body: Buffer.alloc(bytes), route }));
@@ -145,6 +196,26 @@
   assert.equal(inflightBodies.getStats().servers, []);
 });
 
+// Guards against bytes that stay counted after attempts that no server ran.
+test("the bytes of attempts that did not run are given back", async () => {
+  const { fleet, upload, inflightBodies } = startVm({ servers: 2 });
+  const [shedding, gone] = [...fleet.servers.keys()];
+  const queued = {
+    bodyBytes: 0,
+    workMs: 9_000,
+    resolve() {},
+    endsAtMs: Infinity,
+  };
+  fleet.servers.set(shedding, Array.from({ length: 12 }, () => queued));
+  fleet.servers.delete(gone);
+  const result = fleet.request(0, upload);
+  await fleet.advance(1);
+  assert.is((await result).kind, "refused");
+  const { heldBytes, services } = inflightBodies.getStats();
+  assert.is(heldBytes, 0);
+  assert.is(services.length, 1);
+});
+
 // Failure: a server crashes under three uploads; its next instance is listed
 // under the same name.
 test("after a crash, the next instance gets fewer bytes", async () => {
@@ -178,6 +249,41 @@
   assert.is(inflightBodies.getStats().lowerings, 1);
 });
 
+// Guards against lower limits, and refusals, where clients give up early on
+// servers that run.
+test("a timeout after a short deadline lowers nothing", async () => {
+  const { fleet, upload, inflightBodies } = startVm();
+  const results = [100, 3_000].map((deadlineMs) =>
+    fleet.request(0, { ...upload, deadlineMs })
+  );
+  await fleet.advance(700);
+  const [timedOut, answered] = await Promise.all(results);
+  assert.is(timedOut.kind, "timed_out");
+  assert.is(answered.kind, "answer");
+  assert.is(inflightBodies.getStats().lowerings, 0);
+});
+
+// Guards against refusals of bodies above the usual size, and of others beside
+// them, where few servers have a free slot for them.
+test("a single VM refuses no large bodies at half load", async () => {
+  for (const servers of [1, 2]) {
+    const { fleet, inflightBodies } = startVm({ servers });
+    const load = (ratePerS: number, bodyBytes: number) => ({
+      route: UPLOADS,
+      workMs: 644,
+      bodyBytes,
+      getRatePerS: () => ratePerS * servers,
+    });
+    const outcomes = await fleet.run(
+      [load(2.1, 48_000), load(0.1, 130_000), load(0.1, 360_000)],
+      60_000,
+    );
+    const unanswered = outcomes.map((outcome) => outcome.unanswered);
+    assert.equal(unanswered, [0, 0, 0]);
+    assert.is(inflightBodies.getStats().unplaced, 0);
+  }
+});
+
 /**
  * Load: 71 uploads a second over 31 servers of 3 slots, 60 KB in the mean and
  * up to 360 KB, three bursts of 2.6 times.
