End a wait on time where a try shortly precedes its end

Cause: a timer that is due within 20 ms of the last try of all waiting requests was put off by that minimum time, also where it ends the wait. Change: at its end the request selects a server once more by itself; the minimum time between tries of all waiting requests stays. The fixture's fleet takes a seed, for replays with several.

--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -76,8 +76,11 @@
   servers: number;
   slots: number;
   competingPriorities: readonly number[];
+  /** Seed of arrivals and objects. */
+  seed?: number;
 }
 
+const DEFAULT_SEED = 20261203;
 const STEP_MS = 5;
 /** Interval of the reports between the VMs of a large fleet. */
 const REPORT_INTERVAL_MS = 200;
@@ -114,7 +117,7 @@
 export function createFleet(options: FleetOptions) {
   const clock = createFakeClock();
   const log = createSilentLog();
-  const random = createRandom(20261203);
+  const random = createRandom(options.seed ?? DEFAULT_SEED);
   const servers = new Map<string, Job[]>();
   /** Requests at servers as the VMs last reported them to each other. */
   let reported = new Map<number, number>();
--- a/src/queueing/wait_queue.ts
+++ b/src/queueing/wait_queue.ts
@@ -114,8 +114,8 @@
 
 interface QueuedRequest extends WaitEntry {
   bytes: number;
-  /** Ends the wait without another try. */
-  leave(outcome: "refused" | "client_left"): void;
+  /** Takes it from the queue before its turn. */
+  leave(outcome: WaitOutcome): void;
 }
 
 interface ServiceQueue {
@@ -269,15 +269,17 @@
     request.signal.addEventListener("abort", onClientLeft);
     const retryMs = getMaxWaitMs(targetLatencyMs) / TIMED_TRIES;
     const queued = getQueue(service);
+    const endsAtMs = clock.monotonicMs() + Math.min(waitLeftMs, targetLeftMs);
     let timer = clock.after(
       Math.min(retryMs, waitLeftMs, targetLeftMs),
       tryWhenDue,
     );
     function tryWhenDue(): void {
-      const dueInMs = queued.triedAtMs + MIN_TRY_INTERVAL_MS -
-        clock.monotonicMs();
+      const nowMs = clock.monotonicMs();
+      const dueInMs = queued.triedAtMs + MIN_TRY_INTERVAL_MS - nowMs;
       if (dueInMs <= 0) return notify(service);
-      timer = clock.after(dueInMs, tryWhenDue);
+      if (nowMs >= endsAtMs) return entry.leave("try_again");
+      timer = clock.after(Math.min(dueInMs, endsAtMs - nowMs), tryWhenDue);
     }
     const { signal } = controller;
     const added = queued.queue.add(() => {}, { entry, signal });
