Serve accounts over their fair share after others in a shortage

Cause: between accounts of one route only the order of waiting had an effect, and a VM that sees one request in 65 has few that wait at once. Change: each VM counts recent requests of accounts and those among them that found all servers full, and computes a max-min fair share of what was served. An account of which it saw 1.5 shares and at least eight requests has one slot of each server less, if another account that is not less urgent is within its share. Nothing changes without such a shortage, with one account, or for accounts without priority and rate limit.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -37,6 +37,10 @@
   listCompetingPriorities,
   type UrgentDemand,
 } from "../queueing/urgency.ts";
+import {
+  type AccountShares,
+  createAccountShares,
+} from "../queueing/account_shares.ts";
 import { createWaitQueue, type WaitQueue } from "../queueing/wait_queue.ts";
 import {
   createSuspectTracker,
@@ -112,6 +116,7 @@
   bodyBudget: BodyBudget;
   demandMeter: DemandMeter;
   urgentDemand: UrgentDemand;
+  accountShares: AccountShares;
   waitQueue: WaitQueue;
   requestHandler: RequestHandler;
   callerCheck: CallerCheck;
@@ -152,6 +157,7 @@
     routes?.getServiceSettings(service);
   const demandMeter = createDemandMeter(clock);
   const urgentDemand = createUrgentDemand(clock);
+  const accountShares = createAccountShares(clock);
   const competingPriorities = new Map<string, readonly number[]>();
   const runTimes = createRunTimes();
   const random = createRandom(makeSeed(self));
@@ -316,6 +322,7 @@
     cacheModel,
     cacheSizeEstimator,
     urgentDemand,
+    accountShares,
     getCompetingPriorities,
     copyPlan,
     overflow: createOverflowPlacer({
@@ -366,6 +373,7 @@
     budget,
     splitter: createSplitter(),
     urgentDemand,
+    accountShares,
     waitQueue,
     demand: {
       ...demandMeter,
@@ -389,6 +397,7 @@
     bodyBudget,
     demandMeter,
     urgentDemand,
+    accountShares,
     waitQueue,
     requestHandler,
     callerCheck,
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -141,7 +141,16 @@
       help: "Bytes of the bodies of waiting requests",
       read: () => core.waitQueue.getStats().waitingBytes,
     },
+    accounts_over_share: {
+      help: "Client accounts over their fair share of a service, at this VM",
+      read: () =>
+        Object.values(core.accountShares.listExceeded()).flat().length,
+    },
   }, {
+    requests_held_back_total: {
+      help: "Requests of accounts over their share that left a slot to others",
+      read: () => core.accountShares.countHeldBack(),
+    },
     waits_placed_total: {
       help: "Requests that were sent to a server after they had waited",
       read: () => core.waitQueue.getStats().ended.placed,
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -64,6 +64,7 @@
     ),
     suspects: core.suspects.list(),
     urgentDemand: core.urgentDemand.list(),
+    accountsOverShare: core.accountShares.listExceeded(),
     waitQueue: core.waitQueue.getStats(),
     members: memberTable.listKnown(),
     openRequests,
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -36,6 +36,7 @@
 import { createRequestHandler } from "../serving/request_handler.ts";
 import type { ExchangeResult, ServeResult } from "../serving/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
+import { createAccountShares } from "./account_shares.ts";
 import { MIN_COMPETING_REPORTED_RUN_MS } from "./thresholds.ts";
 import { createWaitQueue } from "./wait_queue.ts";
 import { createUrgentDemand } from "./urgency.ts";
@@ -152,6 +153,7 @@
     const cacheSizeEstimator = createCacheSizeEstimator();
     const permits = makeUnlimitedPermits();
     const urgentDemand = createUrgentDemand(clock);
+    const accountShares = createAccountShares(clock);
     const getCompetingPriorities = () => options.competingPriorities;
     const waitQueue = createWaitQueue({
       clock,
@@ -188,6 +190,7 @@
         cacheModel,
         cacheSizeEstimator,
         urgentDemand,
+        accountShares,
         getCompetingPriorities,
         getServiceSettings: () => undefined,
       }),
@@ -206,6 +209,7 @@
       splitter: { pickService: () => "s" },
       demand: createDemandMeter(clock),
       urgentDemand,
+      accountShares,
       waitQueue,
       latencyModel,
       cacheModel,
--- a/src/queueing/queueing_test.ts
+++ b/src/queueing/queueing_test.ts
@@ -6,6 +6,7 @@
   type CompetingDemand,
   computeMaxUtilization,
   computeSlotsLeftFree,
+  lowerMaxUtilization,
 } from "./thresholds.ts";
 import {
   createUrgentDemand,
@@ -63,6 +64,16 @@
   assert.is(computeMaxUtilization(0.5, 3, makeDemand(1)), 0.5);
 });
 
+// Guards against accounts over their share that get as many slots as others,
+// and against slots that nobody uses.
+test("an account over its share has a slot less at each server, and at least one", () => {
+  assert.is(lowerMaxUtilization(1, 4), 0.75);
+  assert.is(lowerMaxUtilization(2.5, 2), 2);
+  assert.is(lowerMaxUtilization(0.5, 4), 0.25);
+  assert.is(lowerMaxUtilization(0.25, 4), 0.25);
+  assert.is(lowerMaxUtilization(1, 1), 1);
+});
+
 test("an account's priority overrides that of the route", () => {
   const route = makeRoute({ priority: 2 });
   assert.is(getPriority(route, undefined), 2);
--- a/src/queueing/thresholds.ts
+++ b/src/queueing/thresholds.ts
@@ -26,6 +26,12 @@
  * whole slot for each would leave the third priority a single slot of three.
  */
 const FURTHER_PRIORITY_SLOTS = 0.5;
+/**
+ * Slots of each server that an account over its fair share leaves to others,
+ * besides those left free for more urgent requests. With two priorities and
+ * three slots, half a slot has little effect: two requests either way.
+ */
+const EXCEEDED_SHARE_SLOTS = 1;
 
 /** A less urgent request and the more urgent demand that it competes with. */
 export interface CompetingDemand {
@@ -81,3 +87,21 @@
   const usableSlots = Math.max(1, slots - slotsLeftFree);
   return Math.min(latencyLimit, usableSlots / slots);
 }
+
+/**
+ * Relative to the limit of other accounts, so that servers stay busy where
+ * requests of all accounts may queue at them.
+ *
+ * @param maxUtilization Utilization from which a server does not receive a
+ *   request of an account within its fair share.
+ * @param slots Slots of the server.
+ * @returns That for an account that exceeds its share. An idle server always
+ *   receives the request.
+ */
+export function lowerMaxUtilization(
+  maxUtilization: number,
+  slots: number,
+): number {
+  const usableSlots = maxUtilization * slots - EXCEEDED_SHARE_SLOTS;
+  return Math.min(maxUtilization, Math.max(1, usableSlots) / slots);
+}
--- a/src/serving/overflow_placer_test.ts
+++ b/src/serving/overflow_placer_test.ts
@@ -1,3 +1,4 @@
+import { createAccountShares } from "../queueing/account_shares.ts";
 import { createUrgentDemand } from "../queueing/urgency.ts";
 import * as assert from "uvu/assert";
 import { test } from "uvu";
@@ -116,6 +117,7 @@
     permits,
     ownDomain: `${ownRegion}-a`,
     urgentDemand: createUrgentDemand(clock),
+    accountShares: createAccountShares(clock),
     getCompetingPriorities: () => [1],
     coldLimit: { take: () => false },
     copyPlan,
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -18,10 +18,12 @@
 import type { RegionPlan } from "../placement/regions.ts";
 import type { CacheSizeEstimator } from "../placement/cache_size.ts";
 import { rankRegions, type RegionShare } from "../placement/shares.ts";
+import type { AccountShares } from "../queueing/account_shares.ts";
 import {
   type CompetingDemand,
   computeMaxUtilization,
   computeSlotsLeftFree,
+  lowerMaxUtilization,
 } from "../queueing/thresholds.ts";
 import type { SlotProspect } from "../queueing/wait_decision.ts";
 import type { UrgentDemand } from "../queueing/urgency.ts";
@@ -53,6 +55,7 @@
   cacheModel: ObjectCacheModel;
   cacheSizeEstimator: CacheSizeEstimator;
   urgentDemand: UrgentDemand;
+  accountShares: AccountShares;
   /** Returns the priorities that compete for a service, in ascending order. */
   getCompetingPriorities: (service: string) => readonly number[];
   copyPlan: Pick<CopyPlan, "getCopies">;
@@ -128,13 +131,19 @@
     const throttled: ListedServer[] = [];
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
+    const { account } = request;
+    const exceedsShare = options.accountShares.isExceeded(service, account);
+    const getOrdinaryMaxUtilization = (slots: number) =>
+      computeMaxUtilization(latencyLimit, slots, demand);
     const placement: PlacementRequest = {
       candidates,
       tried: triedServers,
       maxUtilization: latencyLimit,
-      ...(demand === undefined ? {} : {
+      ...(demand === undefined && !exceedsShare ? {} : {
         getMaxUtilization: (slots) =>
-          computeMaxUtilization(latencyLimit, slots, demand),
+          exceedsShare
+            ? lowerMaxUtilization(getOrdinaryMaxUtilization(slots), slots)
+            : getOrdinaryMaxUtilization(slots),
       }),
       copies: getCopies(progress, region),
       maxCacheMissQueue: progress.usesObjectCache
@@ -168,6 +177,7 @@
         spareMs: Math.round(demand.spareMs),
         slotsLeftFree: computeSlotsLeftFree(demand),
       }),
+      ...(exceedsShare ? { exceedsShare } : {}),
       ...overflow?.fields,
       ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
       ...(throttled.length > 0
@@ -177,6 +187,13 @@
     if (choice.kind !== "server") {
       // A waiting request fails many times; the end of its wait is logged.
       if (!progress.wait?.isWaiting) {
+        if (choice.kind === "full" && throttled.length === 0) {
+          if (exceedsShare && !isFull(placement, getOrdinaryMaxUtilization)) {
+            options.accountShares.recordHeldBack();
+          } else {
+            options.accountShares.recordFull(service, account);
+          }
+        }
         const uses = computeUtilizations(service);
         const { maxUtilization: maxUse } = placement;
         log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
@@ -266,6 +283,19 @@
     return { waitRuns: 1 / acceptsPerRun, utilization, isCached };
   }
 
+  /** Whether no warm server takes a request by other limits than its own. */
+  function isFull(
+    placement: PlacementRequest,
+    getMaxUtilization: (slots: number) => number,
+  ): boolean {
+    const choice = chooseServer(
+      { ...placement, getMaxUtilization, takePermit: () => true },
+      { take: () => false },
+      clock,
+    );
+    return choice.kind !== "server";
+  }
+
   /** Selects a server of another region, where that is allowed. */
   function chooseOverflow(
     progress: RequestProgress,
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -10,6 +10,9 @@
 import { createRanking } from "../placement/ranking.ts";
 import { createRegionPlan } from "../placement/regions.ts";
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
+import type { ClientAccount } from "../accounts/types.ts";
+import { createAccountShares } from "../queueing/account_shares.ts";
+import { makeAccount } from "../queueing/fixture.ts";
 import { createUrgentDemand } from "../queueing/urgency.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import type { ServerRegistry } from "../servers/registry.ts";
@@ -63,6 +66,7 @@
     cacheModel: createObjectCacheModel(),
     cacheSizeEstimator: createCacheSizeEstimator(),
     urgentDemand: createUrgentDemand(clock),
+    accountShares: createAccountShares(clock),
     getCompetingPriorities: () => [1],
     copyPlan: { getCopies: () => 2 },
     overflow: {
@@ -219,4 +223,39 @@
   assert.is(before, "placed");
 });
 
+// Guards against an account over its share that takes the last slot, and against
+// requests that are counted as a shortage because they were held back.
+test("an account over its share leaves a slot that another account gets", () => {
+  const clock = createFakeClock();
+  const accountShares = createAccountShares(clock);
+  const registry = makeRegistry(clock);
+  registry.apply(makeServerUpdate(makeServer("1", { slots: 4 }), 1));
+  const [{ load }] = registry.listUsable("s");
+  const [burst, usual] = ["burst", "usual"].map((name) => makeAccount(name, 1));
+  for (let count = 0; count < 11; count++) {
+    accountShares.recordRequest("s", burst);
+  }
+  accountShares.recordRequest("s", usual);
+  const placer = startPlacer(0, makeUnlimitedPermits(), registry, {
+    accountShares,
+  });
+  const place = (account: ClientAccount) =>
+    placer.place(makeProgress({
+      request: makeRequest({ account, homeRegions: ["oslo"] }),
+      usesObjectCache: false,
+    })).kind;
+  // Fills the server up to the limit, which both find full.
+  while (place(burst) === "placed") load.begin();
+  for (let count = 0; count < 4; count++) place(usual);
+  load.end();
+  assert.equal([place(burst), place(usual)], ["not_placed", "placed"]);
+  assert.is(accountShares.countHeldBack(), 1);
+  load.end();
+  assert.is(place(burst), "placed");
+  clock.advance(30_000);
+  while (place(usual) === "placed") load.begin();
+  load.end();
+  assert.is(place(burst), "placed");
+});
+
 test.run();
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -10,6 +10,7 @@
 import type { RateLimiter } from "../limits/limiter.ts";
 import type { ObjectCacheModel } from "../placement/object_cache_model.ts";
 import { makeFingerprint } from "../quarantine/fingerprint.ts";
+import type { AccountShares } from "../queueing/account_shares.ts";
 import type { UrgentDemand } from "../queueing/urgency.ts";
 import { getPriority } from "../queueing/urgency.ts";
 import type { WaitQueue } from "../queueing/wait_queue.ts";
@@ -54,6 +55,7 @@
   splitter: Splitter;
   demand: DemandMeter;
   urgentDemand: UrgentDemand;
+  accountShares: AccountShares;
   waitQueue: WaitQueue;
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
@@ -145,6 +147,7 @@
       route.priority,
       route.targetLatencyMs - runMs,
     );
+    options.accountShares.recordRequest(progress.service, request.account);
     const result = await serve(progress);
     const end = result.kind === "client_left" ? result.kind : "refused";
     waitQueue.recordEnd(progress, end);
--- a/src/serving/shared_machines_test.ts
+++ b/src/serving/shared_machines_test.ts
@@ -16,6 +16,7 @@
 import { createRanking } from "../placement/ranking.ts";
 import { createFakeClock, type FakeClock } from "../runtime/clock.ts";
 import { mixToUnit } from "../runtime/hash.ts";
+import { createAccountShares } from "../queueing/account_shares.ts";
 import { createUrgentDemand } from "../queueing/urgency.ts";
 import { createRandom, drawExponential } from "../runtime/random.ts";
 import { createServerRegistry } from "../servers/registry.ts";
@@ -112,6 +113,7 @@
     },
     ownDomain: "oslo-a",
     urgentDemand: createUrgentDemand(clock),
+    accountShares: createAccountShares(clock),
     getCompetingPriorities: () => [1],
     copyPlan: { getCopies: () => 2 },
     overflow: {
