--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -37,6 +37,10 @@
   listCompetingPriorities,
   type UrgentDemand,
 } from "../queueing/urgency.ts";
+import {
+  type AccountShares,
+  createAccountShares,
+} from "../queueing/account_shares.ts";
 import { createWaitQueue, type WaitQueue } from "../queueing/wait_queue.ts";
 import {
   createSuspectTracker,
@@ -121,6 +125,7 @@
   inflightBodies: InflightBodies;
   demandMeter: DemandMeter;
   urgentDemand: UrgentDemand;
+  accountShares: AccountShares;
   waitQueue: WaitQueue;
   requestHandler: RequestHandler;
   callerCheck: CallerCheck;
@@ -162,6 +167,7 @@
     routes?.getServiceSettings(service);
   const demandMeter = createDemandMeter(clock);
   const urgentDemand = createUrgentDemand(clock);
+  const accountShares = createAccountShares(clock);
   const competingPriorities = new Map<string, readonly number[]>();
   const runTimes = createRunTimes();
   const random = createRandom(makeSeed(self));
@@ -341,6 +347,7 @@
     cacheModel,
     cacheSizeEstimator,
     urgentDemand,
+    accountShares,
     getCompetingPriorities,
     copyPlan,
     overflow: createOverflowPlacer({
@@ -393,6 +400,7 @@
     budget,
     splitter: createSplitter(),
     urgentDemand,
+    accountShares,
     waitQueue,
     demand: {
       ...demandMeter,
@@ -418,6 +426,7 @@
     inflightBodies,
     demandMeter,
     urgentDemand,
+    accountShares,
     waitQueue,
     requestHandler,
     callerCheck,
--- a/src/servers/reachability_replay_test.ts
+++ b/src/servers/reachability_replay_test.ts
@@ -17,6 +17,7 @@
 import { createCacheSizeEstimator } from "../placement/cache_size.ts";
 import { createObjectCacheModel } from "../placement/object_cache_model.ts";
 import { createRanking } from "../placement/ranking.ts";
+import { createAccountShares } from "../queueing/account_shares.ts";
 import { createUrgentDemand } from "../queueing/urgency.ts";
 import { createFakeClock, type FakeClock } from "../runtime/clock.ts";
 import { createRandom, drawExponential } from "../runtime/random.ts";
@@ -98,6 +99,7 @@
     },
     ownDomain: failureDomain,
     urgentDemand: createUrgentDemand(clock),
+    accountShares: createAccountShares(clock),
     getCompetingPriorities: () => [1],
     inflightBodies: createInflightBodies({ clock, log }),
     copyPlan: { getCopies: () => 2 },
