Don't withdraw a failure with a response from before it

A report of another VM from before this VM's last response makes it tell the others of that response. It did so also after a failure of its own since then, and replaced its queued or sent report of that failure.

--- a/src/servers/reachability_test.ts
+++ b/src/servers/reachability_test.ts
@@ -259,6 +259,21 @@
   assert.not(reachability.isTrialDue("1"), "reported again");
 });
 
+// Guards against withdrawing a failure with a response from before it.
+test("a response is not told to others after a newer failure", () => {
+  for (const isSent of [false, true]) {
+    const { clock, reachability, reachOthers } = start();
+    reachability.recordOwn("1", "responded");
+    reachOthers("2", "3");
+    clock.advance(100);
+    reachability.recordOwn("1", "unreachable");
+    const before = isSent ? reachability.takeReports() : [];
+    reachability.receive([report("vm-2", "oslo-b", { ageMs: 150 })]);
+    const told = [...before, ...reachability.takeReports()];
+    assert.equal(told.map(({ news }) => news), ["unreachable"]);
+  }
+});
+
 test("messages and state are bounded", () => {
   const { clock, reachability } = start();
   for (let id = 10; id < 5_000; id++) {
--- a/src/servers/report_outbox.ts
+++ b/src/servers/report_outbox.ts
@@ -19,7 +19,8 @@
 /** Reports that are due. */
 export interface ReportOutbox {
   /**
-   * Queues the report of a response.
+   * Queues the report of a response, unless a failure after it is queued or was
+   * reported: the others keep only the last report of a VM.
    *
    * @param server Id of the server instance.
    * @param atMs Time of the response.
@@ -150,8 +151,11 @@
   }
 
   return {
-    queueResponse: (server, atMs) =>
-      queue(server, { news: "responded", atMs, evidenceFromMs: -Infinity }),
+    queueResponse(server, atMs) {
+      const lastMs = (pending.get(server) ?? sent.get(server))?.atMs;
+      if (lastMs !== undefined && lastMs > atMs) return;
+      queue(server, { news: "responded", atMs, evidenceFromMs: -Infinity });
+    },
     queueFailure(server, hasTimedOut) {
       const atMs = clock.monotonicMs();
       // A request may go unanswered just after the link broke, so that earlier
