Examine no reports once all have ended

Reports end after 4 s but are kept for 60 s or more to recognize repeated ones. Until then each choice of a server computed the reports in force.

--- a/src/servers/reachability.ts
+++ b/src/servers/reachability.ts
@@ -77,7 +77,7 @@
   takeReports(): ReachabilityReport[];
   /** @returns Whether `takeReports` may return reports, now or soon. */
   hasPending(): boolean;
-  /** @returns Whether any reports are held, so that servers may be avoided. */
+  /** @returns Whether any reports may be in force, so that servers are avoided. */
   hasReports(): boolean;
   /**
    * @param server A server.
--- a/src/servers/reachability_test.ts
+++ b/src/servers/reachability_test.ts
@@ -274,6 +274,18 @@
   }
 });
 
+// Guards against work for each request long after the last report ended.
+test("no reports are held once they have ended", () => {
+  const { clock, reachability } = start();
+  assert.not(reachability.hasReports());
+  reachability.receive([report("vm-2", "a", { news: "responded" })]);
+  assert.not(reachability.hasReports());
+  reachability.receive([report("vm-2", "a")]);
+  assert.ok(reachability.hasReports());
+  clock.advance(4_000);
+  assert.not(reachability.hasReports());
+});
+
 test("messages and state are bounded", () => {
   const { clock, reachability } = start();
   for (let id = 10; id < 5_000; id++) {
--- a/src/servers/remote_reports.ts
+++ b/src/servers/remote_reports.ts
@@ -39,7 +39,7 @@
    *   was reported.
    */
   getRespondedAtMs(server: string): number;
-  /** @returns Whether any reports are kept. */
+  /** @returns Whether any reports may be in force. */
   hasAny(): boolean;
   /**
    * Drops what is too old to recognize repeated reports by.
@@ -86,12 +86,18 @@
 ): RemoteReports {
   const reported = new Map<string, ReportedServer>();
   const stats = { received: 0, dropped: 0 };
+  /** When the last report that a server is unreachable ends. */
+  let endsAtMs = -Infinity;
   let cache:
     | { atMs: number; current: ReadonlyMap<string, readonly VmReport[]> }
     | undefined;
   let tokens = MAX_RECEIVED_PER_S;
   let refilledAtMs = clock.monotonicMs();
 
+  function hasAny(): boolean {
+    return endsAtMs >= clock.monotonicMs();
+  }
+
   function getAllCurrent(): ReadonlyMap<string, readonly VmReport[]> {
     const nowMs = clock.monotonicMs();
     if (cache !== undefined && nowMs - cache.atMs < CACHE_LIFE_MS) {
@@ -187,11 +193,13 @@
       entry.lastReportAtMs = Math.max(entry.lastReportAtMs, atMs);
       if (news === "responded") {
         entry.respondedAtMs = Math.max(entry.respondedAtMs, atMs);
+      } else {
+        endsAtMs = Math.max(endsAtMs, atMs + REPORT_LIFE_MS);
       }
       return true;
     },
     getCurrent(server) {
-      if (!reported.has(server)) return [];
+      if (!reported.has(server) || !hasAny()) return [];
       return getAllCurrent().get(server) ?? [];
     },
     getAllCurrent,
@@ -200,7 +208,7 @@
     },
     getRespondedAtMs: (server) =>
       reported.get(server)?.respondedAtMs ?? -Infinity,
-    hasAny: () => reported.size > 0,
+    hasAny,
     sweep() {
       const endMs = clock.monotonicMs() - KEPT_MS;
       const old = [...reported]
