--- a/src/servers/reachability.ts
+++ b/src/servers/reachability.ts
@@ -183,6 +183,7 @@
   return {
     recordOwn(server, outcome) {
       if (outcome === "responded") return recordResponse(server);
+      trials.postpone(server);
       if (contacts.recordFailure(server, outcome)) {
         outbox.queueFailure(server, outcome === "unreachable");
       }
--- a/src/servers/reachability_test.ts
+++ b/src/servers/reachability_test.ts
@@ -286,6 +286,25 @@
   assert.not(reachability.hasReports());
 });
 
+// Guards against one trial after the other at a server that is still silent.
+test("a failed trial postpones the next one of this VM", () => {
+  for (const outcome of ["unreachable", "unanswered"] as const) {
+    const { clock, reachability } = start({ countVms: () => 1 });
+    reachability.receive([report("vm-2", "a")]);
+    clock.advance(1_200);
+    assert.ok(reachability.isTrialDue("1"));
+    reachability.beginTrial("1");
+    clock.advance(400);
+    reachability.recordOwn("1", outcome);
+    reachability.endTrial("1");
+    assert.not(reachability.isTrialDue("1"));
+    clock.advance(1_100);
+    assert.not(reachability.isTrialDue("1"), "1 s + 0.5 x 250 ms");
+    clock.advance(25);
+    assert.ok(reachability.isTrialDue("1"));
+  }
+});
+
 test("messages and state are bounded", () => {
   const { clock, reachability } = start();
   for (let id = 10; id < 5_000; id++) {
--- a/src/servers/server_trials.ts
+++ b/src/servers/server_trials.ts
@@ -15,6 +15,12 @@
    * @param atMs When it last was unreachable.
    */
   schedule(server: string, atMs: number): void;
+  /**
+   * Draws the time of the next trial anew if one is scheduled.
+   *
+   * @param server Id of the server instance, which just failed to respond.
+   */
+  postpone(server: string): void;
   /**
    * @param server Id of a server instance.
    * @returns Whether a trial is due and none runs.
@@ -73,12 +79,17 @@
       clock.monotonicMs() - trial.startedAtMs < MAX_TRIAL_MS;
   }
 
+  function schedule(server: string, atMs: number): void {
+    const dueAtMs = atMs + TRIAL_QUIET_MS +
+      random() * countVms() * TRIAL_INTERVAL_MS;
+    const startedAtMs = trials.get(server)?.startedAtMs ?? -Infinity;
+    trials.set(server, { dueAtMs, startedAtMs });
+  }
+
   return {
-    schedule(server, atMs) {
-      const dueAtMs = atMs + TRIAL_QUIET_MS +
-        random() * countVms() * TRIAL_INTERVAL_MS;
-      const startedAtMs = trials.get(server)?.startedAtMs ?? -Infinity;
-      trials.set(server, { dueAtMs, startedAtMs });
+    schedule,
+    postpone(server) {
+      if (trials.has(server)) schedule(server, clock.monotonicMs());
     },
     isDue(server) {
       const trial = trials.get(server);
