--- a/src/servers/reachability_test.ts
+++ b/src/servers/reachability_test.ts
@@ -305,6 +305,15 @@
   }
 });
 
+test("a report that arrives late does not bring the next trial forward", () => {
+  const { clock, reachability } = start({ countVms: () => 1 });
+  reachability.receive([report("vm-2", "a")]);
+  reachability.receive([report("vm-3", "b", { ageMs: 3_000 })]);
+  assert.not(reachability.isTrialDue("1"));
+  clock.advance(1_075);
+  assert.ok(reachability.isTrialDue("1"));
+});
+
 test("messages and state are bounded", () => {
   const { clock, reachability } = start();
   for (let id = 10; id < 5_000; id++) {
--- a/src/servers/server_trials.ts
+++ b/src/servers/server_trials.ts
@@ -9,7 +9,7 @@
 /** Trials of reported servers. */
 export interface ServerTrials {
   /**
-   * Draws the time of the next trial.
+   * Draws the time of the next trial, unless a later failure is known.
    *
    * @param server Id of the server instance.
    * @param atMs When it last was unreachable.
@@ -58,6 +58,8 @@
 const MAX_TRIAL_MS = 10_000;
 
 interface Trial {
+  /** Last failure, from which the time of the trial is drawn. */
+  failedAtMs: number;
   dueAtMs: number;
   /** -Infinity while none runs. */
   startedAtMs: number;
@@ -80,10 +82,12 @@
   }
 
   function schedule(server: string, atMs: number): void {
+    const known = trials.get(server);
+    if (known !== undefined && known.failedAtMs > atMs) return;
     const dueAtMs = atMs + TRIAL_QUIET_MS +
       random() * countVms() * TRIAL_INTERVAL_MS;
-    const startedAtMs = trials.get(server)?.startedAtMs ?? -Infinity;
-    trials.set(server, { dueAtMs, startedAtMs });
+    const startedAtMs = known?.startedAtMs ?? -Infinity;
+    trials.set(server, { failedAtMs: atMs, dueAtMs, startedAtMs });
   }
 
   return {
