Test the bounds of reports, and trials that don't end

The tests of the unresponsive servers passed also without the bounds of the state, the end of a trial after 10 s, and three rules about own reports.

--- a/src/servers/reachability_test.ts
+++ b/src/servers/reachability_test.ts
@@ -314,6 +314,82 @@
   assert.ok(reachability.isTrialDue("1"));
 });
 
+// Guards against a server that gets no trial after an attempt failed to end.
+test("a trial without an end prevents the next one for 10 s", () => {
+  const { clock, reachability } = start();
+  reachability.receive([report("vm-2", "a")]);
+  clock.advance(20_000);
+  reachability.beginTrial("1");
+  clock.advance(9_999);
+  assert.not(reachability.isTrialDue("1"));
+  clock.advance(1);
+  assert.ok(reachability.isTrialDue("1"));
+});
+
+// Guards against reporting a server that has responded in the meantime.
+test("a queued report is dropped when the server responds", () => {
+  const { reachability, reachOthers } = start();
+  reachability.recordOwn("1", "unreachable");
+  reachOthers("1", "2", "3");
+  assert.equal(reachability.takeReports(), []);
+});
+
+// Guards against receivers that take the second report for a repeated one.
+test("reports of the same time have different stamps", () => {
+  const { reachability, reachOthers } = start();
+  reachOthers("2", "3");
+  reachability.recordOwn("1", "unreachable");
+  const [failure] = reachability.takeReports();
+  reachability.recordOwn("1", "responded");
+  const [response] = reachability.takeReports();
+  assert.ok(response.stampMs > failure.stampMs);
+});
+
+test("requests without a response a minute apart are not counted together", () => {
+  const { clock, reachability, reachOthers } = start();
+  for (let count = 0; count < 3; count++) {
+    clock.advance(60_001);
+    reachability.recordOwn("1", "unanswered");
+    reachOthers("2", "3");
+    assert.equal(reachability.takeReports(), []);
+  }
+});
+
+test("outcomes are kept for 4,096 servers at most", () => {
+  const { reachability } = start();
+  reachability.recordOwn("1", "unreachable");
+  for (let id = 2; id < 6_000; id++) {
+    reachability.recordOwn(`${id}`, "responded");
+  }
+  const [{ reached }] = reachability.takeReports();
+  assert.ok(reached <= 4_096, `${reached}`);
+});
+
+// Guards against memory that grows with reports of servers that nobody lists.
+test("reports are kept for 1,024 servers at most, until a minute has passed", () => {
+  const { clock, reachability } = start();
+  let accepted = 0;
+  for (let id = 0; id < 1_100; id++) {
+    clock.advance(50);
+    const server = `other ${id}`;
+    accepted += reachability.receive([report("vm-2", "a", { server })]).length;
+  }
+  assert.is(accepted, 1_024);
+  clock.advance(60_100);
+  assert.is(reachability.receive([report("vm-2", "a")]).length, 1);
+});
+
+test("the reports of 32 VMs about a server are kept at most", () => {
+  const { clock, reachability } = start();
+  for (let vm = 2; vm < 42; vm++) {
+    clock.advance(50);
+    reachability.receive([report(`vm-${vm}`, "a")]);
+  }
+  const [{ reports }] = reachability.list();
+  assert.is(reports.length, 32);
+  assert.is(reports[0].by, "vm-10", "the oldest are dropped");
+});
+
 test("messages and state are bounded", () => {
   const { clock, reachability } = start();
   for (let id = 10; id < 5_000; id++) {
