Test placement with excluded servers where it makes a difference

The test of a region whose servers are all excluded passed without the code: the VM's own region was chosen anyway. It now excludes that region's server. New tests: no wait for an excluded server, no trial without reports, and no cold server as the last choice.

--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -519,6 +519,17 @@
   assert.is(getOutcome(choice), "1");
 });
 
+// Guards against cold servers that get requests beyond their limited rate.
+test("a doubtful server that is cold is not chosen", () => {
+  const { clock, servers } = createFourServers();
+  servers[0].coldUntilMs = 5_000;
+  for (const server of servers.slice(1)) load(server, 8);
+  const choice = choose(servers, clock, {
+    getAvoidance: (server) => server === servers[0] ? "last" : "none",
+  });
+  assert.is(getOutcome(choice), "full");
+});
+
 test("an excluded server is chosen as little as an ejected one", () => {
   const { clock, servers } = createFourServers();
   for (const server of servers.slice(1)) load(server, 8);
--- a/src/serving/placer_test.ts
+++ b/src/serving/placer_test.ts
@@ -344,20 +344,65 @@
   assert.equal(place("idempotent"), { isFirst: false, isTrial: false });
 });
 
-test("a region whose servers are all excluded is skipped", () => {
-  const placer = startPlacer(0, makeUnlimitedPermits(), undefined, {
+/** A placer of a VM that excludes a server on reports. */
+function startWithExcluded(excludedId?: string, known?: ServerRegistry) {
+  return startPlacer(0, makeUnlimitedPermits(), known, {
     reachability: {
       hasReports: () => true,
-      getAvoidance: ({ id }) => id === "bergen-1" ? "excluded" : "none",
+      getAvoidance: ({ id }) => id === excludedId ? "excluded" : "none",
       isTrialDue: () => false,
       beginTrial() {},
     },
   });
+}
+
+test("a region whose servers are all excluded is skipped", () => {
+  const place = (excludedId?: string) => {
+    const request = makeRequest({ homeRegions: ["bergen", "oslo"] });
+    const placed = startWithExcluded(excludedId).place(
+      makeProgress({ request }),
+    );
+    assert.ok(placed.kind === "placed");
+    return placed.server.listed.id;
+  };
+  assert.is(place(), "oslo-1", "the VM's own region");
+  assert.is(place("oslo-1"), "bergen-1");
+});
+
+// Guards against waits for a slot of a server that gets no requests.
+test("a request does not wait for a slot of an excluded server", () => {
+  const findProspect = (excludedId?: string) => {
+    const clock = createFakeClock();
+    const registry = makeRegistry(clock);
+    for (const [index, id] of ["oslo-1", "oslo-2"].entries()) {
+      registry.apply(makeServerUpdate(makeServer(id), index + 1));
+    }
+    for (const { load } of registry.listUsable("s")) {
+      for (let count = 0; count < 40; count++) load.begin();
+    }
+    const placed = startWithExcluded(excludedId, registry).place(
+      makeProgress({ request: makeRequest({ homeRegions: ["oslo"] }) }),
+    );
+    assert.ok(placed.kind === "not_placed" && placed.prospect !== undefined);
+    return placed.prospect.waitRuns;
+  };
+  assert.is(findProspect("oslo-2"), 2 * findProspect());
+});
+
+// Guards against trials that are counted where nothing is reported.
+test("a request to a server that is not avoided is no trial", () => {
+  const placer = startPlacer(0, makeUnlimitedPermits(), undefined, {
+    reachability: {
+      hasReports: () => true,
+      getAvoidance: () => "none",
+      isTrialDue: () => true,
+      beginTrial: () => assert.unreachable(),
+    },
+  });
   const placed = placer.place(
-    makeProgress({ request: makeRequest({ homeRegions: ["bergen", "oslo"] }) }),
+    makeProgress({ request: makeRequest({ homeRegions: ["oslo"] }) }),
   );
-  assert.ok(placed.kind === "placed");
-  assert.is(placed.server.listed.id, "oslo-1");
+  assert.ok(placed.kind === "placed" && !placed.isTrial);
 });
 
 test.run();
