--- a/src/serving/attempt_observer.ts
+++ b/src/serving/attempt_observer.ts
@@ -51,7 +51,7 @@
   /** Whether the server was expected to have cached the object. */
   isCached: boolean;
   /** Whether it was the trial request of an avoided server. */
-  isTrial?: boolean;
+  isTrial: boolean;
 }
 
 /** Updates this VM's knowledge from finished attempts. */
--- a/src/serving/attempt_observer_test.ts
+++ b/src/serving/attempt_observer_test.ts
@@ -81,6 +81,7 @@
     utilizationAtStart,
     depth,
     isCached: false,
+    isTrial: false,
   };
   observer.recordAttempt(progress, server, outcome);
   return cacheModel.getDepth("1", makeObjectName(progress)) !== undefined;
@@ -114,6 +115,7 @@
       utilizationAtStart: 0,
       depth: undefined,
       isCached: false,
+      isTrial: false,
     });
   recordAnswer({ ...NO_SIGNALS, backoffMs: 3_000 });
   assert.is(server.health.getFailureShare(), 0);
@@ -136,6 +138,7 @@
       utilizationAtStart: 0.3,
       depth: undefined,
       isCached: false,
+      isTrial: false,
     });
   recordAnswer(200);
   for (let count = 0; count < 50; count++) recordAnswer(500, 2.5);
@@ -157,6 +160,7 @@
       utilizationAtStart,
       depth,
       isCached: false,
+      isTrial: false,
     };
     observer.recordAttempt(progress, server, outcome);
   };
--- a/src/serving/shared_machines_test.ts
+++ b/src/serving/shared_machines_test.ts
@@ -233,7 +233,7 @@
     });
     const placed = vm.placer.place(progress);
     if (placed.kind === "not_placed") return;
-    const { server, isCached } = placed;
+    const { server, isCached, isTrial } = placed;
     const id = Number(server.listed.id);
     const utilizationAtStart = server.load.getUtilization();
     const depth = vm.cacheModel.recordRequest(
@@ -262,6 +262,7 @@
           utilizationAtStart,
           depth,
           isCached,
+          isTrial,
         });
         server.load.end();
         if (isAnswered && isCounted && tookMs <= ROUTE.targetLatencyMs) {
