--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -141,7 +141,9 @@
     const throttled: ListedServer[] = [];
     const bodyBytes = getCountedBytes(request);
     const withoutRoom = bodyBytes > 0 ? new Set<string>() : undefined;
-    const avoided = new Map<string, Avoidance>();
+    const avoided = reachability.hasReports()
+      ? new Map<string, Avoidance>()
+      : undefined;
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
     const placement: PlacementRequest = {
@@ -161,12 +163,10 @@
         : Infinity,
       coldRatePerS: options.getServiceSettings(service)?.coldRequestsPerS ?? 0,
       hasCachedObject: (id) => hasCachedObject(progress, id),
-      ...(reachability.hasReports()
-        ? {
-          getAvoidance: ({ listed }) =>
-            getAvoidance(listed, route.kind === "idempotent", avoided),
-        }
-        : {}),
+      ...(avoided === undefined ? {} : {
+        getAvoidance: ({ listed }) =>
+          getAvoidance(listed, route.kind === "idempotent", avoided),
+      }),
       isRateLimited: ({ listed }) => permits.isRateLimited(listed),
       hasBodyRoom: withoutRoom && ((server) => {
         const hasRoom = options.inflightBodies.hasRoom(server, bodyBytes);
@@ -205,7 +205,10 @@
         : {}),
       // Absent where the body is small or all servers had room.
       noBodyRoom: withoutRoom?.size || undefined,
-      ...(avoided.size > 0 ? { avoided: Object.fromEntries(avoided) } : {}),
+      // Absent where no server was avoided.
+      ...(avoided !== undefined && avoided.size > 0
+        ? { avoided: Object.fromEntries(avoided) }
+        : {}),
     };
     if (choice.kind !== "server") {
       // A waiting request fails many times; the end of its wait is logged.
@@ -221,7 +224,7 @@
       return { ...refuse("all_full"), prospect: computeProspect(placement) };
     }
     const { server, rank, utilization, isCached } = choice;
-    const isTrial = isTrialOf(server, route);
+    const isTrial = avoided !== undefined && isTrialOf(server, route);
     if (isTrial) reachability.beginTrial(server.listed.id);
     log.info(
       {
