--- a/src/servers/reachability_test.ts
+++ b/src/servers/reachability_test.ts
@@ -259,6 +259,137 @@
   assert.not(reachability.isTrialDue("1"), "reported again");
 });
 
+// Guards against withdrawing a failure with a response from before it.
+test("a response is not told to others after a newer failure", () => {
+  for (const isSent of [false, true]) {
+    const { clock, reachability, reachOthers } = start();
+    reachability.recordOwn("1", "responded");
+    reachOthers("2", "3");
+    clock.advance(100);
+    reachability.recordOwn("1", "unreachable");
+    const before = isSent ? reachability.takeReports() : [];
+    reachability.receive([report("vm-2", "oslo-b", { ageMs: 150 })]);
+    const told = [...before, ...reachability.takeReports()];
+    assert.equal(told.map(({ news }) => news), ["unreachable"]);
+  }
+});
+
+// Guards against work for each request long after the last report ended.
+test("no reports are held once they have ended", () => {
+  const { clock, reachability } = start();
+  assert.not(reachability.hasReports());
+  reachability.receive([report("vm-2", "a", { news: "responded" })]);
+  assert.not(reachability.hasReports());
+  reachability.receive([report("vm-2", "a")]);
+  assert.ok(reachability.hasReports());
+  clock.advance(4_000);
+  assert.not(reachability.hasReports());
+});
+
+// Guards against one trial after the other at a server that is still silent.
+test("a failed trial postpones the next one of this VM", () => {
+  for (const outcome of ["unreachable", "unanswered"] as const) {
+    const { clock, reachability } = start({ countVms: () => 1 });
+    reachability.receive([report("vm-2", "a")]);
+    clock.advance(1_200);
+    assert.ok(reachability.isTrialDue("1"));
+    reachability.beginTrial("1");
+    clock.advance(400);
+    reachability.recordOwn("1", outcome);
+    reachability.endTrial("1");
+    assert.not(reachability.isTrialDue("1"));
+    clock.advance(1_100);
+    assert.not(reachability.isTrialDue("1"), "1 s + 0.5 x 250 ms");
+    clock.advance(25);
+    assert.ok(reachability.isTrialDue("1"));
+  }
+});
+
+test("a report that arrives late does not bring the next trial forward", () => {
+  const { clock, reachability } = start({ countVms: () => 1 });
+  reachability.receive([report("vm-2", "a")]);
+  reachability.receive([report("vm-3", "b", { ageMs: 3_000 })]);
+  assert.not(reachability.isTrialDue("1"));
+  clock.advance(1_075);
+  assert.ok(reachability.isTrialDue("1"));
+});
+
+// Guards against a server that gets no trial after an attempt failed to end.
+test("a trial without an end prevents the next one for 10 s", () => {
+  const { clock, reachability } = start();
+  reachability.receive([report("vm-2", "a")]);
+  clock.advance(20_000);
+  reachability.beginTrial("1");
+  clock.advance(9_999);
+  assert.not(reachability.isTrialDue("1"));
+  clock.advance(1);
+  assert.ok(reachability.isTrialDue("1"));
+});
+
+// Guards against reporting a server that has responded in the meantime.
+test("a queued report is dropped when the server responds", () => {
+  const { reachability, reachOthers } = start();
+  reachability.recordOwn("1", "unreachable");
+  reachOthers("1", "2", "3");
+  assert.equal(reachability.takeReports(), []);
+});
+
+// Guards against receivers that take the second report for a repeated one.
+test("reports of the same time have different stamps", () => {
+  const { reachability, reachOthers } = start();
+  reachOthers("2", "3");
+  reachability.recordOwn("1", "unreachable");
+  const [failure] = reachability.takeReports();
+  reachability.recordOwn("1", "responded");
+  const [response] = reachability.takeReports();
+  assert.ok(response.stampMs > failure.stampMs);
+});
+
+test("requests without a response a minute apart are not counted together", () => {
+  const { clock, reachability, reachOthers } = start();
+  for (let count = 0; count < 3; count++) {
+    clock.advance(60_001);
+    reachability.recordOwn("1", "unanswered");
+    reachOthers("2", "3");
+    assert.equal(reachability.takeReports(), []);
+  }
+});
+
+test("outcomes are kept for 4,096 servers at most", () => {
+  const { reachability } = start();
+  reachability.recordOwn("1", "unreachable");
+  for (let id = 2; id < 6_000; id++) {
+    reachability.recordOwn(`${id}`, "responded");
+  }
+  const [{ reached }] = reachability.takeReports();
+  assert.ok(reached <= 4_096, `${reached}`);
+});
+
+// Guards against memory that grows with reports of servers that nobody lists.
+test("reports are kept for 1,024 servers at most, until a minute has passed", () => {
+  const { clock, reachability } = start();
+  let accepted = 0;
+  for (let id = 0; id < 1_100; id++) {
+    clock.advance(50);
+    const server = `other ${id}`;
+    accepted += reachability.receive([report("vm-2", "a", { server })]).length;
+  }
+  assert.is(accepted, 1_024);
+  clock.advance(60_100);
+  assert.is(reachability.receive([report("vm-2", "a")]).length, 1);
+});
+
+test("the reports of 32 VMs about a server are kept at most", () => {
+  const { clock, reachability } = start();
+  for (let vm = 2; vm < 42; vm++) {
+    clock.advance(50);
+    reachability.receive([report(`vm-${vm}`, "a")]);
+  }
+  const [{ reports }] = reachability.list();
+  assert.is(reports.length, 32);
+  assert.is(reports[0].by, "vm-10", "the oldest are dropped");
+});
+
 test("messages and state are bounded", () => {
   const { clock, reachability } = start();
   for (let id = 10; id < 5_000; id++) {
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -148,7 +148,9 @@
     const throttled: ListedServer[] = [];
     const bodyBytes = getCountedBytes(request);
     const withoutRoom = bodyBytes > 0 ? new Set<string>() : undefined;
-    const avoided = new Map<string, Avoidance>();
+    const avoided = reachability.hasReports()
+      ? new Map<string, Avoidance>()
+      : undefined;
     let bodyLimit: BodyLimitKind = "current";
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
@@ -175,12 +177,10 @@
         : Infinity,
       coldRatePerS: options.getServiceSettings(service)?.coldRequestsPerS ?? 0,
       hasCachedObject: (id) => hasCachedObject(progress, id),
-      ...(reachability.hasReports()
-        ? {
-          getAvoidance: ({ listed }) =>
-            getAvoidance(listed, route.kind === "idempotent", avoided),
-        }
-        : {}),
+      ...(avoided === undefined ? {} : {
+        getAvoidance: ({ listed }) =>
+          getAvoidance(listed, route.kind === "idempotent", avoided),
+      }),
       isRateLimited: ({ listed }) => permits.isRateLimited(listed),
       hasBodyRoom: withoutRoom && ((server) => {
         const hasRoom = options.inflightBodies.hasRoom(
@@ -228,7 +228,10 @@
         : {}),
       // Absent where the body is small or all servers had room.
       noBodyRoom: withoutRoom?.size || undefined,
-      ...(avoided.size > 0 ? { avoided: Object.fromEntries(avoided) } : {}),
+      // Absent where no server was avoided.
+      ...(avoided !== undefined && avoided.size > 0
+        ? { avoided: Object.fromEntries(avoided) }
+        : {}),
     };
     if (choice.kind !== "server") {
       // A waiting request fails many times; the end of its wait is logged.
@@ -251,7 +254,7 @@
       return { ...refuse("all_full"), prospect: computeProspect(placement) };
     }
     const { server, rank, utilization, isCached } = choice;
-    const isTrial = isTrialOf(server, route);
+    const isTrial = avoided !== undefined && isTrialOf(server, route);
     if (isTrial) reachability.beginTrial(server.listed.id);
     log.info(
       {
