--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  type Choice,
   chooseServer,
   getMaxUtilization,
   type PlacementRequest,
@@ -115,6 +116,27 @@
     | { region: string; overflowFrom: string | undefined };
 }
 
+/** What the choice of a server for one attempt depends on, and what it found. */
+interface Placement {
+  choiceOptions: PlacementRequest;
+  shares: readonly RegionShare[];
+  /** Region of the object; undefined where no region can serve it. */
+  region: string | undefined;
+  demand: CompetingDemand | undefined;
+  /** Whether the account of the request is over its fair share. */
+  exceedsShare: boolean;
+  /** The limit of requests of accounts within their share. */
+  getOrdinaryMaxUtilization: (slots: number) => number;
+  /** Servers that gave no permit. */
+  throttled: ListedServer[];
+  /** Servers without room for the body; undefined where it is small. */
+  withoutRoom: Set<string> | undefined;
+  /** Servers that are avoided; undefined while there are no reports. */
+  avoided: Map<string, Avoidance> | undefined;
+  /** Applies the largest limit of body bytes from then on. */
+  useLargestBodyLimit(): void;
+}
+
 /** Maximum number of avoided servers in a log line. */
 const MAX_LOGGED_SERVERS = 8;
 
@@ -136,10 +158,42 @@
   } = options;
 
   function place(progress: RequestProgress): PlacedAttempt | PlacementFailure {
-    const { request, service, objectKey, triedServers } = progress;
-    const { route, homeRegions } = request;
+    const { homeRegions } = progress.request;
     if (homeRegions === undefined) return refuse("no_home");
-    const { requestId } = request.metadata;
+    const placement = prepare(progress, homeRegions);
+    const { overflow, choice } = choose(progress, placement);
+    const inputs = describeInputs(progress, placement, overflow);
+    if (choice.kind !== "server") {
+      return refuseChoice(progress, placement, choice, inputs);
+    }
+    const { server, rank, utilization, isCached } = choice;
+    const { route } = progress.request;
+    const isTrial = placement.avoided !== undefined &&
+      isTrialOf(server, route);
+    if (isTrial) reachability.beginTrial(server.listed.id);
+    log.info(
+      {
+        ...inputs,
+        server: server.listed.id,
+        rank,
+        use: utilization,
+        slowdown: describeSlowdown(server),
+        slots: server.load.getSlots(),
+        isKnown: isCached,
+        ...(isTrial ? { isTrial } : {}),
+      },
+      "choose",
+    );
+    return { kind: "placed", server, isCached, isTrial };
+  }
+
+  /** Collects what a choice of a server depends on. */
+  function prepare(
+    progress: RequestProgress,
+    homeRegions: readonly string[],
+  ): Placement {
+    const { request, service, objectKey, triedServers } = progress;
+    const { route, account } = request;
     const shares = plan.getShares(service, homeRegions);
     const region = chooseRegion(shares, service, objectKey);
     const candidates = region === undefined
@@ -154,11 +208,10 @@
     let bodyLimit: BodyLimitKind = "current";
     const latencyLimit = latencyModel.getMaxUtilization(route);
     const demand = findCompetingDemand(progress);
-    const { account } = request;
     const exceedsShare = options.accountShares.isExceeded(service, account);
     const getOrdinaryMaxUtilization = (slots: number) =>
       computeMaxUtilization(latencyLimit, slots, demand);
-    const placement: PlacementRequest = {
+    const choiceOptions: PlacementRequest = {
       candidates,
       tried: triedServers,
       maxUtilization: latencyLimit,
@@ -197,32 +250,76 @@
         return isTaken;
       },
     };
-    const ownChoice = chooseServer(placement, options.coldLimit, clock);
+    return {
+      choiceOptions,
+      shares,
+      region,
+      demand,
+      exceedsShare,
+      getOrdinaryMaxUtilization,
+      throttled,
+      withoutRoom,
+      avoided,
+      useLargestBodyLimit: () => void (bodyLimit = "largest"),
+    };
+  }
+
+  /** Selects a server of the own region, else one of another region. */
+  function choose(
+    progress: RequestProgress,
+    placement: Placement,
+  ): { overflow: OverflowChoice | undefined; choice: Choice } {
+    const { throttled, withoutRoom } = placement;
+    const ownChoice = chooseServer(
+      placement.choiceOptions,
+      options.coldLimit,
+      clock,
+    );
     const overflow = ownChoice.kind === "full" && throttled.length === 0
-      ? chooseOverflow(progress, placement, shares, region)
+      ? chooseOverflow(
+        progress,
+        placement.choiceOptions,
+        placement.shares,
+        placement.region,
+      )
       : undefined;
     let choice = overflow?.choice ?? ownChoice;
     if (withoutRoom !== undefined && withoutRoom.size > 0) {
       if (choice.kind === "full" && throttled.length === 0) {
-        bodyLimit = "largest";
-        choice = chooseServer(placement, options.coldLimit, clock);
+        placement.useLargestBodyLimit();
+        choice = chooseServer(
+          placement.choiceOptions,
+          options.coldLimit,
+          clock,
+        );
       }
       options.inflightBodies.recordPassedOver(choice.kind === "server");
     }
-    const inputs = {
-      requestId,
+    return { overflow, choice };
+  }
+
+  /** Returns the fields of the log line of a choice that don't depend on it. */
+  function describeInputs(
+    { request, service, objectKey }: RequestProgress,
+    placement: Placement,
+    overflow: OverflowChoice | undefined,
+  ): Record<string, unknown> {
+    const { demand, exceedsShare, throttled, withoutRoom, avoided } = placement;
+    const { copies } = placement.choiceOptions;
+    return {
+      requestId: request.metadata.requestId,
       service,
       objectKey,
-      region,
+      region: placement.region,
       ...(demand === undefined ? {} : {
-        priority: route.priority,
+        priority: request.route.priority,
         moreUrgent: demand.moreUrgent,
         spareMs: Math.round(demand.spareMs),
         slotsLeftFree: computeSlotsLeftFree(demand),
       }),
       ...(exceedsShare ? { exceedsShare } : {}),
       ...overflow?.fields,
-      ...(placement.copies > MIN_COPIES ? { copies: placement.copies } : {}),
+      ...(copies > MIN_COPIES ? { copies } : {}),
       ...(throttled.length > 0
         ? { throttled: throttled.map(permits.describe) }
         : {}),
@@ -233,43 +330,48 @@
         ? { avoided: Object.fromEntries(avoided) }
         : {}),
     };
-    if (choice.kind !== "server") {
-      // A waiting request fails many times; the end of its wait is logged.
-      if (!progress.wait?.isWaiting) {
-        if (choice.kind === "full" && throttled.length === 0) {
-          if (exceedsShare && !isFull(placement, getOrdinaryMaxUtilization)) {
-            options.accountShares.recordHeldBack();
-          } else {
-            options.accountShares.recordFull(service, account);
-          }
-        }
-        const uses = computeUtilizations(service);
-        const { maxUtilization: maxUse } = placement;
-        log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
-      }
-      if (throttled.length > 0) {
-        return refuse("throttled", permits.getWaitMs(throttled));
+  }
+
+  /** Logs why no server was selected, and counts what is short. */
+  function refuseChoice(
+    progress: RequestProgress,
+    placement: Placement,
+    choice: Exclude<Choice, ServerChoice>,
+    inputs: Record<string, unknown>,
+  ): PlacementFailure {
+    const { throttled } = placement;
+    // A waiting request fails many times; the end of its wait is logged.
+    if (!progress.wait?.isWaiting) {
+      if (choice.kind === "full" && throttled.length === 0) {
+        recordShortage(progress, placement);
       }
-      if (choice.kind === "none") return refuse("no_server");
-      return { ...refuse("all_full"), prospect: computeProspect(placement) };
+      const uses = computeUtilizations(progress.service);
+      const { maxUtilization: maxUse } = placement.choiceOptions;
+      log.info({ ...inputs, choice: choice.kind, maxUse, uses }, "choose");
+    }
+    if (throttled.length > 0) {
+      return refuse("throttled", permits.getWaitMs(throttled));
+    }
+    if (choice.kind === "none") return refuse("no_server");
+    return {
+      ...refuse("all_full"),
+      prospect: computeProspect(placement.choiceOptions),
+    };
+  }
+
+  /**
+   * Records that all servers are full, or that the request is only held back
+   * because its account exceeds its share.
+   */
+  function recordShortage(
+    { service, request }: RequestProgress,
+    { choiceOptions, exceedsShare, getOrdinaryMaxUtilization }: Placement,
+  ): void {
+    if (exceedsShare && !isFull(choiceOptions, getOrdinaryMaxUtilization)) {
+      options.accountShares.recordHeldBack();
+    } else {
+      options.accountShares.recordFull(service, request.account);
     }
-    const { server, rank, utilization, isCached } = choice;
-    const isTrial = avoided !== undefined && isTrialOf(server, route);
-    if (isTrial) reachability.beginTrial(server.listed.id);
-    log.info(
-      {
-        ...inputs,
-        server: server.listed.id,
-        rank,
-        use: utilization,
-        slowdown: describeSlowdown(server),
-        slots: server.load.getSlots(),
-        isKnown: isCached,
-        ...(isTrial ? { isTrial } : {}),
-      },
-      "choose",
-    );
-    return { kind: "placed", server, isCached, isTrial };
   }
 
   /**
