--- a/src/queueing/account_shares.ts
+++ b/src/queueing/account_shares.ts
@@ -79,16 +79,13 @@
  */
 const MIN_FULL_REQUESTS = 0.5;
 /**
- * Fewer recent requests don't show how much an account sends. In a replay of
- * twelve accounts that send as usual in a shortage, from 3 requests on the share
- * of the full value fell from 0.742 to 0.726; from 8 on it stayed at 0.741.
+ * Fewer recent requests don't show how much an account sends; 3 held back accounts
+ * that send as usual.
  */
 const MIN_EXCEEDING_REQUESTS = 8;
 /**
- * Recent requests, in fair shares, from which an account exceeds its share. Of
- * few requests, counts differ by chance. In the replay of an account with 7.5
- * times its load, a ratio of 1.1 refused 3 in 100 requests more of that account
- * than 1.5, and all requests earned 0.707 of their full value instead of 0.716.
+ * Recent requests, in fair shares, from which an account exceeds its share. Counts
+ * of few requests differ by chance.
  */
 const EXCESS_RATIO = 1.5;
 
