--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -128,17 +128,17 @@
 ): Choice {
   const { candidates, tried } = placement;
   let isAnyAlive = false;
-  const doubtful = new Set<KnownServer>();
+  const lastResort = new Set<KnownServer>();
   for (const servers of candidates) {
     const found = findEligible(servers, placement, clock.monotonicMs());
     if (found.first !== undefined) isAnyAlive = true;
     const choice = chooseInRegion(found, placement, coldLimit, clock);
     if (choice !== undefined) return choice;
-    for (const server of found.doubtful) doubtful.add(server);
+    for (const server of found.lastResort) lastResort.add(server);
   }
-  if (doubtful.size > 0) {
+  if (lastResort.size > 0) {
     isAnyAlive = true;
-    const choice = chooseWithPermit([...doubtful], placement);
+    const choice = chooseWithPermit([...lastResort], placement);
     if (choice !== undefined) return choice;
   }
   if (isAnyAlive) return { kind: "full" };
@@ -173,7 +173,7 @@
    * Warm servers that a report calls unresponsive, best first. They are chosen
    * after all others.
    */
-  doubtful: readonly KnownServer[];
+  lastResort: readonly KnownServer[];
 }
 
 /**
@@ -190,7 +190,7 @@
   let first: KnownServer | undefined;
   const failing: KnownServer[] = [];
   const healthy: KnownServer[] = [];
-  const doubtful: KnownServer[] = [];
+  const lastResort: KnownServer[] = [];
   let healthyRank = 0;
   for (const server of servers) {
     if (placement.tried.has(server.listed.id) || server.health.isEjected()) {
@@ -199,8 +199,8 @@
     const avoidance = placement.getAvoidance?.(server) ?? "none";
     if (avoidance !== "none") {
       const isLast = avoidance === "last" && server.coldUntilMs <= nowMs;
-      if (isLast && isOpenTo(placement, server, doubtful.length)) {
-        doubtful.push(server);
+      if (isLast && isOpenTo(placement, server, lastResort.length)) {
+        lastResort.push(server);
       }
       continue;
     }
@@ -217,7 +217,7 @@
   const warm = healthyRank > 0
     ? healthy
     : failing.filter((server, rank) => isOpenTo(placement, server, rank));
-  return { first, warm, doubtful };
+  return { first, warm, lastResort };
 }
 
 function hasBodyRoom(
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -509,8 +509,8 @@
   assert.is(getOutcome(choose(servers, clock, changes)), "full");
 });
 
-// Guards against the own failure domain's doubtful server going before others.
-test("a doubtful server comes after those of all candidate lists", () => {
+// Guards against the own failure domain's server of last resort going before others.
+test("a server of last resort comes after those of all candidate lists", () => {
   const { clock, servers } = createFourServers();
   const choice = choose(servers, clock, {
     candidates: [[servers[0]], servers],
@@ -520,7 +520,7 @@
 });
 
 // Guards against cold servers that get requests beyond their limited rate.
-test("a doubtful server that is cold is not chosen", () => {
+test("a server of last resort that is cold is not chosen", () => {
   const { clock, servers } = createFourServers();
   servers[0].coldUntilMs = 5_000;
   for (const server of servers.slice(1)) load(server, 8);
