Log and count which services a VM can't connect to, and end connect timeouts on time

Lines could not tell one server that is down from a VM that reaches no server of a service, nor whether an attempt was sent. `service lost` names the servers to which no connection opens, `connection to server failed` each failure; both are counted and in the state dump. Nothing is decided by it yet.

Connections are opened by a connector of our own, behind an interface that tests can break for one VM.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,7 +17,8 @@
 import { createBlockTableGetter } from "../lookup/routes.ts";
 import { requireKey } from "../runtime/access.ts";
 import type { Clock } from "../runtime/clock.ts";
-import { dial } from "../runtime/dial.ts";
+import { createDial } from "../runtime/dial.ts";
+import { openSocket } from "../runtime/open_socket.ts";
 import { createRouter } from "../runtime/http_server.ts";
 import type { Daemon } from "../runtime/process.ts";
 import { createRandom } from "../runtime/random.ts";
@@ -61,7 +62,7 @@
   const policy = new ExpectedLatencyPolicy(random);
   const poisonRequests = createPoisonRequestTracker(
     clock,
-    createCrashCheck(dial),
+    createCrashCheck(createDial(openSocket)),
   );
   const runner = createLocalRunner({
     clock,
--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -51,12 +51,17 @@
 import { createRouteTable, type RouteTable } from "../routing/table.ts";
 import type { Configuration } from "../routing/types.ts";
 import type { Clock } from "../runtime/clock.ts";
-import { dial } from "../runtime/dial.ts";
+import { createDial } from "../runtime/dial.ts";
 import { hashToUnit } from "../runtime/hash.ts";
+import type { OpenSocket } from "../runtime/open_socket.ts";
 import { createRandom } from "../runtime/random.ts";
 import { createColdLimit } from "../servers/cold_limit.ts";
 import { computeConnectionLimit } from "../servers/connection_limit.ts";
 import { createCrashCheck } from "../servers/crash_check.ts";
+import {
+  createReachMonitor,
+  type ReachMonitor,
+} from "../servers/reach_monitor.ts";
 import {
   createServerReachability,
   type ServerReachability,
@@ -100,6 +105,8 @@
   clock: Clock;
   log: Log;
   codec: WireCodec;
+  /** Opens connections to backend servers. */
+  openServerSocket: OpenSocket;
   self: VmIdentity;
   memberTable: MemberTable;
   vms: VmViews;
@@ -134,6 +141,7 @@
   suspects: SuspectTracker;
   serverLimits: ServerLimits;
   reachability: ServerReachability;
+  reachMonitor: ReachMonitor;
   /** @returns Priorities that compete for a service, in ascending order. */
   getCompetingPriorities(service: string): readonly number[];
   copyPlan: CopyPlan;
@@ -211,7 +219,18 @@
     return priorities;
   }
 
-  const exchange = createExchange(codec, getConnectionLimit);
+  const reachMonitor = createReachMonitor({
+    clock,
+    log,
+    countServers: (service) => registry.listUsable(service).length,
+  });
+  const exchange = createExchange({
+    codec,
+    clock,
+    openSocket: options.openServerSocket,
+    observer: reachMonitor,
+    getConnectionLimit,
+  });
   const bodyBudget = createBodyBudget({
     clock,
     log,
@@ -412,7 +431,7 @@
     latencyModel,
     cacheModel,
     exchange,
-    crashCheck: createCrashCheck(dial),
+    crashCheck: createCrashCheck(createDial(options.openServerSocket)),
     suspects,
     permits,
     inflightBodies,
@@ -435,6 +454,7 @@
     suspects,
     serverLimits,
     reachability,
+    reachMonitor,
     getCompetingPriorities,
     copyPlan,
     overflowBudget,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { MIN_COMPETING_REPORTED_RUN_MS } from "../queueing/thresholds.ts";
 import { formatAddress } from "../runtime/address.ts";
 import type { Clock } from "../runtime/clock.ts";
+import type { OpenSocket } from "../runtime/open_socket.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
 import { startOverloadMonitor } from "../runtime/overload.ts";
 import type { Stoppable } from "../runtime/process.ts";
@@ -63,6 +64,8 @@
   vmRegistry: VmRegistry;
   codec: WireCodec;
   paths: ControlPaths;
+  /** Opens connections to backend servers. */
+  openServerSocket: OpenSocket;
 }
 
 /**
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -116,6 +116,11 @@
         core.reachability.list().filter(({ avoidance }) => avoidance !== "none")
           .length,
     },
+    lost_services: {
+      help: "Services to whose servers this VM opens no connection",
+      read: () =>
+        core.reachMonitor.list().filter(({ reach }) => reach === "lost").length,
+    },
     overflow_requests: {
       help:
         "Requests sent to another region since the start, as theirs was full",
@@ -173,6 +178,10 @@
       help: "Those of them that found no other server",
       read: () => core.inflightBodies.getStats().unplaced,
     },
+    server_connect_failures_total: {
+      help: "Connections to backend servers that could not be opened",
+      read: () => core.reachMonitor.countConnectFailures(),
+    },
     reachability_sent_total: {
       help:
         "Reports sent to other VMs that a server is unresponsive or responds",
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -58,6 +58,7 @@
     serverLimitPart: core.serverLimits.limitShares.getShare(),
     unresponsiveServers: core.reachability.list(),
     reachability: core.reachability.getStats(),
+    serviceReach: core.reachMonitor.list(),
     objectCaches: core.copyPlan.list(),
     overflow: core.overflowBudget.list(),
     evacuated: core.registry.listEvacuated(),
--- a/src/runtime/dial.ts
+++ b/src/runtime/dial.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { connect } from "node:net";
 import { splitAddress } from "./address.ts";
+import type { OpenSocket } from "./open_socket.ts";
 
 /**
  * Outcome of a connection attempt. `silent` stands for a timeout and for every
@@ -16,26 +16,28 @@
 export type Dial = (address: string, timeoutMs: number) => Promise<DialResult>;
 
 /**
- * Opens a TCP connection to an address and closes it again.
- *
- * @param address `host:port`.
- * @param timeoutMs Longest time to wait, in ms.
- * @returns The outcome; the promise never rejects.
+ * @param openSocket Opens sockets.
+ * @returns A function that opens a TCP connection to an address, `host:port`,
+ *   and closes it again. It waits for the given time, in ms; its promise never
+ *   rejects.
  */
-export const dial: Dial = (address, timeoutMs) => {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve) => {
-    const socket = connect({ host, port });
-    const finish = (result: DialResult) => {
-      socket.destroy();
-      resolve(result);
-    };
-    socket.setTimeout(timeoutMs, () => finish("silent"));
-    socket.once("connect", () => finish("accepted"));
-    socket.once(
-      "error",
-      ({ code }: NodeJS.ErrnoException) =>
-        finish(code === "ECONNREFUSED" ? "refused" : "silent"),
-    );
-  });
-};
+export function createDial(openSocket: OpenSocket): Dial {
+  return (address, timeoutMs) => {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve) => {
+      const socket = openSocket(host, port);
+      const finish = (result: DialResult) => {
+        clearTimeout(timer);
+        socket.destroy();
+        resolve(result);
+      };
+      const timer = setTimeout(() => finish("silent"), timeoutMs);
+      socket.once("connect", () => finish("accepted"));
+      socket.on(
+        "error",
+        ({ code }: NodeJS.ErrnoException) =>
+          finish(code === "ECONNREFUSED" ? "refused" : "silent"),
+      );
+    });
+  };
+}
--- a/src/runtime/errors.ts
+++ b/src/runtime/errors.ts
@@ -68,16 +68,6 @@
   return "unknown";
 }
 
-/**
- * @param cause The error thrown by the HTTP client.
- * @returns Whether the connect attempt timed out, as opposed to being refused
- *   or failing in this VM's own network.
- */
-export function isConnectTimeout(cause: unknown): boolean {
-  const code = (cause as { code?: unknown } | undefined)?.code;
-  return code === "UND_ERR_CONNECT_TIMEOUT";
-}
-
 /**
  * @param cause Any thrown value.
  * @returns A description for logs.
--- a/src/servers/crash_check_test.ts
+++ b/src/servers/crash_check_test.ts
@@ -1,14 +1,15 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import { makeServer } from "../gateway/fixture.ts";
-import { dial, type DialResult } from "../runtime/dial.ts";
+import { createDial, type DialResult } from "../runtime/dial.ts";
+import { openSocket } from "../runtime/open_socket.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
 import { createCrashCheck } from "./crash_check.ts";
 
 test("a server that refuses connections ended, one that accepts them runs", async () => {
   const http = await listen(createRouter(), "127.0.0.1:0");
   const server = makeServer("1", { address: http.address });
-  const crashCheck = createCrashCheck(dial);
+  const crashCheck = createCrashCheck(createDial(openSocket));
   assert.is(await crashCheck.check(server), "runs");
   await http.close();
   assert.is(await crashCheck.check(server), "ended");
--- /dev/null
+++ b/src/servers/reach_evidence.ts
@@ -0,0 +1,193 @@
+/**
+ * Infers from this VM's own connections whether it reaches the servers of each
+ * service, as opposed to a single server being down.
+ *
+ * Load pattern: the links of a VM to the backend servers break, while clients
+ * and other VMs still reach it. A server that is down fails alone: connections
+ * to other servers of its service open meanwhile. Open connections may live on
+ * while no new one opens, so that responses alone prove nothing.
+ *
+ * @module
+ */
+import type { Clock } from "../runtime/clock.ts";
+import type { ListedServer } from "./types.ts";
+
+/**
+ * Whether a VM reaches a service.
+ *
+ * - `reached`: nothing speaks against it.
+ * - `doubtful`: something failed, and nothing has succeeded since it began.
+ * - `lost`: no connection opens to several servers.
+ */
+export type ServiceReach = "reached" | "doubtful" | "lost";
+
+/** What this VM's own connections show. */
+export interface ReachEvidence {
+  /** Records that a connection to a server was opened. */
+  recordConnected(server: ListedServer): void;
+  /**
+   * Records that no connection to a server could be opened.
+   *
+   * @param server The server.
+   * @param startedAtMs When the attempt began, on the monotonic clock.
+   */
+  recordConnectFailure(server: ListedServer, startedAtMs: number): void;
+  /** Records a response of a server on a connection of this VM. */
+  recordResponse(server: ListedServer): void;
+  /** Records that no server of a service responds to waiting requests. */
+  recordSilence(service: string): void;
+  /**
+   * @param service A service.
+   * @returns Whether this VM reaches it.
+   */
+  assess(service: string): ServiceReach;
+  /**
+   * @param server A server.
+   * @returns Whether the last connection attempts to it and to others failed.
+   */
+  isFailing(server: ListedServer): boolean;
+  /**
+   * @param service A service.
+   * @returns When a connection to one of its servers opened or one responded
+   *   last; -Infinity where there was none.
+   */
+  getSucceededAtMs(service: string): number;
+  /**
+   * @param service A service.
+   * @returns Ids of its servers to which no connection opens.
+   */
+  listFailing(service: string): string[];
+  /** @returns Services that are lost. */
+  listLost(): string[];
+  /** @returns All services with any evidence. */
+  listServices(): string[];
+}
+
+/** Dependencies of `createReachEvidence`. */
+export interface ReachEvidenceOptions {
+  clock: Clock;
+  /** @returns Number of servers of a service that may get requests. */
+  countServers: (service: string) => number;
+}
+
+/**
+ * Distinct servers to which no connection opens that make a service lost. A
+ * second one distinguishes a broken link from a server that is down.
+ */
+const MIN_FAILING_SERVERS = 2;
+/** Failures and silence are forgotten after this time. */
+const EVIDENCE_LIFE_MS = 3_000;
+
+interface ServiceEvidence {
+  connectedAtMs: number;
+  respondedAtMs: number;
+  /** When the failing attempt at a server began, by id. */
+  failing: Map<string, number>;
+  /** When silence was noticed; undefined where there is none. */
+  silentAtMs: number | undefined;
+  isLost: boolean;
+}
+
+/**
+ * @param options Dependencies.
+ * @returns Evidence of nothing.
+ */
+export function createReachEvidence(
+  { clock, countServers }: ReachEvidenceOptions,
+): ReachEvidence {
+  const services = new Map<string, ServiceEvidence>();
+  /** Servers of any service that failed since anything succeeded. */
+  const failingAnywhere = new Map<string, number>();
+  let succeededAtMs = -Infinity;
+
+  function getEvidence(service: string): ServiceEvidence {
+    const known = services.get(service);
+    if (known !== undefined) return known;
+    const evidence: ServiceEvidence = {
+      connectedAtMs: -Infinity,
+      respondedAtMs: -Infinity,
+      failing: new Map(),
+      silentAtMs: undefined,
+      isLost: false,
+    };
+    services.set(service, evidence);
+    return evidence;
+  }
+
+  function recordSuccess(): void {
+    succeededAtMs = clock.monotonicMs();
+    failingAnywhere.clear();
+  }
+
+  function dropOld(failing: Map<string, number>): void {
+    const endMs = clock.monotonicMs() - EVIDENCE_LIFE_MS;
+    for (const [id, startedAtMs] of failing) {
+      if (startedAtMs < endMs) failing.delete(id);
+    }
+  }
+
+  /** Whether something failed and nothing has succeeded since it began. */
+  function isDoubtful(evidence: ServiceEvidence): boolean {
+    const { failing, silentAtMs, connectedAtMs, respondedAtMs } = evidence;
+    const endMs = clock.monotonicMs() - EVIDENCE_LIFE_MS;
+    if (silentAtMs !== undefined && silentAtMs >= endMs) return true;
+    const lastMs = Math.max(connectedAtMs, respondedAtMs, endMs);
+    for (const startedAtMs of failing.values()) {
+      if (startedAtMs > lastMs) return true;
+    }
+    return false;
+  }
+
+  function assess(service: string): ServiceReach {
+    const evidence = services.get(service);
+    if (evidence === undefined) return "reached";
+    if (evidence.isLost) return "lost";
+    return isDoubtful(evidence) ? "doubtful" : "reached";
+  }
+
+  return {
+    recordConnected({ service }) {
+      const evidence = getEvidence(service);
+      evidence.connectedAtMs = clock.monotonicMs();
+      evidence.failing.clear();
+      evidence.silentAtMs = undefined;
+      evidence.isLost = false;
+      recordSuccess();
+    },
+    recordConnectFailure({ id, service }, startedAtMs) {
+      const evidence = getEvidence(service);
+      // Another server was connected to meanwhile: this one alone failed.
+      if (evidence.connectedAtMs >= startedAtMs) return;
+      dropOld(evidence.failing);
+      evidence.failing.set(id, startedAtMs);
+      const needed = Math.min(MIN_FAILING_SERVERS, countServers(service));
+      if (evidence.failing.size >= needed) evidence.isLost = true;
+      if (succeededAtMs >= startedAtMs) return;
+      dropOld(failingAnywhere);
+      failingAnywhere.set(id, startedAtMs);
+      if (failingAnywhere.size < MIN_FAILING_SERVERS) return;
+      for (const other of services.values()) other.isLost = true;
+    },
+    recordResponse({ service }) {
+      const evidence = getEvidence(service);
+      evidence.respondedAtMs = clock.monotonicMs();
+      evidence.silentAtMs = undefined;
+      recordSuccess();
+    },
+    recordSilence(service) {
+      getEvidence(service).silentAtMs = clock.monotonicMs();
+    },
+    assess,
+    isFailing: ({ id, service }) =>
+      services.get(service)?.failing.has(id) ?? false,
+    getSucceededAtMs(service) {
+      const evidence = services.get(service);
+      if (evidence === undefined) return -Infinity;
+      return Math.max(evidence.connectedAtMs, evidence.respondedAtMs);
+    },
+    listFailing: (service) => [...services.get(service)?.failing.keys() ?? []],
+    listLost: () =>
+      [...services].filter(([, { isLost }]) => isLost).map(([name]) => name),
+    listServices: () => [...services.keys()],
+  };
+}
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -8,15 +8,19 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
-import { buildConnector, type Dispatcher, Pool } from "undici";
-import {
-  classifyTransportError,
-  describeError,
-  isConnectTimeout,
-} from "../runtime/errors.ts";
+import type { Socket } from "node:net";
+import { type Dispatcher, Pool } from "undici";
+import type { Clock } from "../runtime/clock.ts";
+import { describeError } from "../runtime/errors.ts";
+import type { OpenSocket } from "../runtime/open_socket.ts";
 import { NO_SIGNALS } from "../servers/signals.ts";
 import type { ListedServer } from "../servers/types.ts";
 import { LARGE_BODY_BYTES } from "./body_budget.ts";
+import {
+  ConnectError,
+  type ConnectObserver,
+  createServerConnector,
+} from "./server_connector.ts";
 import type {
   AnswerMetadata,
   CallerRequest,
@@ -25,8 +29,6 @@
   WireCodec,
 } from "./types.ts";
 
-/** Connect timeout; a round trip between regions takes 70 ms. */
-const CONNECT_TIMEOUT_MS = 400;
 /**
  * Time after which an idle connection is closed if its server announces no
  * timeout. A request that is sent while the server closes the connection is
@@ -89,26 +91,67 @@
   close(): Promise<void>;
 }
 
+/** Observes the connections to servers. */
+export interface ServerLinkObserver {
+  /** Called for each connection that was opened. */
+  recordConnected(server: ListedServer): void;
+  /**
+   * Called for each connection that could not be opened.
+   *
+   * @param server The server.
+   * @param error Why.
+   * @param startedAtMs When opening it began, on the monotonic clock.
+   */
+  recordConnectFailure(
+    server: ListedServer,
+    error: ConnectError,
+    startedAtMs: number,
+  ): void;
+  /** Called when a response begins to arrive. */
+  recordResponse(server: ListedServer): void;
+}
+
+/** Dependencies of an exchange. */
+export interface ExchangeOptions {
+  /** Encodes and decodes the headers of the deployment. */
+  codec: WireCodec;
+  clock: Clock;
+  openSocket: OpenSocket;
+  observer: ServerLinkObserver;
+  /**
+   * Returns the number of connections that this VM may open to a server.
+   */
+  getConnectionLimit: (server: ListedServer) => number;
+}
+
 /**
- * @param codec Encodes and decodes the headers of the deployment.
- * @param getConnectionLimit Returns the number of connections that this VM may
- *   open to a server.
+ * @param options Dependencies.
  * @returns An exchange without connections.
  */
 export function createExchange(
-  codec: WireCodec,
-  getConnectionLimit: (server: ListedServer) => number,
+  { codec, clock, openSocket, observer, getConnectionLimit }: ExchangeOptions,
 ): Exchange {
   const pools = new Map<string, Pool>();
   const failureDetector = createFailureDetector();
 
+  function observe(server: ListedServer): ConnectObserver {
+    return {
+      onConnected(socket) {
+        failureDetector.watch(socket);
+        observer.recordConnected(server);
+      },
+      onFailed: (error, startedAtMs) =>
+        observer.recordConnectFailure(server, error, startedAtMs),
+    };
+  }
+
   function getPool(server: ListedServer): Pool {
     const existing = pools.get(server.id);
     if (existing !== undefined) return existing;
     const pool = new Pool(`http://${server.address}`, {
       connections: getConnectionLimit(server),
       pipelining: 1,
-      connect: failureDetector.connect,
+      connect: createServerConnector(openSocket, clock, observe(server)),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -133,6 +176,7 @@
       return startAttempt(getPool(server), request, headers, {
         codec,
         isConnectionFailing: failureDetector.isFailing,
+        onResponse: () => observer.recordResponse(server),
         maySend,
       });
     },
@@ -158,7 +202,8 @@
 
 /** Detects whether a connection is failing in the current event loop step. */
 interface FailureDetector {
-  connect: buildConnector.connector;
+  /** Detects failures of a connection that was just opened. */
+  watch(socket: Socket): void;
   isFailing: () => boolean;
 }
 
@@ -170,23 +215,16 @@
  * as a regular end, but the socket then has no remote address any more.
  */
 function createFailureDetector(): FailureDetector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   let isFailing = false;
   const recordFailure = () => {
     isFailing = true;
     process.nextTick(() => void (isFailing = false));
   };
   return {
-    connect(options, callback) {
-      connect(options, (...result) => {
-        const [error, socket] = result;
-        if (error === null) {
-          socket.on("error", recordFailure);
-          socket.on("end", () => {
-            if (socket.remoteAddress === undefined) recordFailure();
-          });
-        }
-        callback(...result);
+    watch(socket) {
+      socket.on("error", recordFailure);
+      socket.on("end", () => {
+        if (socket.remoteAddress === undefined) recordFailure();
       });
     },
     isFailing: () => isFailing,
@@ -196,6 +234,8 @@
 interface AttemptOptions {
   codec: WireCodec;
   isConnectionFailing: () => boolean;
+  /** Called when the response begins to arrive. */
+  onResponse: () => void;
   maySend: () => boolean;
 }
 
@@ -203,7 +243,7 @@
   pool: Pool,
   request: CallerRequest,
   headers: Record<string, string | string[]>,
-  { codec, isConnectionFailing, maySend }: AttemptOptions,
+  { codec, isConnectionFailing, onResponse, maySend }: AttemptOptions,
 ): Attempt {
   let controller: Dispatcher.DispatchController | undefined;
   let abortReason: LossReason | undefined;
@@ -245,6 +285,7 @@
         }
       },
       onResponseStart(started, statusCode, received) {
+        onResponse();
         status = statusCode;
         answerHeaders = received;
         holdAnswer(started);
@@ -315,11 +356,11 @@
   if (abortReason !== undefined) {
     return { kind: "lost", reason: abortReason, detail };
   }
-  if (classifyTransportError(error) === "not_sent") {
+  if (error instanceof ConnectError) {
     return {
       kind: "not_sent",
       reason: detail,
-      isUnresponsive: isConnectTimeout(error),
+      isUnresponsive: error.isTimeout,
     };
   }
   const isMalformed = error.name === "HTTPParserError";
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -15,11 +15,13 @@
   createFakeClock,
   createSystemClock,
 } from "../runtime/clock.ts";
+import { openSocket } from "../runtime/open_socket.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import type { ServerPermits } from "../servers/permits.ts";
 import { type BodyBudget, createBodyBudget } from "./body_budget.ts";
+import { createExchange, type Exchange } from "./exchange.ts";
 import type { RequestProgress } from "./request_progress.ts";
-import type { CallerRequest } from "./types.ts";
+import type { CallerRequest, WireCodec } from "./types.ts";
 
 /** @returns A caller check for a configuration without accounts. */
 export function makePermissiveCallerCheck(): CallerCheck {
@@ -49,6 +51,25 @@
   return createBodyBudget({ clock, log, random: () => 0, limitBytes });
 }
 
+/**
+ * @param codec Codec of the headers.
+ * @param connections Number of connections to each server.
+ * @returns An exchange over sockets of the operating system.
+ */
+export function makeExchange(codec: WireCodec, connections: number): Exchange {
+  return createExchange({
+    codec,
+    clock: createSystemClock(),
+    openSocket,
+    observer: {
+      recordConnected() {},
+      recordConnectFailure() {},
+      recordResponse() {},
+    },
+    getConnectionLimit: () => connections,
+  });
+}
+
 /** @returns Permits of servers without rate limits and backoffs. */
 export function makeUnlimitedPermits(): ServerPermits {
   return {
