--- /dev/null
+++ b/src/serving/http_attempt.ts
@@ -0,0 +1,269 @@
+/**
+ * Runs one attempt over a pool of connections: sends the request, and classifies
+ * what comes back.
+ *
+ * Only a complete, signed answer to this very request is accepted. undici
+ * closes a connection on which bytes arrive without an outstanding request.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
+import type { Dispatcher, Pool } from "undici";
+import { describeError } from "../runtime/errors.ts";
+import { NO_SIGNALS } from "../servers/signals.ts";
+import { LARGE_BODY_BYTES } from "./body_budget.ts";
+import { ConnectError } from "./server_connector.ts";
+import type {
+  AnswerMetadata,
+  CallerRequest,
+  ExchangeResult,
+  LossReason,
+  ServerAnswer,
+  WireCodec,
+} from "./types.ts";
+
+/** Hop-by-hop headers (RFC 9110, 7.6.1). */
+const HOP_BY_HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+/** A running attempt. */
+export interface Attempt {
+  /** Result of the attempt; never rejects. */
+  result: Promise<ExchangeResult>;
+  /** Aborts the attempt by closing its connection. */
+  abort(reason: LossReason): void;
+}
+
+/** Detects whether a connection is failing in the current event loop step. */
+export interface FailureDetector {
+  /** Detects failures of a connection that was just opened. */
+  watch(socket: Socket): void;
+  isFailing: () => boolean;
+}
+
+/**
+ * An answer without a length ends with its connection, and undici takes it as
+ * complete also when the connection is reset. The listeners here run before
+ * undici's, in the same step of the event loop, and so distinguish a reset from
+ * the regular end of an answer. A reset that arrives together with data appears
+ * as a regular end, but the socket then has no remote address any more.
+ *
+ * @returns A detector that watches no connection.
+ */
+export function createFailureDetector(): FailureDetector {
+  let isFailing = false;
+  const recordFailure = () => {
+    isFailing = true;
+    process.nextTick(() => void (isFailing = false));
+  };
+  return {
+    watch(socket) {
+      socket.on("error", recordFailure);
+      socket.on("end", () => {
+        if (socket.remoteAddress === undefined) recordFailure();
+      });
+    },
+    isFailing: () => isFailing,
+  };
+}
+
+/** What an attempt depends on besides its request. */
+export interface AttemptOptions {
+  codec: WireCodec;
+  isConnectionFailing: () => boolean;
+  /** Called when the response begins to arrive. */
+  onResponse: () => void;
+  /**
+   * Whether the request may still be sent; called when a connection is free for
+   * it.
+   */
+  maySend: () => boolean;
+}
+
+/**
+ * Sends a request over a connection of a pool.
+ *
+ * @param pool The pool.
+ * @param request The request.
+ * @param headers Its headers, encoded.
+ * @param options What the attempt depends on.
+ * @returns The running attempt.
+ */
+export function startAttempt(
+  pool: Pool,
+  request: CallerRequest,
+  headers: Record<string, string | string[]>,
+  { codec, isConnectionFailing, onResponse, maySend }: AttemptOptions,
+): Attempt {
+  let controller: Dispatcher.DispatchController | undefined;
+  let abortReason: LossReason | undefined;
+  let isWithdrawn = false;
+  let stopWaiting = () => {};
+  let settle: (result: ExchangeResult) => void;
+  const result = new Promise<ExchangeResult>((resolve) => {
+    settle = resolve;
+    const chunks: Buffer[] = [];
+    let status = 0;
+    let answerHeaders: IncomingHttpHeaders = {};
+    let receivedBytes = 0;
+    let heldBytes = LARGE_BODY_BYTES;
+
+    /** Leaves a large answer with its server until there is room for it. */
+    function holdAnswer(received: Dispatcher.DispatchController): void {
+      if (request.method === "HEAD") return;
+      const declaredBytes = Number(answerHeaders["content-length"] ?? 0);
+      if (!(declaredBytes >= LARGE_BODY_BYTES)) return;
+      const bodies = request.holdBodies?.();
+      heldBytes = declaredBytes;
+      if (bodies === undefined || bodies.tryHoldAnswer(declaredBytes)) return;
+      received.pause();
+      stopWaiting = bodies.awaitAnswerRoom(
+        declaredBytes,
+        () => received.resume(),
+      );
+    }
+
+    pool.dispatch({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers,
+      body: request.body.length > 0 ? request.body : undefined,
+    }, {
+      onRequestStart(started) {
+        controller = started;
+        isWithdrawn = !maySend();
+        if (abortReason !== undefined || isWithdrawn) {
+          started.abort(new Error(abortReason ?? "withdrawn"));
+        }
+      },
+      onResponseStart(started, statusCode, received) {
+        onResponse();
+        status = statusCode;
+        answerHeaders = received;
+        holdAnswer(started);
+      },
+      onResponseData(_controller, chunk) {
+        chunks.push(chunk);
+        receivedBytes += chunk.length;
+        if (receivedBytes <= heldBytes) return;
+        heldBytes = receivedBytes;
+        request.holdBodies?.().holdAnswer(receivedBytes);
+      },
+      onResponseEnd() {
+        if (isConnectionFailing()) {
+          const detail = "connection was reset before the answer ended";
+          return resolve({ kind: "lost", reason: "cut", detail });
+        }
+        const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        const metadata = codec.decodeAnswer(status, answerHeaders);
+        const headers = copyEndToEndHeaders(answerHeaders);
+        resolve(classifyAnswer(metadata, { status, headers, body }, request));
+      },
+      onResponseError(_controller, error) {
+        stopWaiting();
+        if (isWithdrawn) return resolve({ kind: "withdrawn" });
+        resolve(classifyError(error, abortReason));
+      },
+    });
+  });
+  return {
+    result,
+    abort(reason) {
+      abortReason ??= reason;
+      if (controller !== undefined) return controller.abort(new Error(reason));
+      // The pool drops the request as soon as it has a connection for it.
+      settle(
+        reason === "timeout"
+          ? { kind: "withdrawn" }
+          : { kind: "lost", reason, detail: "not sent" },
+      );
+    },
+  };
+}
+
+function classifyAnswer(
+  metadata: AnswerMetadata,
+  answer: { status: number; headers: IncomingHttpHeaders; body: Buffer },
+  request: CallerRequest,
+): ExchangeResult {
+  const { requestId } = request.metadata;
+  const { signals } = metadata;
+  const isSameRequest = metadata.requestId === requestId;
+  // A server may refuse a request before it has read the id.
+  if (isSameRequest || metadata.requestId === undefined) {
+    if (metadata.isOtherServer) {
+      return { kind: "not_run", reason: "other_server", signals: NO_SIGNALS };
+    }
+    if (metadata.isNotRun) return { kind: "not_run", reason: "shed", signals };
+  }
+  if (!isSameRequest) {
+    const detail = `answer to request ${metadata.requestId ?? "without id"}`;
+    return { kind: "lost", reason: "crossed", detail };
+  }
+  if (answer.status >= 200 && answer.status < 300 && !metadata.isSigned) {
+    return { kind: "lost", reason: "unsigned", detail: "answer is not signed" };
+  }
+  return { kind: "answer", answer, signals };
+}
+
+function classifyError(
+  error: Error,
+  abortReason: LossReason | undefined,
+): ExchangeResult {
+  const detail = describeError(error);
+  if (abortReason !== undefined) {
+    return { kind: "lost", reason: abortReason, detail };
+  }
+  if (error instanceof ConnectError) {
+    return {
+      kind: "not_sent",
+      reason: detail,
+      isUnresponsive: error.isTimeout,
+    };
+  }
+  const isMalformed = error.name === "HTTPParserError";
+  return { kind: "lost", reason: isMalformed ? "malformed" : "cut", detail };
+}
+
+/**
+ * @param headers Headers of a request or an answer.
+ * @returns The headers without hop-by-hop headers and `content-length`.
+ */
+export function copyEndToEndHeaders(
+  headers: IncomingHttpHeaders,
+): IncomingHttpHeaders {
+  const connectionOptions = listConnectionOptions(headers.connection);
+  const copy: IncomingHttpHeaders = {};
+  for (const name in headers) {
+    const isHopByHop = HOP_BY_HOP_HEADERS.has(name) ||
+      connectionOptions.includes(name);
+    if (!isHopByHop && name !== "content-length") copy[name] = headers[name];
+  }
+  return copy;
+}
+
+/** @returns Names of headers that concern this connection only. */
+function listConnectionOptions(
+  connection: string | undefined,
+): readonly string[] {
+  // Both are hop-by-hop headers anyway.
+  if (
+    connection === undefined || connection === "keep-alive" ||
+    connection === "close"
+  ) {
+    return [];
+  }
+  return String(connection).toLowerCase().split(",").map((name) => name.trim());
+}
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -129,7 +129,8 @@
     signals: ServerSignals;
   }
   /**
-   * Not sent: its server drained or backed off before a connection was free.
+   * Not sent: its server drained or backed off, or its time ended, before a
+   * connection was free.
    */
   | { kind: "withdrawn" }
   /** No byte of the request can have reached the server. */
