Send attempts by way of another VM where own connections reach no server

Cause: a VM had one way to a server, its own connections, and judged servers one by one, so that a broken link of its own looked like many servers that are down. Class: evidence about the observer taken for evidence about the observed, with no second path (38 servers tried in 8 s, none responded).

Change: a VM tells the two apart by connections (two servers to which none opens while none to another one does), by silence, and by connections of its own that it opens on suspicion; a lost service is probed until a connection opens. Until then attempts go to another VM's peer address, over one hop, with the placement, permits, budgets and deadline of the VM that asks. A VM that can't help declines at once; what none can serve is refused at once. Health, reports of unreachable servers and the quarantine don't count failures of a VM's own links.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -46,6 +46,12 @@
   createSuspectTracker,
   type SuspectTracker,
 } from "../quarantine/suspect_tracker.ts";
+import {
+  createProxyClient,
+  type ProxyClient,
+} from "../proxying/proxy_client.ts";
+import { createProxySelection } from "../proxying/proxy_selection.ts";
+import type { ProxyServerOptions } from "../proxying/proxy_server.ts";
 import { createRetryBudget } from "../retries/budget.ts";
 import { createSplitter } from "../routing/split.ts";
 import { createRouteTable, type RouteTable } from "../routing/table.ts";
@@ -68,6 +74,7 @@
 } from "../servers/reachability.ts";
 import {
   createServerRegistry,
+  type KnownServer,
   type ServerRegistry,
 } from "../servers/registry.ts";
 import { createRunTimes } from "../servers/run_times.ts";
@@ -94,7 +101,11 @@
 import { createLatencyModel } from "../serving/latency_model.ts";
 import { createOverflowPlacer } from "../serving/overflow_placer.ts";
 import { createPlacer } from "../serving/placer.ts";
-import type { WireCodec } from "../serving/types.ts";
+import {
+  createServerTransport,
+  type ServerTransport,
+} from "../serving/server_transport.ts";
+import type { ExchangeResult, WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import { createServerLimits, type ServerLimits } from "./server_limits.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -142,6 +153,10 @@
   serverLimits: ServerLimits;
   reachability: ServerReachability;
   reachMonitor: ReachMonitor;
+  transport: ServerTransport;
+  proxyClient: ProxyClient;
+  /** Records the result of an attempt that this VM sent for another one. */
+  recordProxied: ProxyServerOptions["recordResult"];
   /** @returns Priorities that compete for a service, in ascending order. */
   getCompetingPriorities(service: string): readonly number[];
   copyPlan: CopyPlan;
@@ -219,10 +234,19 @@
     return priorities;
   }
 
+  const serverDial = createDial(options.openServerSocket);
   const reachMonitor = createReachMonitor({
     clock,
     log,
-    countServers: (service) => registry.listUsable(service).length,
+    random,
+    dial: serverDial,
+    listUsable: registry.listUsable,
+    getMeanRunMs: runTimes.getMeanMs,
+  });
+  reachMonitor.subscribe((service) => {
+    // Ejections show how this VM's own connections failed.
+    for (const { health } of registry.listUsable(service)) health.forgive();
+    waitQueue.notify(service);
   });
   const exchange = createExchange({
     codec,
@@ -398,24 +422,55 @@
     limiter,
     getKnowledgeAgeMs: options.freshness.getAgeMs,
   });
+  const observer = createAttemptObserver({
+    clock,
+    log,
+    latencyModel,
+    cacheModel,
+    cacheSizeEstimator,
+    runTimes,
+    rateLimits,
+    backoffs,
+    registry,
+    reachability,
+  });
+  const proxyClient = createProxyClient(codec, clock);
+  const transport = createServerTransport({
+    clock,
+    log,
+    ownId: self.id,
+    exchange,
+    reach: reachMonitor,
+    proxies: createProxySelection({
+      clock,
+      self,
+      listServing: memberTable.listServing,
+    }),
+    proxyClient,
+  });
+  const crashCheck = createCrashCheck(serverDial);
+
+  /** Records the result of an attempt that this VM sent for another one. */
+  function recordProxied(
+    server: KnownServer,
+    result: ExchangeResult,
+    fingerprint: string,
+  ): void {
+    observer.recordProxied(server, result);
+    if (result.kind !== "lost" || result.reason !== "cut") return;
+    crashCheck.check(server.listed).then((verdict) => {
+      if (verdict !== "ended" || !registry.isUsable(server)) return;
+      suspects.recordCrash(fingerprint, server.listed.id);
+    });
+  }
+
   const requestHandler = createRequestHandler({
     clock,
     log,
     random,
     registry,
     placer,
-    observer: createAttemptObserver({
-      clock,
-      log,
-      latencyModel,
-      cacheModel,
-      cacheSizeEstimator,
-      runTimes,
-      rateLimits,
-      backoffs,
-      registry,
-      reachability,
-    }),
+    observer,
     budget,
     splitter: createSplitter(),
     urgentDemand,
@@ -430,8 +485,9 @@
     },
     latencyModel,
     cacheModel,
-    exchange,
-    crashCheck: createCrashCheck(createDial(options.openServerSocket)),
+    transport,
+    crashCheck,
+    reachesOthers: reachMonitor.reachesOthers,
     suspects,
     permits,
     inflightBodies,
@@ -455,6 +511,9 @@
     serverLimits,
     reachability,
     reachMonitor,
+    transport,
+    proxyClient,
+    recordProxied,
     getCompetingPriorities,
     copyPlan,
     overflowBudget,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -35,6 +35,8 @@
   type FactSource,
   SOURCE_TOPICS,
 } from "../news/types.ts";
+import { isProxyOrder } from "../proxying/proxy_headers.ts";
+import { createProxyServer } from "../proxying/proxy_server.ts";
 import { createObjectCacheModel } from "../placement/object_cache_model.ts";
 import { MIN_COMPETING_REPORTED_RUN_MS } from "../queueing/thresholds.ts";
 import { formatAddress } from "../runtime/address.ts";
@@ -74,6 +76,8 @@
  * shutdown time (6 s), that leaves one second for requests in progress.
  */
 const DIRECTORY_TTL_MS = 1_500;
+/** Headers of a client's request, and those of a proxied attempt. */
+const MAX_PEER_HEADER_BYTES = 81_920;
 /**
  * Shorter requests are not reported to other VMs, since they end before the
  * report arrives: reporting requests of 94 ms had no benefit and took a sixth
@@ -154,9 +158,30 @@
     },
   );
 
+  const proxyServer = createProxyServer({
+    clock,
+    log,
+    codec,
+    registry: core.registry,
+    permits: core.serverLimits.permits,
+    reach: core.reachMonitor,
+    exchange: core.exchange,
+    bodyBudget: core.bodyBudget,
+    cores: settings.cores,
+    isOverloaded: overloadMonitor.isOverloaded,
+    recordResult: core.recordProxied,
+  });
   const peerServer = await listen(
     createRouter(),
     formatAddress(settings.peerAddress),
+    {
+      maxHeaderBytes: MAX_PEER_HEADER_BYTES,
+      intercept: {
+        isWanted: isProxyOrder,
+        handle: (request, response) =>
+          void proxyServer.handle(request, response),
+      },
+    },
   );
   const mesh = startMesh({
     self,
@@ -287,6 +312,7 @@
         memberTable,
         core,
         openRequests: frontServer.countOpenRequests(),
+        proxied: proxyServer.getStats(),
       }),
   });
   const startCheck = clock.every(START_CHECK_INTERVAL_MS, () => {
@@ -317,6 +343,7 @@
       reachabilitySharing.stop();
       core.suspects.stop();
       core.waitQueue.stop();
+      proxyServer.startLeaving();
       return leave({
         clock,
         log,
@@ -324,10 +351,11 @@
         mesh,
         readers,
         exchange: core.exchange,
+        proxyClient: core.proxyClient,
         control: [...controlServers, peerServer],
         graceMs: settings.bounds.graceMs,
         ttlMs,
-      });
+      }).finally(core.reachMonitor.stop);
     },
   };
 }
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -182,6 +182,14 @@
       help: "Connections to backend servers that could not be opened",
       read: () => core.reachMonitor.countConnectFailures(),
     },
+    attempts_by_proxy_total: {
+      help: "Attempts sent by way of another VM",
+      read: () => core.transport.getStats().proxied,
+    },
+    attempts_without_path_total: {
+      help: "Attempts for which no VM was found that reaches the service",
+      read: () => core.transport.getStats().withoutPath,
+    },
     reachability_sent_total: {
       help:
         "Reports sent to other VMs that a server is unresponsive or responds",
--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -6,6 +6,7 @@
  */
 import type { Mesh } from "../members/mesh.ts";
 import type { Reader } from "../news/reader.ts";
+import type { ProxyClient } from "../proxying/proxy_client.ts";
 import { type Clock, pause } from "../runtime/clock.ts";
 import type { HttpServer } from "../runtime/http_server.ts";
 import type { Exchange } from "../serving/exchange.ts";
@@ -20,6 +21,7 @@
   mesh: Mesh;
   readers: readonly Reader[];
   exchange: Exchange;
+  proxyClient: ProxyClient;
   control: readonly HttpServer[];
   /** Time until the process is killed, in ms. */
   graceMs: number;
@@ -62,7 +64,7 @@
   mesh.stop();
   options.control.forEach(({ server }) => server.close());
   await Promise.race([
-    options.exchange.close(),
+    Promise.all([options.exchange.close(), options.proxyClient.close()]),
     pause(clock, CLOSE_TIMEOUT_MS),
   ]);
 }
--- a/src/gateway/state_dump.ts
+++ b/src/gateway/state_dump.ts
@@ -8,6 +8,7 @@
 import type { FactStore } from "../news/fact_store.ts";
 import type { FreshnessTracker } from "../news/freshness.ts";
 import { CONFIGURATION_KEY, SOURCE_TOPICS } from "../news/types.ts";
+import type { ProxyServerStats } from "../proxying/proxy_server.ts";
 import type { Configuration } from "../routing/types.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { Core } from "./core.ts";
@@ -24,6 +25,8 @@
   memberTable: MemberTable;
   core: Core;
   openRequests: number;
+  /** Attempts for other VMs. */
+  proxied: ProxyServerStats;
 }
 
 /**
@@ -39,6 +42,7 @@
     memberTable,
     core,
     openRequests,
+    proxied,
   } = options;
   const ages = SOURCE_TOPICS.map((topic) => [topic, factStore.getAgeMs(topic)]);
   return {
@@ -59,6 +63,8 @@
     unresponsiveServers: core.reachability.list(),
     reachability: core.reachability.getStats(),
     serviceReach: core.reachMonitor.list(),
+    transport: core.transport.getStats(),
+    proxied,
     objectCaches: core.copyPlan.list(),
     overflow: core.overflowBudget.list(),
     evacuated: core.registry.listEvacuated(),
--- /dev/null
+++ b/src/proxying/proxy_server.ts
@@ -0,0 +1,250 @@
+/**
+ * Sends attempts to backend servers in the place of VMs that don't reach them.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../runtime/clock.ts";
+import { describeError } from "../runtime/errors.ts";
+import type { ReachMonitor } from "../servers/reach_monitor.ts";
+import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import type { ServerPermits } from "../servers/permits.ts";
+import type { BodyBudget, BodyHold } from "../serving/body_budget.ts";
+import type { Exchange } from "../serving/exchange.ts";
+import { type Attempt, copyEndToEndHeaders } from "../serving/http_attempt.ts";
+import type { ExchangeResult, WireCodec } from "../serving/types.ts";
+import type { Log } from "../telemetry/log.ts";
+import {
+  decodeProxyOrder,
+  encodeProxyResult,
+  PROXY_FAILURE_STATUS,
+  type ProxyOrder,
+  type ProxyResult,
+  stripProxyHeaders,
+} from "./proxy_headers.ts";
+
+/** Sends attempts in the place of other VMs. */
+export interface ProxyServer {
+  /** Handles a request of another VM; never rejects. */
+  handle(message: IncomingMessage, response: ServerResponse): Promise<void>;
+  /** Declines from now on; attempts in progress are completed. */
+  startLeaving(): void;
+  /** @returns Counts since the start of the process. */
+  getStats(): ProxyServerStats;
+}
+
+/** Counts of a proxy server since the start of the process. */
+export interface ProxyServerStats {
+  /** Attempts in progress. */
+  open: number;
+  /** Attempts sent for other VMs. */
+  sent: number;
+  declined: number;
+}
+
+/** Dependencies of `createProxyServer`. */
+export interface ProxyServerOptions {
+  clock: Clock;
+  log: Log;
+  codec: WireCodec;
+  registry: Pick<ServerRegistry, "listAll" | "isUsable">;
+  permits: Pick<ServerPermits, "isValid">;
+  reach: Pick<ReachMonitor, "assess">;
+  exchange: Pick<Exchange, "sendEncoded">;
+  bodyBudget: Pick<BodyBudget, "open">;
+  /** Processor capacity of this VM, in cores. */
+  cores: number;
+  /** Whether the event loop is saturated. */
+  isOverloaded: () => boolean;
+  /**
+   * Records how a server responded to an attempt of another VM.
+   *
+   * @param server The server.
+   * @param result The result.
+   * @param fingerprint Fingerprint of the request.
+   */
+  recordResult: (
+    server: KnownServer,
+    result: ExchangeResult,
+    fingerprint: string,
+  ) => void;
+}
+
+/** Attempts in progress per core; an own request holds as much of the VM. */
+const MAX_OPEN_PER_CORE = 100;
+const MAX_BODY_BYTES = 16_777_216;
+
+/**
+ * @param options Dependencies.
+ * @returns A proxy server without attempts.
+ */
+export function createProxyServer(options: ProxyServerOptions): ProxyServer {
+  const { clock, log, codec, registry, reach } = options;
+  const maxOpen = Math.max(1, Math.round(MAX_OPEN_PER_CORE * options.cores));
+  const stats: ProxyServerStats = { open: 0, sent: 0, declined: 0 };
+  let isLeaving = false;
+
+  /** @returns Why an order is declined before its body is read, if it is. */
+  function findDenial(server: KnownServer | undefined): string | undefined {
+    if (isLeaving) return "leaving";
+    if (options.isOverloaded() || stats.open >= maxOpen) return "overloaded";
+    if (server === undefined) return "unknown server";
+    if (reach.assess(server.listed.service) === "lost") return "service lost";
+    return undefined;
+  }
+
+  async function handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const order = decodeProxyOrder(message.headers);
+    const server = order &&
+      registry.listAll().find(({ listed }) => listed.id === order.server);
+    const denial = findDenial(server);
+    if (order === undefined || server === undefined || denial !== undefined) {
+      const reason = denial ?? "incomplete order";
+      return decline(message, response, reason);
+    }
+    stats.open++;
+    const hold = options.bodyBudget.open(
+      clock.monotonicMs() + order.remainingMs,
+    );
+    try {
+      await run(message, response, { order, server, hold });
+    } catch (cause) {
+      log.info({ error: describeError(cause) }, "proxied attempt cut");
+      response.destroy();
+    } finally {
+      hold.release();
+      stats.open--;
+    }
+  }
+
+  async function run(
+    message: IncomingMessage,
+    response: ServerResponse,
+    { order, server, hold }: {
+      order: ProxyOrder;
+      server: KnownServer;
+      hold: BodyHold;
+    },
+  ): Promise<void> {
+    const body = await readBody(message, hold);
+    if (body === undefined) return decline(message, response, "memory short");
+    const headers = stripProxyHeaders(copyEndToEndHeaders(message.headers));
+    const startedAtMs = clock.monotonicMs();
+    const attempt = options.exchange.sendEncoded(
+      server.listed,
+      {
+        method: message.method ?? "GET",
+        path: message.url ?? "/",
+        body,
+        metadata: codec.decodeRequest(message.headers),
+        holdBodies: () => hold,
+      },
+      headers as Record<string, string | string[]>,
+      () => registry.isUsable(server) && options.permits.isValid(server.listed),
+    );
+    const result = await awaitResult(attempt, response, order);
+    stats.sent++;
+    log.info(
+      {
+        requestId: codec.decodeRequest(message.headers).requestId,
+        sender: order.sender,
+        server: server.listed.id,
+        tookMs: Math.round(clock.monotonicMs() - startedAtMs),
+        outcome: result.kind,
+        reason: "reason" in result ? result.reason : undefined,
+      },
+      "proxied attempt ended",
+    );
+    const isOwnFailure = result.kind === "not_sent" &&
+      reach.assess(server.listed.service) !== "reached";
+    if (!isOwnFailure) options.recordResult(server, result, order.fingerprint);
+    sendResult(response, result, isOwnFailure);
+  }
+
+  /** Ends the attempt when its time ends or the other VM gives it up. */
+  async function awaitResult(
+    attempt: Attempt,
+    response: ServerResponse,
+    { remainingMs }: ProxyOrder,
+  ): Promise<ExchangeResult> {
+    const onClose = () => attempt.abort("client_left");
+    response.once("close", onClose);
+    if (response.destroyed) onClose();
+    const timer = clock.after(remainingMs, () => attempt.abort("timeout"));
+    const result = await attempt.result;
+    timer.cancel();
+    response.off("close", onClose);
+    return result;
+  }
+
+  function decline(
+    message: IncomingMessage,
+    response: ServerResponse,
+    reason: string,
+  ): void {
+    stats.declined++;
+    // The rest of the body is not read.
+    if (!message.complete) response.setHeader("connection", "close");
+    sendFailure(response, { kind: "declined", reason });
+  }
+
+  return {
+    handle,
+    startLeaving: () => void (isLeaving = true),
+    getStats: () => ({ ...stats }),
+  };
+}
+
+/** @returns The body; undefined if there is no memory for it. */
+async function readBody(
+  message: IncomingMessage,
+  hold: BodyHold,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = Number(message.headers["content-length"] ?? 0);
+  if (sizeBytes > MAX_BODY_BYTES || !hold.tryHoldRequest(sizeBytes)) {
+    return undefined;
+  }
+  sizeBytes = 0;
+  for await (const chunk of message) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > MAX_BODY_BYTES) return undefined;
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+}
+
+function sendResult(
+  response: ServerResponse,
+  result: ExchangeResult,
+  isOwnFailure: boolean,
+): void {
+  if (result.kind === "answer" || result.kind === "not_run") {
+    const { status, headers, body } = result.answer;
+    if (response.destroyed) return;
+    const hasNoBody = status === 204 || status === 304;
+    response.writeHead(status, {
+      ...headers,
+      ...encodeProxyResult({ kind: "response" }),
+      ...(hasNoBody ? {} : { "content-length": body.length }),
+    });
+    return void response.end(body);
+  }
+  if (result.kind === "lost") return sendFailure(response, result);
+  const reason = result.kind === "not_sent" ? result.reason : result.kind;
+  const kind = isOwnFailure ? "declined" : "not_sent";
+  sendFailure(response, { kind, reason });
+}
+
+function sendFailure(response: ServerResponse, result: ProxyResult): void {
+  if (response.destroyed) return;
+  response.writeHead(PROXY_FAILURE_STATUS, {
+    ...encodeProxyResult(result),
+    "content-length": 0,
+  });
+  response.end();
+}
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -229,13 +229,14 @@
       waitQueue,
       latencyModel,
       cacheModel,
-      exchange: {
-        send: ({ id }, { headers, body }) =>
-          send(id, Number(headers["x-work"]), body.length),
-        closePool() {},
-        countConnections: () => 0,
-        close: () => Promise.resolve(),
+      transport: {
+        send({ server: { id }, request: { headers, body } }) {
+          const attempt = send(id, Number(headers["x-work"]), body.length);
+          const result = attempt.result.then((result) => ({ result }));
+          return { result, abort: attempt.abort };
+        },
       },
+      reachesOthers: () => Promise.resolve(true),
       crashCheck: {
         check: ({ id }) => Promise.resolve(servers.has(id) ? "runs" : "ended"),
       },
@@ -309,6 +310,7 @@
         kind: "not_run",
         reason: "shed",
         signals,
+        answer: { status: 503, headers: {}, body: Buffer.alloc(0) },
       };
       return { result: Promise.resolve(result), abort() {} };
     }
--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -5,7 +5,13 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { createServer, type Server, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { AddressInfo } from "node:net";
 import polka, { type Handler, type Polka, type Request } from "polka";
 import { splitAddress } from "./address.ts";
@@ -44,6 +50,18 @@
   extra?: Record<string, unknown>;
 }
 
+/** Options of a server. */
+export interface ListenOptions {
+  /** Largest headers that are accepted. */
+  maxHeaderBytes?: number;
+  /** Handles requests in place of the router, whatever their path. */
+  intercept?: {
+    /** Whether a request with these headers is handled. */
+    isWanted: (headers: IncomingHttpHeaders) => boolean;
+    handle: (request: IncomingMessage, response: ServerResponse) => void;
+  };
+}
+
 /** Methods of the router whose handlers are wrapped. */
 const WRAPPED_METHODS = ["use", "get", "put", "post", "all"] as const;
 
@@ -107,10 +125,15 @@
  *
  * @param router The routes to serve.
  * @param address `host:port`; port 0 chooses a free port.
+ * @param options Options of the server.
  * @returns The listening server.
  * @throws StepError of kind `invalid` where the address can't be bound.
  */
-export function listen(router: Polka, address: string): Promise<HttpServer> {
+export function listen(
+  router: Polka,
+  address: string,
+  { maxHeaderBytes = MAX_HEADER_BYTES, intercept }: ListenOptions = {},
+): Promise<HttpServer> {
   const { host, port } = splitAddress(address);
   let isClosing = false;
   const server = createServer({
@@ -118,10 +141,13 @@
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: SLOW_CONNECTION_CHECK_INTERVAL_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    maxHeaderSize: MAX_HEADER_BYTES,
+    maxHeaderSize: maxHeaderBytes,
     noDelay: true,
   }, (request, response) => {
     if (isClosing) response.setHeader("connection", "close");
+    if (intercept?.isWanted(request.headers)) {
+      return intercept.handle(request, response);
+    }
     router.handler(request, response);
   });
   return new Promise((resolve, reject) => {
--- a/src/servers/health.ts
+++ b/src/servers/health.ts
@@ -31,6 +31,8 @@
   isEjected(): boolean;
   /** @returns Whether it was ejected and has not answered since. */
   isDown(): boolean;
+  /** Ends an ejection, and forgets the outcomes that led to it. */
+  forgive(): void;
   /** @returns Share of recent requests that failed, 0 to 1. */
   getFailureShare(): number;
 }
@@ -79,6 +81,12 @@
     hasRespondedSince: (sinceMs) => respondedAtMs >= sinceMs,
     isEjected: () => clock.monotonicMs() < ejectedUntilMs,
     isDown: () => ejections > 0,
+    forgive() {
+      failureShare = 0;
+      consecutiveUnreachable = 0;
+      ejections = 0;
+      ejectedUntilMs = 0;
+    },
     getFailureShare: () => failureShare,
   };
 }
--- a/src/servers/reach_monitor.ts
+++ b/src/servers/reach_monitor.ts
@@ -1,13 +1,18 @@
 /**
- * Watches whether this VM reaches the servers of each service, and logs when
- * that changes.
+ * Watches whether this VM reaches the servers of each service: collects evidence
+ * from its connections, and opens connections of its own where that is in doubt.
  *
  * @module
  */
-import type { Clock } from "../runtime/clock.ts";
+import type { Clock, Timer } from "../runtime/clock.ts";
+import type { Dial } from "../runtime/dial.ts";
 import { describeError } from "../runtime/errors.ts";
+import type { Random } from "../runtime/random.ts";
 import type { Log } from "../telemetry/log.ts";
+import { selectProbeTargets } from "./probe_targets.ts";
 import { createReachEvidence, type ServiceReach } from "./reach_evidence.ts";
+import type { KnownServer } from "./registry.ts";
+import { createSilenceWatch } from "./silence_watch.ts";
 import type { ListedServer } from "./types.ts";
 
 /** What is known of one service, for the state dump. */
@@ -20,6 +25,12 @@
   succeededAgoMs: number;
 }
 
+/** An attempt over a connection of this VM that has no response yet. */
+export interface WatchedAttempt {
+  /** Ends the watch. */
+  end(): void;
+}
+
 /** Watches whether this VM reaches the servers of each service. */
 export interface ReachMonitor {
   /** Records that a connection to a server was opened. */
@@ -38,18 +49,79 @@
   ): void;
   /** Records a response of a server on a connection of this VM. */
   recordResponse(server: ListedServer): void;
+  /**
+   * Watches an attempt over a connection of this VM.
+   *
+   * @param server The server.
+   * @param onLost Called once if no server of the service responds and it is
+   *   lost.
+   * @returns The watch, to be ended with the attempt.
+   */
+  watch(server: ListedServer, onLost: () => void): WatchedAttempt;
+  /**
+   * @param service A service.
+   * @returns Whether this VM reaches it.
+   */
+  assess(service: string): ServiceReach;
+  /**
+   * @param server A server.
+   * @returns Whether it responded on a connection of this VM a moment ago.
+   */
+  hasResponded(server: ListedServer): boolean;
+  /**
+   * Opens a connection to another server of a service, to tell a server that is
+   * down from a broken link of this VM.
+   *
+   * @param server The server that is in doubt.
+   * @returns Whether another one is reached; true where there is none.
+   */
+  reachesOthers(server: ListedServer): Promise<boolean>;
+  /**
+   * Subscribes to services that are lost or reached again.
+   *
+   * @param onChange Called with the service.
+   */
+  subscribe(onChange: (service: string, isLost: boolean) => void): void;
   /** @returns The services that this VM had to do with. */
   list(): ServiceReachState[];
   /** @returns Connections that could not be opened since the start. */
   countConnectFailures(): number;
+  /** Ends all timers. */
+  stop(): void;
 }
 
 /** Dependencies of `createReachMonitor`. */
 export interface ReachMonitorOptions {
   clock: Clock;
   log: Log;
-  /** @returns Number of servers of a service that may get requests. */
-  countServers: (service: string) => number;
+  random: Random;
+  dial: Dial;
+  /** @returns The servers of a service that may get requests. */
+  listUsable: (service: string) => readonly KnownServer[];
+  /** @returns Mean run time of a service's requests, in ms, if known. */
+  getMeanRunMs: (service: string) => number | undefined;
+}
+
+const DIAL_TIMEOUT_MS = 400;
+/** Servers that are dialed at once where a service is in doubt. */
+const CHECKED_SERVERS = 2;
+/** Least interval of such checks of a service. */
+const MIN_CHECK_INTERVAL_MS = 300;
+/** Servers that are dialed at once while a service is lost. */
+const PROBED_SERVERS = 2;
+/** Interval of these dials; it grows by half each time. */
+const FIRST_PROBE_INTERVAL_MS = 200;
+const MAX_PROBE_INTERVAL_MS = 1_000;
+const PROBE_INTERVAL_GROWTH = 1.5;
+/** Random share added, so that VMs of a fleet don't probe together. */
+const PROBE_JITTER = 0.25;
+/** Time for which a response shows that open connections to a server live. */
+const RESPONSE_LIFE_MS = 1_000;
+
+interface LostService {
+  sinceMs: number;
+  probeIntervalMs: number;
+  timer: Timer | undefined;
 }
 
 /**
@@ -57,26 +129,101 @@
  * @returns A monitor to which all services are reached.
  */
 export function createReachMonitor(options: ReachMonitorOptions): ReachMonitor {
-  const { clock, log } = options;
-  const evidence = createReachEvidence(options);
-  /** Services that are lost, with the time of the change. */
-  const lostSinceMs = new Map<string, number>();
+  const { clock, log, random, dial, listUsable } = options;
+  const evidence = createReachEvidence({
+    clock,
+    countServers: (service) => listUsable(service).length,
+  });
+  const silence = createSilenceWatch({
+    clock,
+    getMeanRunMs: options.getMeanRunMs,
+    getSucceededAtMs: evidence.getSucceededAtMs,
+    isLost: (service) => evidence.assess(service) === "lost",
+    onSilent(server) {
+      evidence.recordSilence(server.service);
+      check(server.service, [server]);
+    },
+  });
+  const lostServices = new Map<string, LostService>();
+  const checkedAtMs = new Map<string, number>();
+  const respondedAtMs = new Map<string, number>();
+  const listeners: ((service: string, isLost: boolean) => void)[] = [];
   let connectFailures = 0;
+  let isStopped = false;
+
+  async function probe(server: ListedServer): Promise<boolean> {
+    const startedAtMs = clock.monotonicMs();
+    const result = await dial(server.address, DIAL_TIMEOUT_MS);
+    if (isStopped) return false;
+    if (result === "accepted") evidence.recordConnected(server);
+    else evidence.recordConnectFailure(server, startedAtMs);
+    applyChanges();
+    return result === "accepted";
+  }
+
+  function selectTargets(
+    service: string,
+    count: number,
+    except: readonly ListedServer[] = [],
+  ): ListedServer[] {
+    const servers = listUsable(service).map(({ listed }) => listed);
+    return selectProbeTargets(servers, {
+      count,
+      except,
+      isFailing: evidence.isFailing,
+      random,
+    });
+  }
+
+  /** Dials the suspected servers of a service, and others up to two. */
+  function check(service: string, suspects: readonly ListedServer[]): void {
+    const nowMs = clock.monotonicMs();
+    const lastMs = checkedAtMs.get(service) ?? -Infinity;
+    if (nowMs - lastMs < MIN_CHECK_INTERVAL_MS || isStopped) return;
+    checkedAtMs.set(service, nowMs);
+    const count = CHECKED_SERVERS - suspects.length;
+    const others = selectTargets(service, count, suspects);
+    for (const server of [...suspects, ...others]) void probe(server);
+  }
+
+  /** Probes a lost service until one of its servers accepts a connection. */
+  function startProbing(service: string, lost: LostService): void {
+    for (const server of selectTargets(service, PROBED_SERVERS)) {
+      void probe(server);
+    }
+    const delayMs = lost.probeIntervalMs * (1 + PROBE_JITTER * random());
+    lost.probeIntervalMs = Math.min(
+      MAX_PROBE_INTERVAL_MS,
+      lost.probeIntervalMs * PROBE_INTERVAL_GROWTH,
+    );
+    lost.timer = clock.after(delayMs, () => {
+      if (lostServices.get(service) === lost) startProbing(service, lost);
+    });
+  }
 
-  /** Logs which services were lost or are reached again since the last call. */
-  function logChanges(): void {
+  /** Applies which services were lost or are reached again since the last call. */
+  function applyChanges(): void {
     const nowMs = clock.monotonicMs();
-    const lost = new Set(evidence.listLost());
-    for (const service of lost) {
-      if (lostSinceMs.has(service)) continue;
-      lostSinceMs.set(service, nowMs);
+    const current = new Set(evidence.listLost());
+    for (const service of current) {
+      if (lostServices.has(service)) continue;
+      const lost: LostService = {
+        sinceMs: nowMs,
+        probeIntervalMs: FIRST_PROBE_INTERVAL_MS,
+        timer: undefined,
+      };
+      lostServices.set(service, lost);
       log.warn(describe(service), "service lost");
+      listeners.forEach((onChange) => onChange(service, true));
+      startProbing(service, lost);
     }
-    for (const [service, sinceMs] of lostSinceMs) {
-      if (lost.has(service)) continue;
-      lostSinceMs.delete(service);
+    for (const [service, { sinceMs, timer }] of lostServices) {
+      if (current.has(service)) continue;
+      timer?.cancel();
+      lostServices.delete(service);
       const lostMs = Math.round(nowMs - sinceMs);
       log.warn({ service, lostMs }, "service reached again");
+      listeners.forEach((onChange) => onChange(service, false));
     }
   }
 
@@ -93,7 +240,7 @@
   return {
     recordConnected(server) {
       evidence.recordConnected(server);
-      if (lostSinceMs.size > 0) logChanges();
+      if (lostServices.size > 0) applyChanges();
     },
     recordConnectFailure(server, error, startedAtMs) {
       connectFailures++;
@@ -104,10 +251,29 @@
         "connection to server failed",
       );
       evidence.recordConnectFailure(server, startedAtMs);
-      logChanges();
+      applyChanges();
+      if (evidence.isFailing(server)) check(service, []);
+    },
+    recordResponse(server) {
+      respondedAtMs.set(server.id, clock.monotonicMs());
+      evidence.recordResponse(server);
     },
-    recordResponse: evidence.recordResponse,
+    watch: silence.watch,
+    assess: evidence.assess,
+    hasResponded: ({ id }) =>
+      clock.monotonicMs() - (respondedAtMs.get(id) ?? -Infinity) <
+        RESPONSE_LIFE_MS,
+    async reachesOthers(server) {
+      const [other] = selectTargets(server.service, 1, [server]);
+      return other === undefined || await probe(other);
+    },
+    subscribe: (onChange) => void listeners.push(onChange),
     list: () => evidence.listServices().map(describe),
     countConnectFailures: () => connectFailures,
+    stop() {
+      isStopped = true;
+      silence.stop();
+      for (const { timer } of lostServices.values()) timer?.cancel();
+    },
   };
 }
--- a/src/serving/attempt_observer.ts
+++ b/src/serving/attempt_observer.ts
@@ -16,6 +16,7 @@
 import type { Log } from "../telemetry/log.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import { makeObjectName, type RequestProgress } from "./request_progress.ts";
+import type { TransportOutcome } from "./server_transport.ts";
 import {
   type ExchangeResult,
   type LossReason,
@@ -37,8 +38,7 @@
 }
 
 /** Outcome of one attempt. */
-export interface AttemptOutcome {
-  result: ExchangeResult;
+export interface AttemptOutcome extends TransportOutcome {
   /** Duration of the attempt. */
   tookMs: number;
   /** Utilization of the server at the start, in requests per slot. */
@@ -68,6 +68,13 @@
     server: KnownServer,
     outcome: AttemptOutcome,
   ): void;
+  /**
+   * Records how a server ended an attempt of another VM.
+   *
+   * @param server The server.
+   * @param result The result.
+   */
+  recordProxied(server: KnownServer, result: ExchangeResult): void;
 }
 
 /**
@@ -100,14 +107,14 @@
     server: KnownServer,
     outcome: AttemptOutcome,
   ): void {
-    const { result, tookMs } = outcome;
-    recordSignals(server, result);
-    recordReachability(server, result);
+    const { result, tookMs, via, isPathBroken } = outcome;
+    if (result.kind !== "no_path") recordSignals(server, result);
+    // What a proxying VM observed it tells the others itself.
+    if (via === undefined && !isPathBroken) recordReachability(server, result);
     if (outcome.isTrial) reachability.endTrial(server.listed.id);
     if (result.kind === "answer") recordAnswer(progress, server, outcome);
     if (result.kind === "not_run") server.health.recordOutcome("shed");
-    if (result.kind === "not_sent") server.health.recordOutcome("unreachable");
-    if (result.kind === "lost") recordLoss(server, result.reason, tookMs);
+    if (!isPathBroken) recordFailure(server, outcome);
     if (
       progress.usesObjectCache && outcome.depth === undefined &&
       !hasProbablyStarted(outcome)
@@ -122,6 +129,8 @@
         tookMs: Math.round(tookMs),
         isFirst: progress.usesObjectCache && !outcome.isCached,
         depth: outcome.depth,
+        via,
+        ...(isPathBroken ? { isPathBroken } : {}),
         ...describeResult(result),
         ...describeSignals(result),
       },
@@ -129,6 +138,26 @@
     );
   }
 
+  /** Records an attempt without a response of the server. */
+  function recordFailure(
+    server: KnownServer,
+    { result, tookMs, via }: AttemptOutcome,
+  ): void {
+    if (result.kind === "not_sent") server.health.recordOutcome("unreachable");
+    if (result.kind !== "lost") return;
+    recordLoss(server, result.reason, { tookMs, isOwn: via === undefined });
+  }
+
+  function recordProxied(server: KnownServer, result: ExchangeResult): void {
+    recordSignals(server, result);
+    recordReachability(server, result);
+    if (result.kind === "not_sent") server.health.recordOutcome("unreachable");
+    if (result.kind === "not_run") server.health.recordOutcome("shed");
+    if (result.kind !== "answer") return;
+    const hasFailed = result.answer.status >= MIN_SERVER_ERROR_STATUS;
+    server.health.recordOutcome(hasFailed ? "failed" : "answered");
+  }
+
   function recordSignals(server: KnownServer, result: ExchangeResult): void {
     if (result.kind !== "answer" && result.kind !== "not_run") return;
     if (result.kind === "not_run" && result.reason === "other_server") return;
@@ -192,14 +221,16 @@
   function recordLoss(
     server: KnownServer,
     reason: LossReason,
-    tookMs: number,
+    { tookMs, isOwn }: { tookMs: number; isOwn: boolean },
   ): void {
-    if (reason === "client_left" || reason === "set_aside") return;
+    const isAborted = reason === "client_left" || reason === "set_aside" ||
+      reason === "service_lost";
+    if (isAborted) return;
     if (reason !== "timeout") return server.health.recordOutcome("failed");
     const sentAtMs = clock.monotonicMs() - tookMs;
     if (server.health.hasRespondedSince(sentAtMs)) return;
     server.health.recordOutcome("unreachable");
-    reachability.recordOwn(server.listed.id, "unanswered");
+    if (isOwn) reachability.recordOwn(server.listed.id, "unanswered");
   }
 
   /**
@@ -208,7 +239,7 @@
    */
   function recordReachability(
     { listed }: KnownServer,
-    result: ExchangeResult,
+    result: TransportOutcome["result"],
   ): void {
     const isResponse = result.kind === "answer" ||
       result.kind === "not_run" && result.reason !== "other_server";
@@ -218,7 +249,7 @@
     }
   }
 
-  return { recordAttempt };
+  return { recordAttempt, recordProxied };
 }
 
 /**
@@ -239,19 +270,25 @@
   return isAbortedHere && utilizationAtStart < FREE_SLOT_UTILIZATION;
 }
 
-function describeResult(result: ExchangeResult): Record<string, unknown> {
+function describeResult(
+  result: TransportOutcome["result"],
+): Record<string, unknown> {
   if (result.kind === "answer") {
     return { outcome: "answer", status: result.answer.status };
   }
   if (result.kind === "lost") {
     return { outcome: result.reason, detail: result.detail };
   }
-  if (result.kind === "withdrawn") return { outcome: result.kind };
+  if (result.kind === "withdrawn" || result.kind === "no_path") {
+    return { outcome: result.kind };
+  }
   return { outcome: result.kind, reason: result.reason };
 }
 
 /** Log fields for the signals of the server; empty where it sent none. */
-function describeSignals(result: ExchangeResult): Record<string, unknown> {
+function describeSignals(
+  result: TransportOutcome["result"],
+): Record<string, unknown> {
   if (result.kind !== "answer" && result.kind !== "not_run") return {};
   const { load, limitPerS, isDraining, backoffMs } = result.signals;
   return {
--- a/src/serving/attempt_observer_test.ts
+++ b/src/serving/attempt_observer_test.ts
@@ -53,13 +53,10 @@
   };
 }
 
+const EMPTY_ANSWER = { status: 200, headers: {}, body: Buffer.alloc(0) };
 const ANSWER: ExchangeResult = {
   kind: "answer",
-  answer: {
-    status: 200,
-    headers: {},
-    body: Buffer.alloc(0),
-  },
+  answer: EMPTY_ANSWER,
   signals: NO_SIGNALS,
 };
 
@@ -101,6 +98,7 @@
     kind: "not_run",
     reason: "shed",
     signals: NO_SIGNALS,
+    answer: EMPTY_ANSWER,
   };
   assert.not(isCachedAfter(shed, 0.5));
 });
@@ -188,7 +186,11 @@
     });
     return [...outcomes];
   };
-  const turnedAway = { kind: "not_run", signals: NO_SIGNALS } as const;
+  const turnedAway = {
+    kind: "not_run",
+    answer: EMPTY_ANSWER,
+    signals: NO_SIGNALS,
+  } as const;
   const timeout = {
     kind: "not_sent",
     reason: "",
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -11,6 +11,7 @@
   type Attempt,
   copyEndToEndHeaders,
   createFailureDetector,
+  type OutboundRequest,
   startAttempt,
 } from "./http_attempt.ts";
 import {
@@ -49,6 +50,34 @@
     remainingMs: number,
     maySend: () => boolean,
   ): Attempt;
+  /**
+   * Sends a request whose headers are encoded already.
+   *
+   * @param server The server.
+   * @param request The request.
+   * @param headers Its headers.
+   * @param maySend Whether the request may still be sent.
+   * @returns The running attempt.
+   */
+  sendEncoded(
+    server: ListedServer,
+    request: OutboundRequest,
+    headers: Record<string, string | string[]>,
+    maySend: () => boolean,
+  ): Attempt;
+  /**
+   * @param request A request.
+   * @param server The server that it will be sent to.
+   * @param remainingMs Time that the server has to answer.
+   * @returns The headers to send.
+   */
+  encodeHeaders(
+    request: CallerRequest,
+    server: ListedServer,
+    remainingMs: number,
+  ): Record<string, string | string[]>;
+  /** @returns Whether an open connection to a server is idle. */
+  hasFreeConnection(serverId: string): boolean;
   /**
    * Closes the connections to a server that is no longer listed, after its
    * requests in flight.
@@ -132,23 +161,40 @@
     return pool;
   }
 
+  function sendEncoded(
+    server: ListedServer,
+    request: OutboundRequest,
+    headers: Record<string, string | string[]>,
+    maySend: () => boolean,
+  ): Attempt {
+    return startAttempt(getPool(server), request, headers, {
+      codec,
+      isConnectionFailing: failureDetector.isFailing,
+      onResponse: () => observer.recordResponse(server),
+      maySend,
+    });
+  }
+
+  function encodeHeaders(
+    request: CallerRequest,
+    server: ListedServer,
+    remainingMs: number,
+  ): Record<string, string | string[]> {
+    return codec.encodeRequest(copyEndToEndHeaders(request.headers), {
+      serverName: server.registeredName,
+      remainingMs: Math.max(1, Math.floor(remainingMs)),
+      caller: request.caller,
+    });
+  }
+
   return {
     send(server, request, remainingMs, maySend) {
-      const headers = codec.encodeRequest(
-        copyEndToEndHeaders(request.headers),
-        {
-          serverName: server.registeredName,
-          remainingMs: Math.max(1, Math.floor(remainingMs)),
-          caller: request.caller,
-        },
-      );
-      return startAttempt(getPool(server), request, headers, {
-        codec,
-        isConnectionFailing: failureDetector.isFailing,
-        onResponse: () => observer.recordResponse(server),
-        maySend,
-      });
+      const headers = encodeHeaders(request, server, remainingMs);
+      return sendEncoded(server, request, headers, maySend);
     },
+    sendEncoded,
+    encodeHeaders,
+    hasFreeConnection: (serverId) => (pools.get(serverId)?.stats.free ?? 0) > 0,
     closePool(serverId) {
       const pool = pools.get(serverId);
       if (pool === undefined) return;
--- a/src/serving/http_attempt.ts
+++ b/src/serving/http_attempt.ts
@@ -38,10 +38,16 @@
   "expect",
 ]);
 
+/** The parts of a request that an attempt sends, besides its headers. */
+export type OutboundRequest = Pick<
+  CallerRequest,
+  "method" | "path" | "body" | "metadata" | "holdBodies"
+>;
+
 /** A running attempt. */
-export interface Attempt {
+export interface Attempt<Result = ExchangeResult> {
   /** Result of the attempt; never rejects. */
-  result: Promise<ExchangeResult>;
+  result: Promise<Result>;
   /** Aborts the attempt by closing its connection. */
   abort(reason: LossReason): void;
 }
@@ -80,7 +86,7 @@
 }
 
 /** What an attempt depends on besides its request. */
-export interface AttemptOptions {
+export interface AttemptOptions<Failure = never> {
   codec: WireCodec;
   isConnectionFailing: () => boolean;
   /** Called when the response begins to arrive. */
@@ -90,6 +96,14 @@
    * it.
    */
   maySend: () => boolean;
+  /**
+   * Returns the failure that a response stands for; undefined if it is the
+   * server's. Absent where all responses are.
+   */
+  decodeFailure?: (
+    status: number,
+    headers: IncomingHttpHeaders,
+  ) => Failure | undefined;
 }
 
 /**
@@ -101,18 +115,19 @@
  * @param options What the attempt depends on.
  * @returns The running attempt.
  */
-export function startAttempt(
+export function startAttempt<Failure = never>(
   pool: Pool,
-  request: CallerRequest,
+  request: OutboundRequest,
   headers: Record<string, string | string[]>,
-  { codec, isConnectionFailing, onResponse, maySend }: AttemptOptions,
-): Attempt {
+  options: AttemptOptions<Failure>,
+): Attempt<ExchangeResult | Failure> {
+  const { codec, isConnectionFailing, onResponse, maySend } = options;
   let controller: Dispatcher.DispatchController | undefined;
   let abortReason: LossReason | undefined;
   let isWithdrawn = false;
   let stopWaiting = () => {};
   let settle: (result: ExchangeResult) => void;
-  const result = new Promise<ExchangeResult>((resolve) => {
+  const result = new Promise<ExchangeResult | Failure>((resolve) => {
     settle = resolve;
     const chunks: Buffer[] = [];
     let status = 0;
@@ -166,6 +181,8 @@
           const detail = "connection was reset before the answer ended";
           return resolve({ kind: "lost", reason: "cut", detail });
         }
+        const failure = options.decodeFailure?.(status, answerHeaders);
+        if (failure !== undefined) return resolve(failure);
         const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
         const metadata = codec.decodeAnswer(status, answerHeaders);
         const headers = copyEndToEndHeaders(answerHeaders);
@@ -195,8 +212,8 @@
 
 function classifyAnswer(
   metadata: AnswerMetadata,
-  answer: { status: number; headers: IncomingHttpHeaders; body: Buffer },
-  request: CallerRequest,
+  answer: ServerAnswer,
+  request: OutboundRequest,
 ): ExchangeResult {
   const { requestId } = request.metadata;
   const { signals } = metadata;
@@ -204,9 +221,12 @@
   // A server may refuse a request before it has read the id.
   if (isSameRequest || metadata.requestId === undefined) {
     if (metadata.isOtherServer) {
-      return { kind: "not_run", reason: "other_server", signals: NO_SIGNALS };
+      const reason = "other_server";
+      return { kind: "not_run", reason, signals: NO_SIGNALS, answer };
+    }
+    if (metadata.isNotRun) {
+      return { kind: "not_run", reason: "shed", signals, answer };
     }
-    if (metadata.isNotRun) return { kind: "not_run", reason: "shed", signals };
   }
   if (!isSameRequest) {
     const detail = `answer to request ${metadata.requestId ?? "without id"}`;
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -22,11 +22,11 @@
 import type { Random } from "../runtime/random.ts";
 import type { CrashCheck } from "../servers/crash_check.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import type { ListedServer } from "../servers/types.ts";
 import type { PermitOutcome, ServerPermits } from "../servers/permits.ts";
 import type { Log } from "../telemetry/log.ts";
 import { createDeadlineTimers } from "./deadline_timers.ts";
 import type { DemandMeter } from "./demand_meter.ts";
-import type { Exchange } from "./exchange.ts";
 import type { Attempt } from "./http_attempt.ts";
 import type { AttemptObserver } from "./attempt_observer.ts";
 import { getCountedBytes, type InflightBodies } from "./inflight_bodies.ts";
@@ -37,9 +37,9 @@
   makeObjectName,
   type RequestProgress,
 } from "./request_progress.ts";
+import type { ServerTransport, TransportOutcome } from "./server_transport.ts";
 import {
   type CallerRequest,
-  type ExchangeResult,
   MIN_SERVER_ERROR_STATUS,
   type RefusalReason,
   type ServerAnswer,
@@ -62,8 +62,10 @@
   waitQueue: WaitQueue;
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
-  exchange: Exchange;
+  transport: Pick<ServerTransport, "send">;
   crashCheck: CrashCheck;
+  /** Returns whether this VM reaches other servers of a server's service. */
+  reachesOthers: (server: ListedServer) => Promise<boolean>;
   suspects: SuspectTracker;
   permits: ServerPermits;
   inflightBodies: Pick<InflightBodies, "begin" | "end" | "recordServerEnd">;
@@ -90,6 +92,8 @@
  * little time that is left for a retry, a server that runs may be silent too.
  */
 const LONG_TIMEOUT_SHARE = 0.5;
+/** Attempts that are repeated at once since own connections failed. */
+const MAX_PATH_FAILURES = 2;
 /** Why a request is not retried. */
 type RetryDenial =
   | "attempts_used"
@@ -117,7 +121,9 @@
   return fallback !== undefined || lost !== undefined;
 }
 
-function toPermitOutcome(result: ExchangeResult): PermitOutcome {
+function toPermitOutcome(
+  result: TransportOutcome["result"],
+): PermitOutcome {
   if (result.kind === "lost") return "lost";
   if (result.kind === "not_run") return "turned_away";
   if (result.kind !== "answer") return "not_sent";
@@ -126,7 +132,7 @@
 
 function isLongTimeout(
   { route }: CallerRequest,
-  result: ExchangeResult,
+  result: TransportOutcome["result"],
   tookMs: number,
 ): boolean {
   return result.kind === "lost" && result.reason === "timeout" &&
@@ -148,7 +154,7 @@
     log,
     random,
     registry,
-    exchange,
+    transport,
     budget,
     cacheModel,
     suspects,
@@ -244,6 +250,7 @@
       usesObjectCache: metadata.objectKey !== undefined && route.isSticky,
       deadlineAtMs: computeDeadlineAtMs(route, metadata, arrivedAtMs),
       triedServers: new Set(),
+      pathFailures: 0,
       lastUtilization: Infinity,
       prospect: undefined,
       wait: undefined,
@@ -274,12 +281,14 @@
     if (bodyBytes > 0) {
       inflightBodies.begin(server, request.route.name, bodyBytes);
     }
-    const attempt = exchange.send(
-      server.listed,
+    const attempt = transport.send({
+      server: server.listed,
       request,
+      fingerprint: progress.fingerprint,
       remainingMs,
-      () => registry.isUsable(server) && options.permits.isValid(server.listed),
-    );
+      maySend: () =>
+        registry.isUsable(server) && options.permits.isValid(server.listed),
+    });
     const onClientLeft = () => attempt.abort("client_left");
     request.signal.addEventListener("abort", onClientLeft);
     const timer = deadlineTimers.after(
@@ -287,13 +296,14 @@
       () => attempt.abort("timeout"),
     );
     const stopWatching = abortWhenSetAside(progress, attempt);
-    const result = await attempt.result;
+    const outcome = await attempt.result;
+    const { result } = outcome;
     timer.cancel();
     stopWatching();
     request.signal.removeEventListener("abort", onClientLeft);
     const tookMs = clock.monotonicMs() - startedAtMs;
     options.observer.recordAttempt(progress, server, {
-      result,
+      ...outcome,
       tookMs,
       utilizationAtStart,
       depth,
@@ -310,12 +320,15 @@
     ) inflightBodies.recordServerEnd(server, heldBytes);
     options.permits.end(server.listed, toPermitOutcome(result));
     waitQueue.notify(progress.service);
-    if (result.kind === "lost" && result.reason === "cut") {
+    // A proxying VM checks the server itself.
+    const isOwnCut = result.kind === "lost" && result.reason === "cut" &&
+      outcome.via === undefined && !outcome.isPathBroken;
+    if (isOwnCut) {
       const checkDone = recordCut(progress, server, heldBytes);
       // A request that must not run twice isn't retried, so it doesn't wait.
       if (request.route.kind === "idempotent") await checkDone;
     }
-    return evaluateResult(progress, server, result);
+    return evaluateResult(progress, server, outcome);
   }
 
   /**
@@ -325,7 +338,7 @@
    */
   function abortWhenSetAside(
     { request, fingerprint }: RequestProgress,
-    attempt: Attempt,
+    attempt: Pick<Attempt, "abort">,
   ): () => void {
     if (request.route.kind === "non_idempotent") return () => {};
     return suspects.watch(fingerprint, () => attempt.abort("set_aside"));
@@ -345,7 +358,10 @@
     heldBytes: number,
   ): Promise<void> {
     const { request, fingerprint } = progress;
-    const verdict = await options.crashCheck.check(server.listed);
+    const dialed = await options.crashCheck.check(server.listed);
+    const isOwnLink = dialed === "ended" &&
+      !await options.reachesOthers(server.listed);
+    const verdict = isOwnLink ? "unclear" : dialed;
     log.info(
       {
         requestId: request.metadata.requestId,
@@ -368,9 +384,19 @@
   function evaluateResult(
     progress: RequestProgress,
     server: KnownServer,
-    result: ExchangeResult,
+    { result, isPathBroken }: TransportOutcome,
   ): NextStep {
-    if (result.kind === "not_sent") return { kind: "again" };
+    if (result.kind === "no_path") {
+      return { kind: "done", result: giveUp(progress, "out_of_reach") };
+    }
+    if (result.kind === "not_sent") {
+      // The same server may be reached by way of another VM.
+      if (isPathBroken && progress.pathFailures < MAX_PATH_FAILURES) {
+        progress.pathFailures++;
+        progress.triedServers.delete(server.listed.id);
+      }
+      return { kind: "again" };
+    }
     if (result.kind === "withdrawn") {
       progress.triedServers.delete(server.listed.id);
       return { kind: "again" };
--- a/src/serving/request_progress.ts
+++ b/src/serving/request_progress.ts
@@ -40,6 +40,8 @@
   deadlineAtMs: number;
   /** Ids of the servers that the request was sent to. */
   triedServers: Set<string>;
+  /** Attempts that were not sent since this VM's own connections failed. */
+  pathFailures: number;
   /**
    * Utilization of the server that it was last sent to, in requests per slot;
    * infinite before the first attempt.
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -108,16 +108,22 @@
   body: Buffer;
 }
 
-/** Why a request that was sent has no usable answer. */
-export type LossReason =
-  | "cut"
-  | "malformed"
-  | "crossed"
-  | "unsigned"
-  | "timeout"
-  | "client_left"
+/** Why a request that was sent may have no usable answer. */
+export const LOSS_REASONS = [
+  "cut",
+  "malformed",
+  "crossed",
+  "unsigned",
+  "timeout",
+  "client_left",
   /** Aborted because servers crashed under the same request. */
-  | "set_aside";
+  "set_aside",
+  /** Aborted because this VM lost its connections to the service. */
+  "service_lost",
+] as const;
+
+/** Why a request that was sent has no usable answer. */
+export type LossReason = typeof LOSS_REASONS[number];
 
 /** Result of one attempt. */
 export type ExchangeResult =
@@ -127,6 +133,8 @@
     kind: "not_run";
     reason: "shed" | "other_server";
     signals: ServerSignals;
+    /** The response that says so. */
+    answer: ServerAnswer;
   }
   /**
    * Not sent: its server drained or backed off, or its time ended, before a
@@ -147,6 +155,8 @@
 export type RefusalReason =
   | "no_configuration"
   | "no_server"
+  /** No VM that was asked reaches the service. */
+  | "out_of_reach"
   /** All servers that may take the request are saturated. */
   | "all_full"
   /** Rate limits or backoffs of servers leave no capacity. */
