--- /dev/null
+++ b/src/servers/reach_evidence_test.ts
@@ -0,0 +1,105 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { makeServer } from "../gateway/fixture.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import { createReachEvidence } from "./reach_evidence.ts";
+
+const CONNECT_MS = 400;
+
+function start(countServers = 4) {
+  const clock = createFakeClock();
+  const evidence = createReachEvidence({
+    clock,
+    countServers: () => countServers,
+  });
+  const servers = ["1", "2", "3"].map((id) => makeServer(id));
+  /** Lets a connection attempt fail after its timeout. */
+  const fail = (id: string, service = "s") => {
+    const startedAtMs = clock.monotonicMs();
+    clock.advance(CONNECT_MS);
+    evidence.recordConnectFailure(makeServer(id, { service }), startedAtMs);
+  };
+  return { clock, evidence, servers, fail };
+}
+
+test("a server that is down alone leaves its service reached", () => {
+  const { clock, evidence, servers } = start();
+  const startedAtMs = clock.monotonicMs();
+  clock.advance(CONNECT_MS - 1);
+  evidence.recordConnected(servers[1]);
+  clock.advance(1);
+  evidence.recordConnectFailure(servers[0], startedAtMs);
+  assert.is(evidence.assess("s"), "reached");
+  assert.not(evidence.isFailing(servers[0]));
+});
+
+test("one failure with nothing to the contrary is doubtful, a second server makes it lost", () => {
+  const { evidence, fail } = start();
+  fail("1");
+  assert.is(evidence.assess("s"), "doubtful");
+  fail("1");
+  assert.is(evidence.assess("s"), "doubtful");
+  fail("2");
+  assert.is(evidence.assess("s"), "lost");
+  assert.equal(evidence.listLost(), ["s"]);
+});
+
+test("the only server of a service makes it lost", () => {
+  const { evidence, fail } = start(1);
+  fail("1");
+  assert.is(evidence.assess("s"), "lost");
+});
+
+// Guards against VMs whose open connections live on while new ones are refused.
+test("responses on open connections don't show that new ones open", () => {
+  const { evidence, servers, fail } = start();
+  fail("1");
+  evidence.recordResponse(servers[2]);
+  fail("2");
+  evidence.recordResponse(servers[2]);
+  assert.is(evidence.assess("s"), "lost");
+});
+
+test("a connection that opens ends the loss of its service", () => {
+  const { evidence, servers, fail } = start();
+  fail("1");
+  fail("2");
+  evidence.recordConnected(servers[2]);
+  assert.is(evidence.assess("s"), "reached");
+  assert.equal(evidence.listFailing("s"), []);
+});
+
+test("failures at servers of two services make all services lost", () => {
+  const { clock, evidence, fail } = start();
+  evidence.recordConnected(makeServer("5", { service: "other" }));
+  evidence.recordConnected(makeServer("6", { service: "third" }));
+  clock.advance(1);
+  fail("1");
+  fail("5", "other");
+  assert.is(evidence.assess("s"), "lost");
+  assert.is(evidence.assess("third"), "lost");
+});
+
+test("a service whose servers respond stays reached while another is lost", () => {
+  const { evidence, fail } = start();
+  const other = makeServer("5", { service: "other" });
+  fail("1");
+  evidence.recordConnected(other);
+  fail("2");
+  evidence.recordResponse(other);
+  assert.is(evidence.assess("s"), "lost");
+  assert.is(evidence.assess("other"), "reached");
+});
+
+test("silence makes a service doubtful until it responds, and is forgotten", () => {
+  const { clock, evidence, servers } = start();
+  evidence.recordSilence("s");
+  assert.is(evidence.assess("s"), "doubtful");
+  evidence.recordResponse(servers[0]);
+  assert.is(evidence.assess("s"), "reached");
+  evidence.recordSilence("s");
+  clock.advance(3_001);
+  assert.is(evidence.assess("s"), "reached");
+});
+
+test.run();
--- /dev/null
+++ b/src/servers/reach_monitor_test.ts
@@ -0,0 +1,139 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import {
+  makeRegistry,
+  makeServer,
+  makeServerUpdate,
+} from "../gateway/fixture.ts";
+import { createFakeClock } from "../runtime/clock.ts";
+import type { DialResult } from "../runtime/dial.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createReachMonitor } from "./reach_monitor.ts";
+
+const SERVERS = 6;
+const RUN_MS = 200;
+const TIMEOUT = new Error("connect timeout");
+
+function start() {
+  const clock = createFakeClock();
+  const registry = makeRegistry(clock);
+  for (let index = 0; index < SERVERS; index++) {
+    const failureDomain = index % 2 === 0 ? "oslo-a" : "oslo-b";
+    const server = makeServer(`${index}`, {
+      failureDomain,
+      address: `${index}`,
+    });
+    registry.apply(makeServerUpdate(server, index + 1));
+  }
+  const servers = registry.listUsable("s").map(({ listed }) => listed);
+  const dials: string[] = [];
+  let result: DialResult = "accepted";
+  const monitor = createReachMonitor({
+    clock,
+    log: createSilentLog(),
+    random: () => 0.5,
+    dial(address) {
+      dials.push(address);
+      return Promise.resolve(result);
+    },
+    listUsable: registry.listUsable,
+    getMeanRunMs: () => RUN_MS,
+  });
+  const changes: boolean[] = [];
+  monitor.subscribe((_service, isLost) => void changes.push(isLost));
+  return {
+    clock,
+    changes,
+    dials,
+    monitor,
+    servers,
+    setDialResult: (next: DialResult) => void (result = next),
+  };
+}
+
+/** Lets the promises of dials settle. */
+const settle = () => new Promise((resolve) => setImmediate(resolve));
+
+test("a server that is down costs two dials and loses nothing", async () => {
+  const { clock, dials, monitor, servers } = start();
+  monitor.recordConnectFailure(servers[0], TIMEOUT, clock.monotonicMs());
+  assert.is(monitor.assess("s"), "doubtful");
+  await settle();
+  assert.is(dials.length, 2);
+  assert.not(dials.includes("0"));
+  assert.is(monitor.assess("s"), "reached");
+});
+
+test("a second server that accepts nothing loses the service until one does", async () => {
+  const { clock, changes, dials, monitor, servers, setDialResult } = start();
+  setDialResult("silent");
+  monitor.recordConnectFailure(servers[0], TIMEOUT, clock.monotonicMs());
+  await settle();
+  assert.is(monitor.assess("s"), "lost");
+  const before = dials.length;
+  clock.advance(3_000);
+  await settle();
+  const probes = dials.length - before;
+  assert.ok(probes >= 2 && probes <= 16, `${probes} probes in 3 s`);
+  setDialResult("accepted");
+  for (let step = 0; step < 15; step++) {
+    clock.advance(100);
+    await settle();
+  }
+  assert.is(monitor.assess("s"), "reached");
+  assert.equal(changes, [true, false]);
+  const after = dials.length;
+  clock.advance(5_000);
+  assert.is(dials.length, after, "probes of a reached service");
+});
+
+// Load: a VM with one request every few seconds, on an open connection that
+// hangs. Guards against noticing the loss only at the end of its deadline.
+test("a single silent request shows the loss within 0.5 s", async () => {
+  const { clock, monitor, servers, setDialResult } = start();
+  monitor.recordConnected(servers[0]);
+  clock.advance(5_000);
+  setDialResult("silent");
+  let isAborted = false;
+  monitor.watch(servers[0], () => void (isAborted = true));
+  for (let step = 0; step < 5; step++) {
+    clock.advance(100);
+    await settle();
+  }
+  assert.is(monitor.assess("s"), "lost");
+  assert.ok(isAborted);
+});
+
+test("a long run at a server that accepts connections is not aborted", async () => {
+  const { clock, dials, monitor, servers } = start();
+  let isAborted = false;
+  const watch = monitor.watch(servers[0], () => void (isAborted = true));
+  for (let step = 0; step < 30; step++) {
+    clock.advance(100);
+    await settle();
+  }
+  watch.end();
+  assert.is(monitor.assess("s"), "reached");
+  assert.not(isAborted);
+  assert.ok(dials.length <= 6, `${dials.length} dials`);
+});
+
+test("a frozen VM uses its servers again after one dial", async () => {
+  const { clock, monitor, servers } = start();
+  const startedAtMs = clock.monotonicMs();
+  clock.advance(3_000);
+  monitor.recordConnectFailure(servers[0], TIMEOUT, startedAtMs);
+  monitor.recordConnectFailure(servers[1], TIMEOUT, startedAtMs);
+  assert.is(monitor.assess("s"), "lost");
+  await settle();
+  assert.is(monitor.assess("s"), "reached");
+});
+
+test("a crash is told from a broken link by another server", async () => {
+  const { monitor, servers, setDialResult } = start();
+  assert.ok(await monitor.reachesOthers(servers[0]));
+  setDialResult("refused");
+  assert.not(await monitor.reachesOthers(servers[0]));
+});
+
+test.run();
