Count a server's own crash for the server, and end ejections only for confirmed losses

Found by reading the soak's lines: two servers that crash one after the other make a service lost for 1 to 11 ms, until the first dial is accepted. In that time ejections of servers that are down were forgiven, and a single refused connection counted as doubt, so that other VMs were asked for a server that had crashed and its failure was not held against it.

A refusal alone is now the server's; only what got no response is in doubt. Failures are not counted only while a service is lost, and ejections end once the probes of a lost service have failed too.

--- a/src/proxying/proxy_server.ts
+++ b/src/proxying/proxy_server.ts
@@ -160,7 +160,7 @@
       "proxied attempt ended",
     );
     const isOwnFailure = result.kind === "not_sent" &&
-      reach.assess(server.listed.service) !== "reached";
+      reach.assess(server.listed.service) === "lost";
     if (!isOwnFailure) options.recordResult(server, result, order.fingerprint);
     sendResult(response, result, isOwnFailure);
   }
--- a/src/servers/reach_evidence.ts
+++ b/src/servers/reach_evidence.ts
@@ -16,11 +16,20 @@
  * Whether a VM reaches a service.
  *
  * - `reached`: nothing speaks against it.
- * - `doubtful`: something failed, and nothing has succeeded since it began.
+ * - `doubtful`: something got no response, and nothing has succeeded since it
+ *   began. A refusal is quick, so that another server can be tried instead.
  * - `lost`: no connection opens to several servers.
  */
 export type ServiceReach = "reached" | "doubtful" | "lost";
 
+/** A connection that could not be opened. */
+export interface ConnectFailure {
+  /** When the attempt began, on the monotonic clock. */
+  startedAtMs: number;
+  /** Whether the address did not respond, rather than refusing. */
+  isTimeout: boolean;
+}
+
 /** What this VM's own connections show. */
 export interface ReachEvidence {
   /** Records that a connection to a server was opened. */
@@ -29,9 +38,9 @@
    * Records that no connection to a server could be opened.
    *
    * @param server The server.
-   * @param startedAtMs When the attempt began, on the monotonic clock.
+   * @param failure How the attempt failed.
    */
-  recordConnectFailure(server: ListedServer, startedAtMs: number): void;
+  recordConnectFailure(server: ListedServer, failure: ConnectFailure): void;
   /** Records a response of a server on a connection of this VM. */
   recordResponse(server: ListedServer): void;
   /** Records that no server of a service responds to waiting requests. */
@@ -81,8 +90,8 @@
 interface ServiceEvidence {
   connectedAtMs: number;
   respondedAtMs: number;
-  /** When the failing attempt at a server began, by id. */
-  failing: Map<string, number>;
+  /** The last failure at a server, by id. */
+  failing: Map<string, ConnectFailure>;
   /** When silence was noticed; undefined where there is none. */
   silentAtMs: number | undefined;
   isLost: boolean;
@@ -97,7 +106,7 @@
 ): ReachEvidence {
   const services = new Map<string, ServiceEvidence>();
   /** Servers of any service that failed since anything succeeded. */
-  const failingAnywhere = new Map<string, number>();
+  const failingAnywhere = new Map<string, ConnectFailure>();
   let succeededAtMs = -Infinity;
 
   function getEvidence(service: string): ServiceEvidence {
@@ -119,21 +128,21 @@
     failingAnywhere.clear();
   }
 
-  function dropOld(failing: Map<string, number>): void {
+  function dropOld(failing: Map<string, ConnectFailure>): void {
     const endMs = clock.monotonicMs() - EVIDENCE_LIFE_MS;
-    for (const [id, startedAtMs] of failing) {
+    for (const [id, { startedAtMs }] of failing) {
       if (startedAtMs < endMs) failing.delete(id);
     }
   }
 
-  /** Whether something failed and nothing has succeeded since it began. */
+  /** Whether something got no response and nothing has succeeded since. */
   function isDoubtful(evidence: ServiceEvidence): boolean {
     const { failing, silentAtMs, connectedAtMs, respondedAtMs } = evidence;
     const endMs = clock.monotonicMs() - EVIDENCE_LIFE_MS;
     if (silentAtMs !== undefined && silentAtMs >= endMs) return true;
     const lastMs = Math.max(connectedAtMs, respondedAtMs, endMs);
-    for (const startedAtMs of failing.values()) {
-      if (startedAtMs > lastMs) return true;
+    for (const { startedAtMs, isTimeout } of failing.values()) {
+      if (isTimeout && startedAtMs > lastMs) return true;
     }
     return false;
   }
@@ -154,17 +163,18 @@
       evidence.isLost = false;
       recordSuccess();
     },
-    recordConnectFailure({ id, service }, startedAtMs) {
+    recordConnectFailure({ id, service }, failure) {
       const evidence = getEvidence(service);
+      const { startedAtMs } = failure;
       // Another server was connected to meanwhile: this one alone failed.
       if (evidence.connectedAtMs >= startedAtMs) return;
       dropOld(evidence.failing);
-      evidence.failing.set(id, startedAtMs);
+      evidence.failing.set(id, failure);
       const needed = Math.min(MIN_FAILING_SERVERS, countServers(service));
       if (evidence.failing.size >= needed) evidence.isLost = true;
       if (succeededAtMs >= startedAtMs) return;
       dropOld(failingAnywhere);
-      failingAnywhere.set(id, startedAtMs);
+      failingAnywhere.set(id, failure);
       if (failingAnywhere.size < MIN_FAILING_SERVERS) return;
       for (const other of services.values()) other.isLost = true;
     },
--- a/src/servers/reach_evidence_test.ts
+++ b/src/servers/reach_evidence_test.ts
@@ -17,9 +17,18 @@
   const fail = (id: string, service = "s") => {
     const startedAtMs = clock.monotonicMs();
     clock.advance(CONNECT_MS);
-    evidence.recordConnectFailure(makeServer(id, { service }), startedAtMs);
+    evidence.recordConnectFailure(makeServer(id, { service }), {
+      startedAtMs,
+      isTimeout: true,
+    });
   };
-  return { clock, evidence, servers, fail };
+  const refuse = (id: string) => {
+    const startedAtMs = clock.monotonicMs();
+    clock.advance(1);
+    const failure = { startedAtMs, isTimeout: false };
+    evidence.recordConnectFailure(makeServer(id), failure);
+  };
+  return { clock, evidence, servers, fail, refuse };
 }
 
 test("a server that is down alone leaves its service reached", () => {
@@ -28,7 +37,7 @@
   clock.advance(CONNECT_MS - 1);
   evidence.recordConnected(servers[1]);
   clock.advance(1);
-  evidence.recordConnectFailure(servers[0], startedAtMs);
+  evidence.recordConnectFailure(servers[0], { startedAtMs, isTimeout: true });
   assert.is(evidence.assess("s"), "reached");
   assert.not(evidence.isFailing(servers[0]));
 });
@@ -44,6 +53,15 @@
   assert.equal(evidence.listLost(), ["s"]);
 });
 
+// Guards against asking other VMs for each server that has crashed.
+test("a single refusal is the server's, two servers' are the link's", () => {
+  const { evidence, refuse } = start();
+  refuse("1");
+  assert.is(evidence.assess("s"), "reached");
+  refuse("2");
+  assert.is(evidence.assess("s"), "lost");
+});
+
 test("the only server of a service makes it lost", () => {
   const { evidence, fail } = start(1);
   fail("1");
--- a/src/servers/reach_monitor.ts
+++ b/src/servers/reach_monitor.ts
@@ -44,7 +44,7 @@
    */
   recordConnectFailure(
     server: ListedServer,
-    error: Error,
+    error: Error & { isTimeout: boolean },
     startedAtMs: number,
   ): void;
   /** Records a response of a server on a connection of this VM. */
@@ -77,7 +77,8 @@
    */
   reachesOthers(server: ListedServer): Promise<boolean>;
   /**
-   * Subscribes to services that are lost or reached again.
+   * Subscribes to services that are lost, as far as probes confirm it, and that
+   * are reached again after that.
    *
    * @param onChange Called with the service.
    */
@@ -121,6 +122,8 @@
 interface LostService {
   sinceMs: number;
   probeIntervalMs: number;
+  /** Whether the first probes failed too. */
+  isConfirmed: boolean;
   timer: Timer | undefined;
 }
 
@@ -156,7 +159,10 @@
     const result = await dial(server.address, DIAL_TIMEOUT_MS);
     if (isStopped) return false;
     if (result === "accepted") evidence.recordConnected(server);
-    else evidence.recordConnectFailure(server, startedAtMs);
+    else {
+      const isTimeout = result === "silent";
+      evidence.recordConnectFailure(server, { startedAtMs, isTimeout });
+    }
     applyChanges();
     return result === "accepted";
   }
@@ -188,8 +194,12 @@
 
   /** Probes a lost service until one of its servers accepts a connection. */
   function startProbing(service: string, lost: LostService): void {
-    for (const server of selectTargets(service, PROBED_SERVERS)) {
-      void probe(server);
+    const probes = selectTargets(service, PROBED_SERVERS).map(probe);
+    if (!lost.isConfirmed) {
+      Promise.all(probes).then(() => {
+        const isLost = lostServices.get(service) === lost;
+        if (isLost && !lost.isConfirmed) confirm(service, lost);
+      });
     }
     const delayMs = lost.probeIntervalMs * (1 + PROBE_JITTER * random());
     lost.probeIntervalMs = Math.min(
@@ -201,6 +211,11 @@
     });
   }
 
+  function confirm(service: string, lost: LostService): void {
+    lost.isConfirmed = true;
+    listeners.forEach((onChange) => onChange(service, true));
+  }
+
   /** Applies which services were lost or are reached again since the last call. */
   function applyChanges(): void {
     const nowMs = clock.monotonicMs();
@@ -210,20 +225,22 @@
       const lost: LostService = {
         sinceMs: nowMs,
         probeIntervalMs: FIRST_PROBE_INTERVAL_MS,
+        isConfirmed: false,
         timer: undefined,
       };
       lostServices.set(service, lost);
       log.warn(describe(service), "service lost");
-      listeners.forEach((onChange) => onChange(service, true));
       startProbing(service, lost);
     }
-    for (const [service, { sinceMs, timer }] of lostServices) {
+    for (const [service, { sinceMs, timer, isConfirmed }] of lostServices) {
       if (current.has(service)) continue;
       timer?.cancel();
       lostServices.delete(service);
       const lostMs = Math.round(nowMs - sinceMs);
       log.warn({ service, lostMs }, "service reached again");
-      listeners.forEach((onChange) => onChange(service, false));
+      if (isConfirmed) {
+        listeners.forEach((onChange) => onChange(service, false));
+      }
     }
   }
 
@@ -250,7 +267,8 @@
         { server: id, service, tookMs, reason: describeError(error) },
         "connection to server failed",
       );
-      evidence.recordConnectFailure(server, startedAtMs);
+      const { isTimeout } = error;
+      evidence.recordConnectFailure(server, { startedAtMs, isTimeout });
       applyChanges();
       if (evidence.isFailing(server)) check(service, []);
     },
--- a/src/servers/reach_monitor_test.ts
+++ b/src/servers/reach_monitor_test.ts
@@ -7,12 +7,13 @@
 } from "../gateway/fixture.ts";
 import { createFakeClock } from "../runtime/clock.ts";
 import type { DialResult } from "../runtime/dial.ts";
+import { ConnectError } from "../serving/server_connector.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { createReachMonitor } from "./reach_monitor.ts";
 
 const SERVERS = 6;
 const RUN_MS = 200;
-const TIMEOUT = new Error("connect timeout");
+const TIMEOUT = new ConnectError("connect timeout", true);
 
 function start() {
   const clock = createFakeClock();
--- a/src/serving/server_transport.ts
+++ b/src/serving/server_transport.ts
@@ -112,7 +112,7 @@
         watch.end();
         const isFailure = result.kind === "not_sent" || result.kind === "lost";
         const isPathBroken = isFailure &&
-          reach.assess(server.service) !== "reached";
+          reach.assess(server.service) === "lost";
         return { result, isPathBroken };
       }),
       abort: attempt.abort,
--- a/src/serving/server_transport_test.ts
+++ b/src/serving/server_transport_test.ts
@@ -131,10 +131,12 @@
   assert.is((await send()).result.kind, "no_path");
 });
 
-test("a failure of own connections says nothing about the server", async () => {
+test("a failure at a lost service says nothing about the server", async () => {
   const { send, state } = start(0);
-  state.reach = "doubtful";
+  state.hasLiveConnection = true;
   state.direct = NOT_SENT;
+  assert.is((await send()).isPathBroken, false);
+  state.reach = "lost";
   assert.is((await send()).isPathBroken, true);
 });
 
