--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -32,6 +32,8 @@
   | "refused, throttled"
   /** Its VM had no memory for its bodies. */
   | "refused, memory short"
+  /** No VM that was asked reached the service. */
+  | "refused, out of reach"
   | "refused, other"
   | "over the account's limit"
   | "unknown caller"
@@ -55,6 +57,7 @@
   "refused, key unproven",
   "refused, throttled",
   "refused, memory short",
+  "refused, out of reach",
   "refused, other",
   "over the account's limit",
   "unknown caller",
@@ -131,6 +134,7 @@
   if (reason === "key_unproven") return "refused, key unproven";
   if (reason === "throttled") return "refused, throttled";
   if (reason === "memory_short") return "refused, memory short";
+  if (reason === "out_of_reach") return "refused, out of reach";
   const last = choices.at(-1);
   if (reason !== "all_full" || last?.uses === undefined) {
     return "refused, other";
--- a/src/explain/causes_test.ts
+++ b/src/explain/causes_test.ts
@@ -47,6 +47,10 @@
     outcome: "refused",
     reason: "memory_short",
   }],
+  ["refused, out of reach", { use: 0.5 }, { outcome: "no_path" }, {
+    outcome: "refused",
+    reason: "out_of_reach",
+  }],
   ["over the account's limit", { use: 0.5 }, { tookMs: 2 }, {
     outcome: "limited",
   }],
