Don't hold the reset of a VM's own links against servers and requests

A connection that is reset at a VM whose new connections are refused looked like a server that crashed under the request: three of them, on any VMs, would have set the request aside for callers of all VMs, and silence under a large upload would have lowered the body limit of its service. A crash now counts only if another server accepts a connection, and silence only while the service is not lost.

--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -315,7 +315,8 @@
       ? inflightBodies.end(server, bodyBytes, result.kind === "answer")
       : 0;
     if (
-      heldBytes > 0 && isLongTimeout(request, result, tookMs) &&
+      heldBytes > 0 && !outcome.isPathBroken &&
+      isLongTimeout(request, result, tookMs) &&
       !server.health.hasRespondedSince(startedAtMs)
     ) inflightBodies.recordServerEnd(server, heldBytes);
     options.permits.end(server.listed, toPermitOutcome(result));
@@ -375,7 +376,7 @@
       "connection cut",
     );
     // A draining server would have stopped under any request.
-    if (verdict === "runs" || !registry.isUsable(server)) return;
+    if (verdict === "runs" || isOwnLink || !registry.isUsable(server)) return;
     if (heldBytes > 0) inflightBodies.recordServerEnd(server, heldBytes);
     if (verdict !== "ended") return;
     suspects.recordCrash(fingerprint, server.listed.id);
