Tell failures of the proxying VM from those it reports

A proxied attempt that failed for want of a connection to the other VM was told from one that VM reports by an optional field. It is a result of its own now, and the check whether anybody was asked a moment ago stands before the loop.

--- a/src/proxying/proxy_client.ts
+++ b/src/proxying/proxy_client.ts
@@ -19,6 +19,7 @@
   decodeProxyResult,
   encodeProxyOrder,
   type ProxyOrder,
+  type ProxyResult,
   stripProxyHeaders,
 } from "./proxy_headers.ts";
 
@@ -26,7 +27,9 @@
 export type ProxiedResult =
   | ExchangeResult
   /** Not sent: that VM can't help. */
-  | { kind: "declined"; reason: string };
+  | { kind: "declined"; reason: string }
+  /** Not sent: no connection to that VM opens. */
+  | { kind: "unreachable"; reason: string };
 
 /** Sends attempts by way of other VMs. */
 export interface ProxyClient {
@@ -114,16 +117,15 @@
           isConnectionFailing: failureDetector.isFailing,
           onResponse() {},
           maySend,
-          decodeFailure(status, answerHeaders) {
-            const result = decodeProxyResult(status, answerHeaders);
-            if (result.kind === "response") return undefined;
-            return result.kind === "lost"
-              ? { ...result, detail: `by way of ${vm.id}` }
-              : result;
+          decodeFailure(status, answerHeaders): ReportedFailure | undefined {
+            const failure = decodeProxyResult(status, answerHeaders);
+            if (failure.kind === "response") return undefined;
+            return { kind: "reported", failure };
           },
         },
       );
-      return { ...attempt, result: attempt.result.then(stripAnswer) };
+      const result = attempt.result.then((sent) => toProxiedResult(sent, vm));
+      return { ...attempt, result };
     },
     async close() {
       const open = [...pools.values()];
@@ -133,8 +135,24 @@
   };
 }
 
-/** Removes the headers of the proxying VM from the server's answer. */
-function stripAnswer(result: ProxiedResult): ProxiedResult {
+/** A failure that the proxying VM reports in its response. */
+interface ReportedFailure {
+  kind: "reported";
+  failure: Exclude<ProxyResult, { kind: "response" }>;
+}
+
+function toProxiedResult(
+  result: ExchangeResult | ReportedFailure,
+  { id }: VmIdentity,
+): ProxiedResult {
+  if (result.kind === "reported") {
+    const { failure } = result;
+    if (failure.kind !== "lost") return failure;
+    return { ...failure, detail: `by way of ${id}` };
+  }
+  if (result.kind === "not_sent") {
+    return { kind: "unreachable", reason: result.reason };
+  }
   if (result.kind !== "answer" && result.kind !== "not_run") return result;
   const { answer } = result;
   const headers = stripProxyHeaders(answer.headers);
--- a/src/serving/server_transport.ts
+++ b/src/serving/server_transport.ts
@@ -143,15 +143,9 @@
         server: server.id,
         via: vm.id,
       };
-      if (result.kind === "declined") {
-        log.info({ ...fields, reason: result.reason }, "proxy declined");
-        proxies.recordOutcome(vm.id, server.service, "declined");
-        return undefined;
-      }
-      // A failure of the other VM to connect is told by its headers.
-      if (result.kind === "not_sent" && result.isUnresponsive !== undefined) {
-        log.info({ ...fields, reason: result.reason }, "proxy unreachable");
-        proxies.recordOutcome(vm.id, server.service, "unreachable");
+      if (result.kind === "declined" || result.kind === "unreachable") {
+        log.info({ ...fields, reason: result.reason }, `proxy ${result.kind}`);
+        proxies.recordOutcome(vm.id, server.service, result.kind);
         return undefined;
       }
       proxies.recordOutcome(vm.id, server.service, "helped");
@@ -163,8 +157,8 @@
       const { server, request, remainingMs } = asked;
       const { service } = server;
       const startedAtMs = clock.monotonicMs();
-      for (let count = 0; count < MAX_ASKED; count++) {
-        if (startedAtMs < (noPathUntilMs.get(service) ?? 0)) break;
+      const wasJustAsked = startedAtMs < (noPathUntilMs.get(service) ?? 0);
+      for (let count = 0; count < MAX_ASKED && !wasJustAsked; count++) {
         const tookMs = clock.monotonicMs() - startedAtMs;
         const leftMs = remainingMs - tookMs;
         if (leftMs < MIN_PROXY_MS || abortReason !== undefined) break;
@@ -190,7 +184,7 @@
         return await direct.result;
       }
       stats.withoutPath++;
-      if (clock.monotonicMs() >= (noPathUntilMs.get(service) ?? 0)) {
+      if (!wasJustAsked) {
         noPathUntilMs.set(service, clock.monotonicMs() + NO_PATH_MS);
       }
       return { result: { kind: "no_path" }, isPathBroken };
--- a/src/serving/server_transport_test.ts
+++ b/src/serving/server_transport_test.ts
@@ -115,7 +115,7 @@
   const { send, sent, state } = start(3);
   state.reach = "lost";
   const failure: ProxiedResult = { kind: "not_sent", reason: "server down" };
-  state.proxied = [NOT_SENT, failure];
+  state.proxied = [{ kind: "unreachable", reason: "gone" }, failure];
   const { result, isPathBroken } = await send();
   assert.is(result, failure);
   assert.not(isPathBroken);
