--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -448,7 +448,7 @@
     }),
     proxyClient,
   });
-  const crashCheck = createCrashCheck(serverDial);
+  const crashCheck = createCrashCheck(serverDial, reachMonitor.reachesOthers);
 
   /** Records the result of an attempt that this VM sent for another one. */
   function recordProxied(
@@ -487,7 +487,6 @@
     cacheModel,
     transport,
     crashCheck,
-    reachesOthers: reachMonitor.reachesOthers,
     suspects,
     permits,
     inflightBodies,
--- a/src/servers/crash_check.ts
+++ b/src/servers/crash_check.ts
@@ -22,15 +22,17 @@
   /** The server accepts connections. */
   | "runs"
   /** No response, for instance because of a network partition. */
-  | "unclear";
+  | "unclear"
+  /** Other servers refuse connections too: the link of this VM is broken. */
+  | "own_link";
 
 /** Checks servers whose connections broke. */
-export interface CrashCheck {
+export interface CrashCheck<Server extends ServerAddress = ServerAddress> {
   /**
    * @param server A server on which a connection ended without an answer.
    * @returns Whether the server crashed.
    */
-  check(server: ServerAddress): Promise<CrashVerdict>;
+  check(server: Server): Promise<CrashVerdict>;
 }
 
 /** Twice the round trip to another region, of 70 ms. */
@@ -44,16 +46,23 @@
 
 /**
  * @param dial Opens connections.
+ * @param reachesOthers Returns whether this VM reaches other servers; only asked
+ *   where a server refuses connections.
  * @returns A check that dials a server once for all requests whose connections
  *   break at the same time.
  */
-export function createCrashCheck(dial: Dial): CrashCheck {
+export function createCrashCheck<Server extends ServerAddress = ServerAddress>(
+  dial: Dial,
+  reachesOthers: (server: Server) => Promise<boolean> = () =>
+    Promise.resolve(true),
+): CrashCheck<Server> {
   const running = new Map<string, Promise<CrashVerdict>>();
 
-  async function probe({ id, address }: ServerAddress): Promise<CrashVerdict> {
-    const result = await dial(address, DIAL_TIMEOUT_MS);
-    running.delete(id);
-    return VERDICTS[result];
+  async function probe(server: Server): Promise<CrashVerdict> {
+    const verdict = VERDICTS[await dial(server.address, DIAL_TIMEOUT_MS)];
+    const isOwnLink = verdict === "ended" && !await reachesOthers(server);
+    running.delete(server.id);
+    return isOwnLink ? "own_link" : verdict;
   }
 
   return {
--- a/src/servers/crash_check_test.ts
+++ b/src/servers/crash_check_test.ts
@@ -15,6 +15,16 @@
   assert.is(await crashCheck.check(server), "ended");
 });
 
+test("a refusal is no crash where other servers can't be reached either", async () => {
+  const check = (reachesOthers: boolean) =>
+    createCrashCheck(
+      () => Promise.resolve("refused"),
+      () => Promise.resolve(reachesOthers),
+    ).check(makeServer("1"));
+  assert.is(await check(true), "ended");
+  assert.is(await check(false), "own_link");
+});
+
 test("a silent server is unclear, and concurrent checks of a server share one dial", async () => {
   let dials = 0;
   const answers: ((result: DialResult) => void)[] = [];
--- a/src/servers/reach_monitor.ts
+++ b/src/servers/reach_monitor.ts
@@ -69,11 +69,11 @@
    */
   hasResponded(server: ListedServer): boolean;
   /**
-   * Opens a connection to another server of a service, to tell a server that is
+   * Opens connections to other servers of a service, to tell a server that is
    * down from a broken link of this VM.
    *
    * @param server The server that is in doubt.
-   * @returns Whether another one is reached; true where there is none.
+   * @returns Whether one of them is reached; true where there is none.
    */
   reachesOthers(server: ListedServer): Promise<boolean>;
   /**
@@ -108,6 +108,11 @@
 const CHECKED_SERVERS = 2;
 /** Least interval of such checks of a service. */
 const MIN_CHECK_INTERVAL_MS = 300;
+/**
+ * Servers that are dialed to judge a crash. A request that crashes servers may
+ * have crashed some of these a moment ago.
+ */
+const COMPARED_SERVERS = 4;
 /** Servers that are dialed at once while a service is lost. */
 const PROBED_SERVERS = 2;
 /** Interval of these dials; it grows by half each time. */
@@ -118,6 +123,8 @@
 const PROBE_JITTER = 0.25;
 /** Time for which a response shows that open connections to a server live. */
 const RESPONSE_LIFE_MS = 1_000;
+/** Servers whose last responses are kept. */
+const MAX_RESPONSES = 4_096;
 
 interface LostService {
   sinceMs: number;
@@ -273,6 +280,7 @@
       if (evidence.isFailing(server)) check(service, []);
     },
     recordResponse(server) {
+      if (respondedAtMs.size >= MAX_RESPONSES) respondedAtMs.clear();
       respondedAtMs.set(server.id, clock.monotonicMs());
       evidence.recordResponse(server);
     },
@@ -282,8 +290,12 @@
       clock.monotonicMs() - (respondedAtMs.get(id) ?? -Infinity) <
         RESPONSE_LIFE_MS,
     async reachesOthers(server) {
-      const [other] = selectTargets(server.service, 1, [server]);
-      return other === undefined || await probe(other);
+      const others = selectTargets(server.service, COMPARED_SERVERS, [server]);
+      if (others.length === 0) return true;
+      const accepted = others.map(async (other) => {
+        if (!await probe(other)) throw new Error("no connection");
+      });
+      return await Promise.any(accepted).then(() => true, () => false);
     },
     subscribe: (onChange) => void listeners.push(onChange),
     list: () => evidence.listServices().map(describe),
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -63,9 +63,7 @@
   latencyModel: LatencyModel;
   cacheModel: ObjectCacheModel;
   transport: Pick<ServerTransport, "send">;
-  crashCheck: CrashCheck;
-  /** Returns whether this VM reaches other servers of a server's service. */
-  reachesOthers: (server: ListedServer) => Promise<boolean>;
+  crashCheck: CrashCheck<ListedServer>;
   suspects: SuspectTracker;
   permits: ServerPermits;
   inflightBodies: Pick<InflightBodies, "begin" | "end" | "recordServerEnd">;
@@ -359,10 +357,7 @@
     heldBytes: number,
   ): Promise<void> {
     const { request, fingerprint } = progress;
-    const dialed = await options.crashCheck.check(server.listed);
-    const isOwnLink = dialed === "ended" &&
-      !await options.reachesOthers(server.listed);
-    const verdict = isOwnLink ? "unclear" : dialed;
+    const verdict = await options.crashCheck.check(server.listed);
     log.info(
       {
         requestId: request.metadata.requestId,
@@ -376,7 +371,8 @@
       "connection cut",
     );
     // A draining server would have stopped under any request.
-    if (verdict === "runs" || isOwnLink || !registry.isUsable(server)) return;
+    if (verdict === "runs" || !registry.isUsable(server)) return;
+    if (verdict === "own_link") return;
     if (heldBytes > 0) inflightBodies.recordServerEnd(server, heldBytes);
     if (verdict !== "ended") return;
     suspects.recordCrash(fingerprint, server.listed.id);
