Start no timer in a stopped monitor of servers

Processes of tests did not end: all 1,023 tests passed, and two timers went on (asked through the inspector: no handle but two timeouts). The connections that a stopping gateway closes fail, which began a probe of the lost service; each probe started the next one. A stopped monitor now starts neither probes nor the watch for silence; the new test failed before.

--- a/src/servers/reach_monitor.ts
+++ b/src/servers/reach_monitor.ts
@@ -225,6 +225,8 @@
 
   /** Applies which services were lost or are reached again since the last call. */
   function applyChanges(): void {
+    // Connections that are closed at the end fail too.
+    if (isStopped) return;
     const nowMs = clock.monotonicMs();
     const current = new Set(evidence.listLost());
     for (const service of current) {
--- a/src/servers/reach_monitor_test.ts
+++ b/src/servers/reach_monitor_test.ts
@@ -120,6 +120,18 @@
   assert.ok(dials.length <= 6, `${dials.length} dials`);
 });
 
+// Guards against processes that don't end, since closing connections fail.
+test("a monitor that was stopped starts no timer", async () => {
+  const { clock, dials, monitor, servers } = start();
+  monitor.stop();
+  monitor.recordConnectFailure(servers[0], TIMEOUT, clock.monotonicMs());
+  monitor.recordConnectFailure(servers[1], TIMEOUT, clock.monotonicMs());
+  monitor.watch(servers[0], () => {});
+  clock.advance(5_000);
+  await settle();
+  assert.is(dials.length, 0);
+});
+
 test("a frozen VM uses its servers again after one dial", async () => {
   const { clock, monitor, servers } = start();
   const startedAtMs = clock.monotonicMs();
--- a/src/servers/silence_watch.ts
+++ b/src/servers/silence_watch.ts
@@ -59,6 +59,7 @@
   /** By service, in the order in which they were sent. */
   const waiting = new Map<string, Set<WaitingAttempt>>();
   let timer: Timer | undefined;
+  let isStopped = false;
 
   function getSilenceLimitMs(service: string): number {
     const runMs = options.getMeanRunMs(service) ?? 0;
@@ -108,9 +109,12 @@
       const attempts = waiting.get(service) ?? new Set();
       if (attempts.size === 0) waiting.set(service, attempts);
       attempts.add(attempt);
-      timer ??= clock.every(CHECK_INTERVAL_MS, checkAll);
+      if (!isStopped) timer ??= clock.every(CHECK_INTERVAL_MS, checkAll);
       return { end: () => void attempts.delete(attempt) };
     },
-    stop: () => timer?.cancel(),
+    stop() {
+      isStopped = true;
+      timer?.cancel();
+    },
   };
 }
