Count a request that another VM withholds neither as an attempt nor a failure

What callers saw: at VMs without servers, 503 not_run_anywhere within 20 ms of a time limit of 300 ms, while other servers had room.

Cause: a VM that is asked to send a request checks drains and backoffs again, with what it knows itself. What it then withheld it reported as `not_sent`, as if it had tried the server and found it down. The VM that asked counted an attempt, ejected the server from its own choice, learned nothing of the drain or backoff, and refused the request after two of these.

Change: the VM says that it withholds the request and why (a header more beside a decline, as which VMs of earlier versions take it). The VM that asked records an announced drain or the backoff, doesn't choose the server for this request again, and counts no attempt. An unknown server no longer makes the whole VM unusable for the service for a second.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -163,7 +163,7 @@
     log,
     codec,
     registry: core.registry,
-    permits: core.serverLimits.permits,
+    backoffs: core.serverLimits.backoffs,
     reach: core.reachMonitor,
     exchange: core.exchange,
     bodyBudget: core.bodyBudget,
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -21,7 +21,7 @@
 export interface PlacementRequest {
   /** Regions to try, in order, each with its servers, best first. */
   candidates: readonly (readonly KnownServer[])[];
-  /** Ids of the servers that this request was already sent to. */
+  /** Ids of the servers that this request was sent to or must not be sent to. */
   tried: ReadonlySet<string>;
   /** Number of servers of a region that may hold the object; at least 2. */
   copies: number;
--- a/src/proxying/proxy_client.ts
+++ b/src/proxying/proxy_client.ts
@@ -21,11 +21,13 @@
   type ProxyOrder,
   type ProxyResult,
   stripProxyHeaders,
+  type Withheld,
 } from "./proxy_headers.ts";
 
 /** Result of an attempt by way of another VM. */
 export type ProxiedResult =
   | ExchangeResult
+  | Withheld
   /** Not sent: that VM can't help. */
   | { kind: "declined"; reason: string }
   /** Not sent: no connection to that VM opens. */
--- a/src/proxying/proxy_headers.ts
+++ b/src/proxying/proxy_headers.ts
@@ -14,6 +14,9 @@
 const FINGERPRINT = "hawthorngw-proxy-fingerprint";
 const RESULT = "hawthorngw-proxy-result";
 const REASON = "hawthorngw-proxy-reason";
+/** Why a request was withheld; VMs of earlier versions take it as declined. */
+const WITHHELD = "hawthorngw-proxy-withheld";
+const BACKOFF_MS = "hawthorngw-proxy-backoff-ms";
 const PREFIX = "hawthorngw-proxy-";
 
 /** An attempt that another VM asks for. */
@@ -28,12 +31,34 @@
   fingerprint: string;
 }
 
+/** Why a VM withholds a request from a server that it reaches. */
+export const WITHHOLDING_REASONS = [
+  /** The server announced its drain. */
+  "draining",
+  /** It asked for a backoff. */
+  "backoff",
+  /** By what this VM knows it is not listed, or must get no requests. */
+  "not_usable",
+  /** No connection to it became free in time. */
+  "no_connection",
+] as const;
+
+/** A request that the proxying VM did not send, and why. */
+export interface Withheld {
+  kind: "withheld";
+  reason: typeof WITHHOLDING_REASONS[number];
+  /** Time until the server's backoff ends; absent without a backoff. */
+  backoffMs?: number;
+}
+
 /** How the proxying VM ended an attempt. */
 export type ProxyResult =
   /** The response is the server's. */
   | { kind: "response" }
   /** Not sent: that VM can't help. */
   | { kind: "declined"; reason: string }
+  /** Not sent: the server must not get it now. */
+  | Withheld
   /** Not sent: no connection to the server, though it reaches others. */
   | { kind: "not_sent"; reason: string }
   /** Sent, but without a usable answer. */
@@ -87,6 +112,16 @@
  */
 export function encodeProxyResult(result: ProxyResult): Record<string, string> {
   if (result.kind === "response") return { [RESULT]: result.kind };
+  if (result.kind === "withheld") {
+    const { reason, backoffMs } = result;
+    const headers = {
+      [RESULT]: "declined",
+      [REASON]: reason,
+      [WITHHELD]: reason,
+    };
+    if (backoffMs === undefined) return headers;
+    return { ...headers, [BACKOFF_MS]: String(Math.ceil(backoffMs)) };
+  }
   // Reasons quote errors, whose characters a header may not allow.
   const reason = result.reason.replace(/[^\x20-\x7e]/g, "?");
   return { [RESULT]: result.kind, [REASON]: reason };
@@ -105,6 +140,8 @@
   const kind = headers[RESULT];
   const reason = String(headers[REASON] ?? "");
   if (kind === "response") return { kind };
+  const withheld = decodeWithheld(headers);
+  if (kind === "declined" && withheld !== undefined) return withheld;
   if (kind === "declined" || kind === "not_sent") return { kind, reason };
   if (kind === undefined && REJECTED_STATUSES.has(status)) {
     return { kind: "declined", reason: `status ${status}` };
@@ -113,6 +150,14 @@
   return { kind: "lost", reason: known ?? "cut" };
 }
 
+function decodeWithheld(headers: IncomingHttpHeaders): Withheld | undefined {
+  const reason = WITHHOLDING_REASONS.find((one) => one === headers[WITHHELD]);
+  if (reason === undefined) return undefined;
+  const backoffMs = Number(headers[BACKOFF_MS]);
+  const backoff = backoffMs > 0 ? { backoffMs } : {};
+  return { kind: "withheld", reason, ...backoff };
+}
+
 /** @returns The headers without those of this module. */
 export function stripProxyHeaders(
   headers: IncomingHttpHeaders,
--- a/src/proxying/proxy_server.ts
+++ b/src/proxying/proxy_server.ts
@@ -7,9 +7,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
+import type { ServerBackoffs } from "../servers/backoffs.ts";
 import type { ReachMonitor } from "../servers/reach_monitor.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
-import type { ServerPermits } from "../servers/permits.ts";
 import type { BodyBudget, BodyHold } from "../serving/body_budget.ts";
 import type { Exchange } from "../serving/exchange.ts";
 import { type Attempt, copyEndToEndHeaders } from "../serving/http_attempt.ts";
@@ -22,6 +22,7 @@
   type ProxyOrder,
   type ProxyResult,
   stripProxyHeaders,
+  type Withheld,
 } from "./proxy_headers.ts";
 
 /** Sends attempts in the place of other VMs. */
@@ -41,6 +42,8 @@
   /** Attempts sent for other VMs. */
   sent: number;
   declined: number;
+  /** Withheld from servers that must not get them. */
+  withheld: number;
 }
 
 /** Dependencies of `createProxyServer`. */
@@ -48,8 +51,9 @@
   clock: Clock;
   log: Log;
   codec: WireCodec;
-  registry: Pick<ServerRegistry, "listAll" | "isUsable">;
-  permits: Pick<ServerPermits, "isValid">;
+  registry: Pick<ServerRegistry, "listAll" | "isUsable" | "isDraining">;
+  /** Backoffs that servers asked this VM for. */
+  backoffs: Pick<ServerBackoffs, "getLeftMs">;
   reach: Pick<ReachMonitor, "assess">;
   exchange: Pick<Exchange, "sendEncoded">;
   bodyBudget: Pick<BodyBudget, "open">;
@@ -74,6 +78,8 @@
 /** Attempts in progress per core; an own request holds as much of the VM. */
 const MAX_OPEN_PER_CORE = 100;
 const MAX_BODY_BYTES = 16_777_216;
+const NOT_LISTED: Withheld = { kind: "withheld", reason: "not_usable" };
+const NO_CONNECTION: Withheld = { kind: "withheld", reason: "no_connection" };
 
 /**
  * @param options Dependencies.
@@ -82,16 +88,30 @@
 export function createProxyServer(options: ProxyServerOptions): ProxyServer {
   const { clock, log, codec, registry, reach } = options;
   const maxOpen = Math.max(1, Math.round(MAX_OPEN_PER_CORE * options.cores));
-  const stats: ProxyServerStats = { open: 0, sent: 0, declined: 0 };
+  const stats: ProxyServerStats = {
+    open: 0,
+    sent: 0,
+    declined: 0,
+    withheld: 0,
+  };
   let isLeaving = false;
 
   /** @returns Why an order is declined before its body is read, if it is. */
   function findDenial(server: KnownServer | undefined): string | undefined {
     if (isLeaving) return "leaving";
     if (options.isOverloaded() || stats.open >= maxOpen) return "overloaded";
-    if (server === undefined) return "unknown server";
-    if (reach.assess(server.listed.service) === "lost") return "service lost";
-    return undefined;
+    const isLost = server !== undefined &&
+      reach.assess(server.listed.service) === "lost";
+    return isLost ? "service lost" : undefined;
+  }
+
+  /** @returns Why a server must not get a request of this VM, if so. */
+  function findWithholding(server: KnownServer): Withheld | undefined {
+    const kind = "withheld";
+    if (registry.isDraining(server)) return { kind, reason: "draining" };
+    if (!registry.isUsable(server)) return { kind, reason: "not_usable" };
+    const backoffMs = options.backoffs.getLeftMs(server.listed.id);
+    return backoffMs > 0 ? { kind, reason: "backoff", backoffMs } : undefined;
   }
 
   async function handle(
@@ -101,11 +121,14 @@
     const order = decodeProxyOrder(message.headers);
     const server = order &&
       registry.listAll().find(({ listed }) => listed.id === order.server);
-    const denial = findDenial(server);
-    if (order === undefined || server === undefined || denial !== undefined) {
-      const reason = denial ?? "incomplete order";
-      return decline(message, response, reason);
+    if (order === undefined) {
+      return decline(message, response, "incomplete order");
     }
+    const denial = findDenial(server);
+    if (denial !== undefined) return decline(message, response, denial);
+    if (server === undefined) return withhold(message, response, NOT_LISTED);
+    const withheld = findWithholding(server);
+    if (withheld !== undefined) return withhold(message, response, withheld);
     stats.open++;
     const hold = options.bodyBudget.open(
       clock.monotonicMs() + order.remainingMs,
@@ -144,10 +167,10 @@
         holdBodies: () => hold,
       },
       headers as Record<string, string | string[]>,
-      () => registry.isUsable(server) && options.permits.isValid(server.listed),
+      () => findWithholding(server) === undefined,
     );
     const result = await awaitResult(attempt, response, order);
-    stats.sent++;
+    if (result.kind !== "withdrawn") stats.sent++;
     log.info(
       {
         requestId: codec.decodeRequest(message.headers).requestId,
@@ -162,6 +185,13 @@
     const isOwnFailure = result.kind === "not_sent" &&
       reach.assess(server.listed.service) === "lost";
     if (!isOwnFailure) options.recordResult(server, result, order.fingerprint);
+    if (result.kind === "withdrawn") {
+      return withhold(
+        message,
+        response,
+        findWithholding(server) ?? NO_CONNECTION,
+      );
+    }
     sendResult(response, result, isOwnFailure);
   }
 
@@ -187,9 +217,27 @@
     reason: string,
   ): void {
     stats.declined++;
+    reject(message, response, { kind: "declined", reason });
+  }
+
+  function withhold(
+    message: IncomingMessage,
+    response: ServerResponse,
+    withheld: Withheld,
+  ): void {
+    stats.withheld++;
+    reject(message, response, withheld);
+  }
+
+  /** Ends an order whose body may not be read yet. */
+  function reject(
+    message: IncomingMessage,
+    response: ServerResponse,
+    result: ProxyResult,
+  ): void {
     // The rest of the body is not read.
     if (!message.complete) response.setHeader("connection", "close");
-    sendFailure(response, { kind: "declined", reason });
+    sendFailure(response, result);
   }
 
   return {
@@ -220,7 +268,7 @@
 
 function sendResult(
   response: ServerResponse,
-  result: ExchangeResult,
+  result: Exclude<ExchangeResult, { kind: "withdrawn" }>,
   isOwnFailure: boolean,
 ): void {
   if (result.kind === "answer" || result.kind === "not_run") {
@@ -235,9 +283,8 @@
     return void response.end(body);
   }
   if (result.kind === "lost") return sendFailure(response, result);
-  const reason = result.kind === "not_sent" ? result.reason : result.kind;
   const kind = isOwnFailure ? "declined" : "not_sent";
-  sendFailure(response, { kind, reason });
+  sendFailure(response, { kind, reason: result.reason });
 }
 
 function sendFailure(response: ServerResponse, result: ProxyResult): void {
--- a/src/serving/attempt_observer.ts
+++ b/src/serving/attempt_observer.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { CacheSizeEstimator } from "../placement/cache_size.ts";
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
+import type { Withheld } from "../proxying/proxy_headers.ts";
 import type { ServerBackoffs } from "../servers/backoffs.ts";
 import type { ServerRateLimits } from "../servers/rate_limits.ts";
 import type { ServerReachability } from "../servers/reachability.ts";
@@ -108,7 +109,8 @@
     outcome: AttemptOutcome,
   ): void {
     const { result, tookMs, via, isPathBroken } = outcome;
-    if (result.kind !== "no_path") recordSignals(server, result);
+    if (result.kind === "withheld") recordWithheld(server, result);
+    else if (result.kind !== "no_path") recordSignals(server, result);
     // What a proxying VM observed it tells the others itself.
     if (via === undefined && !isPathBroken) recordReachability(server, result);
     if (outcome.isTrial) reachability.endTrial(server.listed.id);
@@ -170,6 +172,17 @@
     }
   }
 
+  /** Records what a proxying VM knows of the server. */
+  function recordWithheld(
+    server: KnownServer,
+    { reason, backoffMs }: Withheld,
+  ): void {
+    if (reason === "draining") options.registry.markDraining(server);
+    if (backoffMs !== undefined) {
+      options.backoffs.begin(server.listed.id, backoffMs);
+    }
+  }
+
   function recordAnswer(
     progress: RequestProgress,
     server: KnownServer,
--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -128,6 +128,7 @@
     usesObjectCache: true,
     deadlineAtMs: 1_000,
     triedServers: new Set(),
+    excludedServers: new Set(),
     pathFailures: 0,
     lastUtilization: Infinity,
     prospect: undefined,
--- a/src/serving/overflow_placer.ts
+++ b/src/serving/overflow_placer.ts
@@ -110,11 +110,11 @@
     hasCachedObject: (serverId: string) => boolean,
     hearsOthers: boolean,
   ): ExaminedRegion {
-    const { service, objectKey, triedServers, usesObjectCache } = progress;
+    const { service, objectKey, excludedServers, usesObjectCache } = progress;
     const { route } = progress.request;
     const ranked = ranking.rank(service, region, objectKey);
     const usable = ranked.slice(0, MAX_COPIES).filter((server) =>
-      !triedServers.has(server.listed.id) && isFree(server, hearsOthers)
+      !excludedServers.has(server.listed.id) && isFree(server, hearsOthers)
     );
     const cached = usable.filter(({ listed }) => hasCachedObject(listed.id));
     const own = ranked.slice(0, MIN_COPIES).filter((server) =>
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -192,7 +192,7 @@
     progress: RequestProgress,
     homeRegions: readonly string[],
   ): Placement {
-    const { request, service, objectKey, triedServers } = progress;
+    const { request, service, objectKey, excludedServers } = progress;
     const { route, account } = request;
     const shares = plan.getShares(service, homeRegions);
     const region = chooseRegion(shares, service, objectKey);
@@ -213,7 +213,7 @@
       computeMaxUtilization(latencyLimit, slots, demand);
     const choiceOptions: PlacementRequest = {
       candidates,
-      tried: triedServers,
+      tried: excludedServers,
       maxUtilization: latencyLimit,
       ...(demand === undefined && !exceedsShare ? {} : {
         getMaxUtilization: (slots) =>
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -248,6 +248,7 @@
       usesObjectCache: metadata.objectKey !== undefined && route.isSticky,
       deadlineAtMs: computeDeadlineAtMs(route, metadata, arrivedAtMs),
       triedServers: new Set(),
+      excludedServers: new Set(),
       pathFailures: 0,
       lastUtilization: Infinity,
       prospect: undefined,
@@ -265,6 +266,7 @@
     const { request } = progress;
     waitQueue.recordEnd(progress, "placed");
     progress.triedServers.add(server.listed.id);
+    progress.excludedServers.add(server.listed.id);
     if (request.account !== undefined && mayHaveRun(progress)) {
       options.limiter.charge(request.account);
     }
@@ -378,6 +380,15 @@
     suspects.recordCrash(fingerprint, server.listed.id);
   }
 
+  /** Lets a request that was not sent to a server be placed there again. */
+  function forgetAttempt(
+    { triedServers, excludedServers }: RequestProgress,
+    { listed }: KnownServer,
+  ): void {
+    triedServers.delete(listed.id);
+    excludedServers.delete(listed.id);
+  }
+
   function evaluateResult(
     progress: RequestProgress,
     server: KnownServer,
@@ -390,14 +401,19 @@
       // The same server may be reached by way of another VM.
       if (isPathBroken && progress.pathFailures < MAX_PATH_FAILURES) {
         progress.pathFailures++;
-        progress.triedServers.delete(server.listed.id);
+        forgetAttempt(progress, server);
       }
       return { kind: "again" };
     }
-    if (result.kind === "withdrawn") {
+    if (result.kind === "withheld") {
+      // It was no attempt, but what this VM knows would place it there again.
       progress.triedServers.delete(server.listed.id);
       return { kind: "again" };
     }
+    if (result.kind === "withdrawn") {
+      forgetAttempt(progress, server);
+      return { kind: "again" };
+    }
     if (result.kind === "answer") {
       suspects.recordAnswer(progress.fingerprint);
       return evaluateAnswer(progress, result.answer);
--- a/src/serving/request_progress.ts
+++ b/src/serving/request_progress.ts
@@ -40,6 +40,8 @@
   deadlineAtMs: number;
   /** Ids of the servers that the request was sent to. */
   triedServers: Set<string>;
+  /** Ids of those, and of the servers that the request must not be sent to. */
+  excludedServers: Set<string>;
   /** Attempts that were not sent since this VM's own connections failed. */
   pathFailures: number;
   /**
--- a/src/serving/server_transport.ts
+++ b/src/serving/server_transport.ts
@@ -8,6 +8,7 @@
  */
 import type { VmIdentity } from "../members/types.ts";
 import type { ProxyClient } from "../proxying/proxy_client.ts";
+import type { Withheld } from "../proxying/proxy_headers.ts";
 import type { ProxySelection } from "../proxying/proxy_selection.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { ReachMonitor } from "../servers/reach_monitor.ts";
@@ -21,6 +22,8 @@
 export interface TransportOutcome {
   result:
     | ExchangeResult
+    /** Not sent: the VM that was asked knows that the server must not get it. */
+    | Withheld
     /** Not sent: neither this VM nor any that it asked reaches the service. */
     | { kind: "no_path" };
   /** The VM by way of which it was sent; absent for own connections. */
@@ -149,7 +152,7 @@
         return undefined;
       }
       proxies.recordOutcome(vm.id, server.service, "helped");
-      stats.proxied++;
+      if (result.kind !== "withheld") stats.proxied++;
       return { result, via: vm.id };
     }
 
