Ask other failure domains after a decline, and up to six VMs

What callers saw: 503 out_of_reach at VMs without servers while VMs that reach them were left; in a region of 130 VMs that loses all its servers, all of them.

Cause: three VMs were asked for a request, then nobody for 0.25 s. VMs of the own region come first, and a decline is forgotten after 1 s, so that in a large region only VMs without servers are asked, for ever.

Change: VMs of a failure domain in which one declined are asked last for that second. Up to six VMs are asked. The test that said three states six, and that a VM which can help is found among five that decline.

--- a/src/proxying/proxy_selection.ts
+++ b/src/proxying/proxy_selection.ts
@@ -4,7 +4,8 @@
  *
  * Load pattern: one VM, most VMs of a failure domain or of the fleet lose their
  * connections to servers at the same time. No VM announces that: one that is
- * asked and can't help declines at once, which is remembered for a moment.
+ * asked and can't help declines at once, which is remembered for a moment. The
+ * others of its failure domain are asked after those of other domains.
  *
  * @module
  */
@@ -32,11 +33,11 @@
     regions: readonly string[],
   ): VmIdentity | undefined;
   /**
-   * @param vmId The VM that was asked.
+   * @param vm The VM that was asked.
    * @param service Service of the attempt.
    * @param outcome How it responded.
    */
-  recordOutcome(vmId: string, service: string, outcome: ProxyOutcome): void;
+  recordOutcome(vm: VmIdentity, service: string, outcome: ProxyOutcome): void;
 }
 
 /** Dependencies of `createProxySelection`. */
@@ -57,6 +58,9 @@
 /** How long a ranking is used, which takes 1 ms for 2,600 VMs. */
 const RANKING_LIFE_MS = 500;
 
+/** Ends of periods, on the monotonic clock, by what they apply to. */
+type Expiries = Map<string, number>;
+
 /**
  * @param options Dependencies.
  * @returns A selection that no VM has declined.
@@ -64,19 +68,34 @@
 export function createProxySelection(
   { clock, self, listServing }: ProxySelectionOptions,
 ): ProxySelection {
-  /** Until when a VM is not asked, for one service or for all. */
-  const avoidedUntilMs = new Map<string, number>();
+  /** Until when VMs are not asked for any service, by id. */
+  const unreachableUntilMs: Expiries = new Map();
+  /** Until when VMs are not asked for a service, by id. */
+  const declinedUntilMs = new Map<string, Expiries>();
+  /** Until when VMs of a failure domain are asked last for a service. */
+  const doubtfulUntilMs = new Map<string, Expiries>();
   const rankings = new Map<string, { atMs: number; vms: VmIdentity[] }>();
   let turn = 0;
 
-  function makeKey(vmId: string, service: string): string {
-    return JSON.stringify([vmId, service]);
+  function isCurrent(expiries: Expiries | undefined, key: string): boolean {
+    return (expiries?.get(key) ?? 0) > clock.monotonicMs();
   }
 
-  function isAvoided(vmId: string, service: string): boolean {
+  function add(expiries: Expiries, key: string, durationMs: number): void {
     const nowMs = clock.monotonicMs();
-    return (avoidedUntilMs.get(vmId) ?? 0) > nowMs ||
-      (avoidedUntilMs.get(makeKey(vmId, service)) ?? 0) > nowMs;
+    for (const [old, untilMs] of expiries) {
+      if (untilMs <= nowMs) expiries.delete(old);
+    }
+    expiries.set(key, nowMs + durationMs);
+  }
+
+  function getExpiries(
+    byService: Map<string, Expiries>,
+    service: string,
+  ): Expiries {
+    const expiries = byService.get(service) ?? new Map();
+    byService.set(service, expiries);
+    return expiries;
   }
 
   function getRanking(regions: readonly string[]): VmIdentity[] {
@@ -91,29 +110,30 @@
     return vms;
   }
 
-  function dropExpired(): void {
-    const nowMs = clock.monotonicMs();
-    for (const [key, untilMs] of avoidedUntilMs) {
-      if (untilMs <= nowMs) avoidedUntilMs.delete(key);
-    }
-  }
-
   return {
     choose(service, regions) {
+      const declined = declinedUntilMs.get(service);
+      const doubtful = doubtfulUntilMs.get(service);
       const vms: VmIdentity[] = [];
+      const lastVms: VmIdentity[] = [];
       for (const vm of getRanking(regions)) {
-        if (!isAvoided(vm.id, service)) vms.push(vm);
+        const list = isCurrent(doubtful, vm.failureDomain) ? lastVms : vms;
+        if (list.length >= MAX_PROXIES) continue;
+        if (isCurrent(declined, vm.id)) continue;
+        if (isCurrent(unreachableUntilMs, vm.id)) continue;
+        list.push(vm);
         if (vms.length >= MAX_PROXIES) break;
       }
-      return vms.length === 0 ? undefined : vms[turn++ % vms.length];
+      const usable = vms.length > 0 ? vms : lastVms;
+      return usable.length === 0 ? undefined : usable[turn++ % usable.length];
     },
-    recordOutcome(vmId, service, outcome) {
+    recordOutcome({ id, failureDomain }, service, outcome) {
       if (outcome === "helped") return;
-      dropExpired();
-      const nowMs = clock.monotonicMs();
-      if (outcome === "declined") {
-        avoidedUntilMs.set(makeKey(vmId, service), nowMs + DECLINED_MS);
-      } else avoidedUntilMs.set(vmId, nowMs + UNREACHABLE_MS);
+      if (outcome === "unreachable") {
+        return add(unreachableUntilMs, id, UNREACHABLE_MS);
+      }
+      add(getExpiries(declinedUntilMs, service), id, DECLINED_MS);
+      add(getExpiries(doubtfulUntilMs, service), failureDomain, DECLINED_MS);
     },
   };
 }
--- a/src/proxying/proxy_selection_test.ts
+++ b/src/proxying/proxy_selection_test.ts
@@ -89,13 +89,47 @@
   const fleet = makeFleet(1).slice(0, 2);
   const { clock, selection } = startSelection(fleet);
   const [, other] = fleet;
-  selection.recordOutcome(other.id, "s", "declined");
+  selection.recordOutcome(other, "s", "declined");
   assert.is(selection.choose("s", []), undefined);
   assert.is(selection.choose("t", []), other);
   clock.advance(1_001);
   assert.is(selection.choose("s", []), other);
-  selection.recordOutcome(other.id, "s", "unreachable");
+  selection.recordOutcome(other, "s", "unreachable");
   assert.is(selection.choose("t", []), undefined);
 });
 
+// Guards against a region that lost its servers and asked only itself: VMs of a
+// region come first, and declines were forgotten before all had been asked.
+test("a region that lost its servers soon asks another one", () => {
+  const fleet = makeFleet(65);
+  const { selection } = startSelection(fleet);
+  let asked = 0;
+  for (;;) {
+    const vm = selection.choose("s", [])!;
+    asked++;
+    if (vm.region !== "oslo") break;
+    selection.recordOutcome(vm, "s", "declined");
+  }
+  assert.ok(asked <= 3, `${asked} VMs were asked`);
+});
+
+test("a failure domain in which one VM declined is asked last", () => {
+  const fleet = makeFleet(2);
+  const { clock, selection } = startSelection(fleet);
+  const first = selection.choose("s", [])!;
+  selection.recordOutcome(first, "s", "declined");
+  for (let request = 0; request < 20; request++) {
+    const { failureDomain } = selection.choose("s", [])!;
+    assert.is.not(failureDomain, first.failureDomain);
+  }
+  for (const vm of fleet.slice(1)) {
+    if (vm.failureDomain !== first.failureDomain) {
+      selection.recordOutcome(vm, "s", "declined");
+    }
+  }
+  assert.is(selection.choose("s", [])?.failureDomain, first.failureDomain);
+  clock.advance(1_001);
+  assert.ok(selection.choose("s", []));
+});
+
 test.run();
--- a/src/serving/server_transport.ts
+++ b/src/serving/server_transport.ts
@@ -78,8 +78,11 @@
   proxyClient: Pick<ProxyClient, "send">;
 }
 
-/** VMs that are asked for one attempt. */
-const MAX_ASKED = 3;
+/**
+ * VMs that are asked for one attempt. Where half of the fleet can't help, three
+ * would leave one request in eight unserved.
+ */
+const MAX_ASKED = 6;
 /** Nobody is asked again for this long once no VM reached a service. */
 const NO_PATH_MS = 250;
 /** A VM is not asked with less time left. */
@@ -148,10 +151,10 @@
       };
       if (result.kind === "declined" || result.kind === "unreachable") {
         log.info({ ...fields, reason: result.reason }, `proxy ${result.kind}`);
-        proxies.recordOutcome(vm.id, server.service, result.kind);
+        proxies.recordOutcome(vm, server.service, result.kind);
         return undefined;
       }
-      proxies.recordOutcome(vm.id, server.service, "helped");
+      proxies.recordOutcome(vm, server.service, "helped");
       if (result.kind !== "withheld") stats.proxied++;
       return { result, via: vm.id };
     }
--- a/src/serving/server_transport_test.ts
+++ b/src/serving/server_transport_test.ts
@@ -95,22 +95,49 @@
   assert.equal(sent, ["direct"]);
 });
 
-test("three VMs are asked at most, and then nobody for a moment", async () => {
-  const { clock, send, sent, state, transport } = start(6);
-  state.reach = "lost";
-  state.proxied = Array.from(
-    { length: 3 },
+function makeDeclines(count: number): ProxiedResult[] {
+  return Array.from(
+    { length: count },
     () => ({ kind: "declined", reason: "service lost" }),
   );
+}
+
+test("six VMs are asked at most, and then nobody for a moment", async () => {
+  const { clock, send, sent, state, transport } = start(9);
+  state.reach = "lost";
+  state.proxied = makeDeclines(6);
   assert.is((await send()).result.kind, "no_path");
-  assert.is(new Set(sent).size, 3);
+  assert.is(new Set(sent).size, 6);
   assert.is((await send()).result.kind, "no_path");
-  assert.is(sent.length, 3);
+  assert.is(sent.length, 6);
   clock.advance(251);
   assert.is((await send()).result, ANSWER);
   assert.equal(transport.getStats(), { proxied: 1, withoutPath: 2 });
 });
 
+// Guards against requests refused as out of reach while half of the VMs, or only
+// one, could have sent them.
+test("a VM that can help is found among those that decline", async () => {
+  const { send, sent, state, transport } = start(6);
+  state.reach = "lost";
+  state.proxied = makeDeclines(5);
+  assert.is((await send()).result, ANSWER);
+  assert.is(new Set(sent).size, 6);
+  assert.equal(transport.getStats(), { proxied: 1, withoutPath: 0 });
+});
+
+test("a server that the other VM must not send to is no broken path", async () => {
+  const { send, sent, state, transport } = start(6);
+  state.reach = "lost";
+  const withheld: ProxiedResult = { kind: "withheld", reason: "draining" };
+  state.proxied = [withheld];
+  const { result, isPathBroken } = await send();
+  assert.is(result, withheld);
+  assert.not(isPathBroken);
+  assert.is(sent.length, 1);
+  assert.equal(transport.getStats(), { proxied: 0, withoutPath: 0 });
+});
+
 test("an unreachable VM is passed over, a server that it can't reach is not", async () => {
   const { send, sent, state } = start(3);
   state.reach = "lost";
