Take a service for lost only once probes of random servers fail

Cause: two refused connections to different servers made a service lost until a probe succeeded, 1 to 230 ms later. Servers that crashed together, as under a request that crashes them, are such a pair again and again: requests come back to them, while open connections to the others give no evidence. While lost, a VM asks others to send its requests, and declines to send theirs, which they remember for a second. So VMs that reached twelve of eighteen servers refused requests to each other. Class: a sample that was drawn by the fault itself is taken for a random one.

Change: failures of requests only make a service suspected: servers chosen at random are dialed at once, and requests go by way of other VMs where one helps, else directly. A service is lost when two such probes time out, or four are refused (all others, where there are fewer).

The assertions that two refused requests make a service lost, and that a frozen VM takes it for lost until its dial, are replaced by the stricter ones that they leave it in doubt.

--- a/src/servers/reach_evidence.ts
+++ b/src/servers/reach_evidence.ts
@@ -5,7 +5,9 @@
  * Load pattern: the links of a VM to the backend servers break, while clients
  * and other VMs still reach it. A server that is down fails alone: connections
  * to other servers of its service open meanwhile. Open connections may live on
- * while no new one opens, so that responses alone prove nothing.
+ * while no new one opens, so that responses alone prove nothing. Several servers
+ * may crash together, and requests come back to them, so that a service is only
+ * lost once connections to servers that were chosen at random failed.
  *
  * @module
  */
@@ -16,9 +18,10 @@
  * Whether a VM reaches a service.
  *
  * - `reached`: nothing speaks against it.
- * - `doubtful`: something got no response, and nothing has succeeded since it
- *   began. A refusal is quick, so that another server can be tried instead.
- * - `lost`: no connection opens to several servers.
+ * - `doubtful`: something got no response, or several servers refused, and
+ *   nothing has succeeded since it began. A single refusal is quick, so that
+ *   another server can be tried instead.
+ * - `lost`: no connection opens to several servers, and no probe succeeds.
  */
 export type ServiceReach = "reached" | "doubtful" | "lost";
 
@@ -28,6 +31,8 @@
   startedAtMs: number;
   /** Whether the address did not respond, rather than refusing. */
   isTimeout: boolean;
+  /** Whether it was a probe of a server chosen at random, not a request. */
+  isProbe: boolean;
 }
 
 /** What this VM's own connections show. */
@@ -55,6 +60,12 @@
    * @returns Whether the last connection attempts to it and to others failed.
    */
   isFailing(server: ListedServer): boolean;
+  /**
+   * @param service A service.
+   * @returns Whether several of its servers are failing but too few probes have
+   *   failed yet.
+   */
+  isSuspected(service: string): boolean;
   /**
    * @param service A service.
    * @returns When a connection to one of its servers opened or one responded
@@ -80,10 +91,17 @@
 }
 
 /**
- * Distinct servers to which no connection opens that make a service lost. A
+ * Distinct servers to which no connection opens that make a service suspected. A
  * second one distinguishes a broken link from a server that is down.
  */
 const MIN_FAILING_SERVERS = 2;
+/** Distinct servers whose probes timed out that make a service lost. */
+const MIN_SILENT_PROBES = 2;
+/**
+ * The same where probes are refused, as by servers that have crashed. With a
+ * third of the servers down, one in a hundred sets of four has no other.
+ */
+const MIN_REFUSED_PROBES = 4;
 /** Failures and silence are forgotten after this time. */
 const EVIDENCE_LIFE_MS = 3_000;
 
@@ -105,7 +123,7 @@
   { clock, countServers }: ReachEvidenceOptions,
 ): ReachEvidence {
   const services = new Map<string, ServiceEvidence>();
-  /** Servers of any service that failed since anything succeeded. */
+  /** Servers of any service whose probes failed since anything succeeded. */
   const failingAnywhere = new Map<string, ConnectFailure>();
   let succeededAtMs = -Infinity;
 
@@ -135,11 +153,32 @@
     }
   }
 
+  function hasSeveralFailing(
+    service: string,
+    { failing }: ServiceEvidence,
+  ): boolean {
+    dropOld(failing);
+    const needed = Math.min(MIN_FAILING_SERVERS, countServers(service));
+    return failing.size >= Math.max(1, needed);
+  }
+
+  /** Whether enough probes have failed to make a service lost. */
+  function haveProbesFailed(
+    service: string,
+    { failing }: ServiceEvidence,
+  ): boolean {
+    const failures = [...failing.values()];
+    const probes = failures.filter(({ isProbe }) => isProbe).length;
+    const needed = countNeededProbes(failures);
+    return probes >= Math.min(needed, countServers(service) - 1);
+  }
+
   /** Whether something got no response and nothing has succeeded since. */
-  function isDoubtful(evidence: ServiceEvidence): boolean {
+  function isDoubtful(service: string, evidence: ServiceEvidence): boolean {
     const { failing, silentAtMs, connectedAtMs, respondedAtMs } = evidence;
     const endMs = clock.monotonicMs() - EVIDENCE_LIFE_MS;
     if (silentAtMs !== undefined && silentAtMs >= endMs) return true;
+    if (failing.size > 0 && hasSeveralFailing(service, evidence)) return true;
     const lastMs = Math.max(connectedAtMs, respondedAtMs, endMs);
     for (const { startedAtMs, isTimeout } of failing.values()) {
       if (isTimeout && startedAtMs > lastMs) return true;
@@ -151,7 +190,7 @@
     const evidence = services.get(service);
     if (evidence === undefined) return "reached";
     if (evidence.isLost) return "lost";
-    return isDoubtful(evidence) ? "doubtful" : "reached";
+    return isDoubtful(service, evidence) ? "doubtful" : "reached";
   }
 
   return {
@@ -165,17 +204,22 @@
     },
     recordConnectFailure({ id, service }, failure) {
       const evidence = getEvidence(service);
-      const { startedAtMs } = failure;
+      const { startedAtMs, isProbe } = failure;
       // Another server was connected to meanwhile: this one alone failed.
       if (evidence.connectedAtMs >= startedAtMs) return;
       dropOld(evidence.failing);
-      evidence.failing.set(id, failure);
-      const needed = Math.min(MIN_FAILING_SERVERS, countServers(service));
-      if (evidence.failing.size >= needed) evidence.isLost = true;
-      if (succeededAtMs >= startedAtMs) return;
+      const wasProbed = evidence.failing.get(id)?.isProbe ?? false;
+      const known = { ...failure, isProbe: isProbe || wasProbed };
+      evidence.failing.set(id, known);
+      if (
+        hasSeveralFailing(service, evidence) &&
+        haveProbesFailed(service, evidence)
+      ) evidence.isLost = true;
+      if (succeededAtMs >= startedAtMs || !isProbe) return;
       dropOld(failingAnywhere);
       failingAnywhere.set(id, failure);
-      if (failingAnywhere.size < MIN_FAILING_SERVERS) return;
+      const needed = countNeededProbes([...failingAnywhere.values()]);
+      if (failingAnywhere.size < needed) return;
       for (const other of services.values()) other.isLost = true;
     },
     recordResponse({ service }) {
@@ -190,6 +234,11 @@
     assess,
     isFailing: ({ id, service }) =>
       services.get(service)?.failing.has(id) ?? false,
+    isSuspected(service) {
+      const evidence = services.get(service);
+      return evidence !== undefined && !evidence.isLost &&
+        hasSeveralFailing(service, evidence);
+    },
     getSucceededAtMs(service) {
       const evidence = services.get(service);
       if (evidence === undefined) return -Infinity;
@@ -201,3 +250,8 @@
     listServices: () => [...services.keys()],
   };
 }
+
+function countNeededProbes(failures: readonly ConnectFailure[]): number {
+  const hasTimeout = failures.some(({ isTimeout }) => isTimeout);
+  return hasTimeout ? MIN_SILENT_PROBES : MIN_REFUSED_PROBES;
+}
--- a/src/servers/reach_monitor.ts
+++ b/src/servers/reach_monitor.ts
@@ -109,8 +109,8 @@
 /** Least interval of such checks of a service. */
 const MIN_CHECK_INTERVAL_MS = 300;
 /**
- * Servers that are dialed to judge a crash. A request that crashes servers may
- * have crashed some of these a moment ago.
+ * Servers that are dialed to judge a crash, or several failures. A request that
+ * crashes servers may have crashed some of these a moment ago.
  */
 const COMPARED_SERVERS = 4;
 /** Servers that are dialed at once while a service is lost. */
@@ -156,6 +156,8 @@
   });
   const lostServices = new Map<string, LostService>();
   const checkedAtMs = new Map<string, number>();
+  /** Services some of whose servers are being dialed to check them. */
+  const checking = new Set<string>();
   const respondedAtMs = new Map<string, number>();
   const listeners: ((service: string, isLost: boolean) => void)[] = [];
   let connectFailures = 0;
@@ -168,7 +170,11 @@
     if (result === "accepted") evidence.recordConnected(server);
     else {
       const isTimeout = result === "silent";
-      evidence.recordConnectFailure(server, { startedAtMs, isTimeout });
+      evidence.recordConnectFailure(server, {
+        startedAtMs,
+        isTimeout,
+        isProbe: true,
+      });
     }
     applyChanges();
     return result === "accepted";
@@ -188,15 +194,28 @@
     });
   }
 
-  /** Dials the suspected servers of a service, and others up to two. */
+  /**
+   * Dials the suspected servers of a service, and others up to two, or more
+   * where several have failed. Checks of a suspected service are not delayed,
+   * since requests are sent by way of other VMs meanwhile.
+   */
   function check(service: string, suspects: readonly ListedServer[]): void {
+    if (isStopped || checking.has(service)) return;
     const nowMs = clock.monotonicMs();
     const lastMs = checkedAtMs.get(service) ?? -Infinity;
-    if (nowMs - lastMs < MIN_CHECK_INTERVAL_MS || isStopped) return;
+    const isSuspected = evidence.isSuspected(service);
+    if (nowMs - lastMs < MIN_CHECK_INTERVAL_MS && !isSuspected) return;
     checkedAtMs.set(service, nowMs);
-    const count = CHECKED_SERVERS - suspects.length;
-    const others = selectTargets(service, count, suspects);
-    for (const server of [...suspects, ...others]) void probe(server);
+    const count = isSuspected ? COMPARED_SERVERS : CHECKED_SERVERS;
+    const others = selectTargets(service, count - suspects.length, suspects);
+    checking.add(service);
+    const probes = [...suspects, ...others].map(probe);
+    Promise.all(probes).then(() => {
+      checking.delete(service);
+      if (probes.length > 0 && evidence.isSuspected(service)) {
+        check(service, []);
+      }
+    });
   }
 
   /** Probes a lost service until one of its servers accepts a connection. */
@@ -277,7 +296,11 @@
         "connection to server failed",
       );
       const { isTimeout } = error;
-      evidence.recordConnectFailure(server, { startedAtMs, isTimeout });
+      evidence.recordConnectFailure(server, {
+        startedAtMs,
+        isTimeout,
+        isProbe: false,
+      });
       applyChanges();
       if (evidence.isFailing(server)) check(service, []);
     },
--- a/src/servers/reach_monitor_test.ts
+++ b/src/servers/reach_monitor_test.ts
@@ -138,11 +138,40 @@
   clock.advance(3_000);
   monitor.recordConnectFailure(servers[0], TIMEOUT, startedAtMs);
   monitor.recordConnectFailure(servers[1], TIMEOUT, startedAtMs);
-  assert.is(monitor.assess("s"), "lost");
+  assert.is(monitor.assess("s"), "doubtful");
   await settle();
   assert.is(monitor.assess("s"), "reached");
 });
 
+// Guards against a service lost for each pair of crashed servers, while all VMs
+// reach the others: requests were refused, and none sent for other VMs.
+test("crashed servers lose no service, and are told from a link at once", async () => {
+  const { changes, clock, dials, monitor, servers } = start((address) =>
+    Number(address) < 3
+  );
+  const REFUSED = new ConnectError("connect ECONNREFUSED", false);
+  for (let repeat = 0; repeat < 20; repeat++) {
+    for (const server of servers.slice(0, 3)) {
+      clock.advance(1);
+      monitor.recordConnectFailure(server, REFUSED, clock.monotonicMs() - 1);
+      assert.is.not(monitor.assess("s"), "lost");
+    }
+    await settle();
+    assert.is(monitor.assess("s"), "reached");
+  }
+  assert.equal(changes, []);
+  assert.ok(dials.length <= 20 * 4, `${dials.length} dials`);
+});
+
+test("a link that refuses everything loses the service after one more round", async () => {
+  const { clock, monitor, servers, setDialResult } = start();
+  setDialResult("refused");
+  const REFUSED = new ConnectError("connect ECONNREFUSED", false);
+  monitor.recordConnectFailure(servers[0], REFUSED, clock.monotonicMs());
+  await settle();
+  assert.is(monitor.assess("s"), "lost");
+});
+
 // Load: a request that crashes servers has crashed three of six a moment ago.
 test("a crash is the server's while half of the others are down", async () => {
   const { monitor, servers, setDialResult } = start((address) =>
