Let requests with home regions that nobody can send hold up no others

Cause: once no VM was left to ask, nobody was asked for the service for 0.25 s. That was kept by service alone: a request whose home regions held only VMs that were stopping made all others wait too.

Change: the pause is kept for the service and the regions of the request, and begins only when six VMs have declined; where none is left, asking costs nothing.

Test: "requests that no VM of their home region can send hold up no others", failing before.

--- a/src/serving/server_transport.ts
+++ b/src/serving/server_transport.ts
@@ -83,7 +83,7 @@
  * would leave one request in eight unserved.
  */
 const MAX_ASKED = 6;
-/** Nobody is asked again for this long once no VM reached a service. */
+/** Nobody is asked again for this long once as many VMs have declined. */
 const NO_PATH_MS = 250;
 /** A VM is not asked with less time left. */
 const MIN_PROXY_MS = 20;
@@ -96,6 +96,7 @@
   options: ServerTransportOptions,
 ): ServerTransport {
   const { clock, log, exchange, reach, proxies, proxyClient } = options;
+  /** Until when nobody is asked, by service and the regions of the request. */
   const noPathUntilMs = new Map<string, number>();
   const stats: TransportStats = { proxied: 0, withoutPath: 0 };
 
@@ -162,16 +163,21 @@
     async function run(): Promise<TransportOutcome> {
       const { server, request, remainingMs } = asked;
       const { service } = server;
+      const regions = request.homeRegions ?? [];
+      const path = [service, ...regions].join(" ");
       const startedAtMs = clock.monotonicMs();
-      const wasJustAsked = startedAtMs < (noPathUntilMs.get(service) ?? 0);
-      for (let count = 0; count < MAX_ASKED && !wasJustAsked; count++) {
+      const wasJustAsked = startedAtMs < (noPathUntilMs.get(path) ?? 0);
+      for (let asked = 0; asked < MAX_ASKED && !wasJustAsked; asked++) {
         const tookMs = clock.monotonicMs() - startedAtMs;
         const leftMs = remainingMs - tookMs;
         if (leftMs < MIN_PROXY_MS || abortReason !== undefined) break;
-        const vm = proxies.choose(service, request.homeRegions ?? []);
+        const vm = proxies.choose(service, regions);
         if (vm === undefined) break;
         const outcome = await ask(vm, leftMs);
         if (outcome !== undefined) return outcome;
+        if (asked + 1 === MAX_ASKED) {
+          noPathUntilMs.set(path, clock.monotonicMs() + NO_PATH_MS);
+        }
       }
       const isPathBroken = true;
       if (abortReason !== undefined && abortReason !== "timeout") {
@@ -190,9 +196,6 @@
         return await direct.result;
       }
       stats.withoutPath++;
-      if (!wasJustAsked) {
-        noPathUntilMs.set(service, clock.monotonicMs() + NO_PATH_MS);
-      }
       return { result: { kind: "no_path" }, isPathBroken };
     }
 
--- a/src/serving/server_transport_test.ts
+++ b/src/serving/server_transport_test.ts
@@ -63,10 +63,10 @@
       },
     },
   });
-  const send = () =>
+  const send = (homeRegions: string[] = []) =>
     transport.send({
       server: makeServer("1"),
-      request: makeRequest(),
+      request: { ...makeRequest(), homeRegions },
       fingerprint: "f",
       remainingMs: 1_000,
       maySend: () => true,
@@ -126,6 +126,16 @@
   assert.equal(transport.getStats(), { proxied: 1, withoutPath: 0 });
 });
 
+// Guards against refusing all requests of a service since one of them, whose
+// home region had no VM left, could not be sent.
+test("requests that no VM of their home region can send hold up no others", async () => {
+  const { send, sent, state } = start(3);
+  state.reach = "lost";
+  assert.is((await send(["nowhere"])).result.kind, "no_path");
+  assert.is((await send()).result, ANSWER);
+  assert.is(sent.length, 1);
+});
+
 test("a server that the other VM must not send to is no broken path", async () => {
   const { send, sent, state, transport } = start(6);
   state.reach = "lost";
