--- a/src/proxying/proxy_server.ts
+++ b/src/proxying/proxy_server.ts
@@ -126,9 +126,12 @@
     }
     const denial = findDenial(server);
     if (denial !== undefined) return decline(message, response, denial);
-    if (server === undefined) return withhold(message, response, NOT_LISTED);
-    const withheld = findWithholding(server);
-    if (withheld !== undefined) return withhold(message, response, withheld);
+    const withheld = server === undefined
+      ? NOT_LISTED
+      : findWithholding(server);
+    if (server === undefined || withheld !== undefined) {
+      return withhold(message, response, order, withheld ?? NOT_LISTED);
+    }
     stats.open++;
     const hold = options.bodyBudget.open(
       clock.monotonicMs() + order.remainingMs,
@@ -186,11 +189,8 @@
       reach.assess(server.listed.service) === "lost";
     if (!isOwnFailure) options.recordResult(server, result, order.fingerprint);
     if (result.kind === "withdrawn") {
-      return withhold(
-        message,
-        response,
-        findWithholding(server) ?? NO_CONNECTION,
-      );
+      const withheld = findWithholding(server) ?? NO_CONNECTION;
+      return withhold(message, response, order, withheld);
     }
     sendResult(response, result, isOwnFailure);
   }
@@ -223,9 +223,16 @@
   function withhold(
     message: IncomingMessage,
     response: ServerResponse,
+    { sender, server }: ProxyOrder,
     withheld: Withheld,
   ): void {
     stats.withheld++;
+    const { requestId } = codec.decodeRequest(message.headers);
+    const { reason, backoffMs } = withheld;
+    log.info(
+      { requestId, sender, server, reason, backoffMs },
+      "proxied attempt withheld",
+    );
     reject(message, response, withheld);
   }
 
