Count failed probes of a round only where none of it is accepted

What callers could see: requests refused or sent by way of other VMs, and none sent for others, for some milliseconds while several servers are down.

Change: a round of probes ends before it counts; one that accepts is recorded at once. Test, failing before: "a round of probes in which one is accepted loses nothing".

--- a/src/servers/reach_monitor.ts
+++ b/src/servers/reach_monitor.ts
@@ -163,12 +163,31 @@
   let connectFailures = 0;
   let isStopped = false;
 
-  async function probe(server: ListedServer): Promise<boolean> {
+  /**
+   * Dials servers at the same time. One that accepts shows that the others are
+   * down themselves, so failures count only where none does.
+   *
+   * @param servers The servers.
+   * @param onAccepted Called with each connection that opens.
+   * @returns Whether one of them accepted.
+   */
+  async function probe(
+    servers: readonly ListedServer[],
+    onAccepted = () => {},
+  ): Promise<boolean> {
     const startedAtMs = clock.monotonicMs();
-    const result = await dial(server.address, DIAL_TIMEOUT_MS);
-    if (isStopped) return false;
-    if (result === "accepted") evidence.recordConnected(server);
-    else {
+    let isReached = false;
+    const results = await Promise.all(servers.map(async (server) => {
+      const result = await dial(server.address, DIAL_TIMEOUT_MS);
+      if (isStopped || result !== "accepted") return { server, result };
+      isReached = true;
+      evidence.recordConnected(server);
+      applyChanges();
+      onAccepted();
+      return { server, result };
+    }));
+    if (isStopped || isReached) return isReached;
+    for (const { server, result } of results) {
       const isTimeout = result === "silent";
       evidence.recordConnectFailure(server, {
         startedAtMs,
@@ -177,7 +196,7 @@
       });
     }
     applyChanges();
-    return result === "accepted";
+    return false;
   }
 
   function selectTargets(
@@ -208,11 +227,11 @@
     checkedAtMs.set(service, nowMs);
     const count = isSuspected ? COMPARED_SERVERS : CHECKED_SERVERS;
     const others = selectTargets(service, count - suspects.length, suspects);
+    const targets = [...suspects, ...others];
     checking.add(service);
-    const probes = [...suspects, ...others].map(probe);
-    Promise.all(probes).then(() => {
+    probe(targets).then(() => {
       checking.delete(service);
-      if (probes.length > 0 && evidence.isSuspected(service)) {
+      if (targets.length > 0 && evidence.isSuspected(service)) {
         check(service, []);
       }
     });
@@ -220,13 +239,10 @@
 
   /** Probes a lost service until one of its servers accepts a connection. */
   function startProbing(service: string, lost: LostService): void {
-    const probes = selectTargets(service, PROBED_SERVERS).map(probe);
-    if (!lost.isConfirmed) {
-      Promise.all(probes).then(() => {
-        const isLost = lostServices.get(service) === lost;
-        if (isLost && !lost.isConfirmed) confirm(service, lost);
-      });
-    }
+    probe(selectTargets(service, PROBED_SERVERS)).then(() => {
+      const isLost = lostServices.get(service) === lost;
+      if (isLost && !lost.isConfirmed) confirm(service, lost);
+    });
     const delayMs = lost.probeIntervalMs * (1 + PROBE_JITTER * random());
     lost.probeIntervalMs = Math.min(
       MAX_PROBE_INTERVAL_MS,
@@ -317,10 +333,9 @@
     async reachesOthers(server) {
       const others = selectTargets(server.service, COMPARED_SERVERS, [server]);
       if (others.length === 0) return true;
-      const accepted = others.map(async (other) => {
-        if (!await probe(other)) throw new Error("no connection");
+      return await new Promise<boolean>((resolve) => {
+        probe(others, () => resolve(true)).then(resolve);
       });
-      return await Promise.any(accepted).then(() => true, () => false);
     },
     subscribe: (onChange) => void listeners.push(onChange),
     list: () => evidence.listServices().map(describe),
