--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -22,7 +22,7 @@
   /** Regions to try, in order, each with its servers, best first. */
   candidates: readonly (readonly KnownServer[])[];
   /** Ids of the servers that this request was sent to or must not be sent to. */
-  tried: ReadonlySet<string>;
+  excluded: ReadonlySet<string>;
   /** Number of servers of a region that may hold the object; at least 2. */
   copies: number;
   /** Utilization, in requests per slot, at which a server is saturated. */
@@ -126,7 +126,7 @@
   coldLimit: ColdLimit,
   clock: Clock,
 ): Choice {
-  const { candidates, tried } = placement;
+  const { candidates, excluded } = placement;
   let isAnyAlive = false;
   const lastResort = new Set<KnownServer>();
   for (const servers of candidates) {
@@ -143,7 +143,7 @@
   }
   if (isAnyAlive) return { kind: "full" };
   const untried = candidates.flat().filter((server) =>
-    !tried.has(server.listed.id) && server.coldUntilMs <= clock.monotonicMs()
+    !excluded.has(server.listed.id) && server.coldUntilMs <= clock.monotonicMs()
   );
   const fallback = untried.find((server) => hasBodyRoom(placement, server));
   if (fallback === undefined && untried.length > 0) return { kind: "full" };
@@ -162,7 +162,7 @@
 
 /** The servers of a region that a request may be sent to. */
 interface EligibleServers {
-  /** The best server that is neither tried nor ejected, warm or cold. */
+  /** The best server that is neither excluded nor ejected, warm or cold. */
   first: KnownServer | undefined;
   /**
    * Warm servers, best first: those without many failures, else all. As many as
@@ -193,7 +193,7 @@
   const lastResort: KnownServer[] = [];
   let healthyRank = 0;
   for (const server of servers) {
-    if (placement.tried.has(server.listed.id) || server.health.isEjected()) {
+    if (placement.excluded.has(server.listed.id) || server.health.isEjected()) {
       continue;
     }
     const avoidance = placement.getAvoidance?.(server) ?? "none";
--- a/src/placement/choose_test.ts
+++ b/src/placement/choose_test.ts
@@ -36,7 +36,7 @@
 ): Choice {
   const placement: PlacementRequest = {
     candidates: [servers],
-    tried: new Set(),
+    excluded: new Set(),
     copies: 2,
     maxUtilization: 2,
     maxCacheMissQueue: 2,
@@ -168,10 +168,10 @@
 test("the next server replaces one that was tried or is ejected", () => {
   const { clock, servers } = createFourServers();
   const tried = new Set(["0"]);
-  assert.is(getOutcome(choose(servers, clock, { tried })), "1");
+  assert.is(getOutcome(choose(servers, clock, { excluded: tried })), "1");
   servers[1].health.recordOutcome("unreachable");
   servers[1].health.recordOutcome("unreachable");
-  assert.is(getOutcome(choose(servers, clock, { tried })), "2");
+  assert.is(getOutcome(choose(servers, clock, { excluded: tried })), "2");
 });
 
 test("the next server replaces one without a permit", () => {
@@ -471,7 +471,7 @@
     }
     const asked: string[] = [];
     const changes: Partial<PlacementRequest> = {
-      tried,
+      excluded: tried,
       copies: 2 + Math.floor(random() * 6),
       hasCachedObject: (id) => cached.has(id),
       isRateLimited: ({ listed }) => limited.has(listed.id),
--- a/src/placement/copies_test.ts
+++ b/src/placement/copies_test.ts
@@ -90,7 +90,7 @@
     const choice = chooseServer(
       {
         candidates: [ranking.rank("s", "oslo", objectKey)],
-        tried: new Set(),
+        excluded: new Set(),
         copies: hasFixedCopies ? 2 : copies,
         maxUtilization: latencyModel.getMaxUtilization(ROUTE),
         maxCacheMissQueue: latencyModel.getMaxCacheMissQueue(
--- a/src/placement/overload_test.ts
+++ b/src/placement/overload_test.ts
@@ -121,7 +121,7 @@
     const choice = chooseServer(
       {
         candidates: [ranking.rank("s", "oslo", objectKey)],
-        tried: new Set(),
+        excluded: new Set(),
         copies: 2,
         maxUtilization: pace.getMaxUtilization(ROUTE),
         maxCacheMissQueue: limitsCacheMisses
--- a/src/placement/shedding_test.ts
+++ b/src/placement/shedding_test.ts
@@ -62,7 +62,7 @@
     const choice = chooseServer(
       {
         candidates: [ranking.rank("s", "oslo", objectKey)],
-        tried,
+        excluded: tried,
         copies: 2,
         maxUtilization: 2,
         maxCacheMissQueue: 1,
--- a/src/placement/spill_test.ts
+++ b/src/placement/spill_test.ts
@@ -95,7 +95,7 @@
     const choice = chooseServer(
       {
         candidates: [ranking.rank("s", "oslo", objectKey)],
-        tried: new Set(),
+        excluded: new Set(),
         copies: 2,
         maxUtilization: pace.getMaxUtilization(ROUTE),
         maxCacheMissQueue: pace.getMaxCacheMissQueue(ROUTE, ROUTE.timeoutMs),
--- a/src/proxying/proxy_selection.ts
+++ b/src/proxying/proxy_selection.ts
@@ -73,7 +73,7 @@
   /** Until when VMs are not asked for a service, by id. */
   const declinedUntilMs = new Map<string, Expiries>();
   /** Until when VMs of a failure domain are asked last for a service. */
-  const doubtfulUntilMs = new Map<string, Expiries>();
+  const lastResortUntilMs = new Map<string, Expiries>();
   const rankings = new Map<string, { atMs: number; vms: VmIdentity[] }>();
   let turn = 0;
 
@@ -81,7 +81,11 @@
     return (expiries?.get(key) ?? 0) > clock.monotonicMs();
   }
 
-  function add(expiries: Expiries, key: string, durationMs: number): void {
+  function addExpiry(
+    expiries: Expiries,
+    key: string,
+    durationMs: number,
+  ): void {
     const nowMs = clock.monotonicMs();
     for (const [old, untilMs] of expiries) {
       if (untilMs <= nowMs) expiries.delete(old);
@@ -113,27 +117,33 @@
   return {
     choose(service, regions) {
       const declined = declinedUntilMs.get(service);
-      const doubtful = doubtfulUntilMs.get(service);
+      const lastResortDomains = lastResortUntilMs.get(service);
       const vms: VmIdentity[] = [];
-      const lastVms: VmIdentity[] = [];
+      const lastResort: VmIdentity[] = [];
       for (const vm of getRanking(regions)) {
-        const list = isCurrent(doubtful, vm.failureDomain) ? lastVms : vms;
+        const list = isCurrent(lastResortDomains, vm.failureDomain)
+          ? lastResort
+          : vms;
         if (list.length >= MAX_PROXIES) continue;
         if (isCurrent(declined, vm.id)) continue;
         if (isCurrent(unreachableUntilMs, vm.id)) continue;
         list.push(vm);
         if (vms.length >= MAX_PROXIES) break;
       }
-      const usable = vms.length > 0 ? vms : lastVms;
+      const usable = vms.length > 0 ? vms : lastResort;
       return usable.length === 0 ? undefined : usable[turn++ % usable.length];
     },
     recordOutcome({ id, failureDomain }, service, outcome) {
       if (outcome === "helped") return;
       if (outcome === "unreachable") {
-        return add(unreachableUntilMs, id, UNREACHABLE_MS);
+        return addExpiry(unreachableUntilMs, id, UNREACHABLE_MS);
       }
-      add(getExpiries(declinedUntilMs, service), id, DECLINED_MS);
-      add(getExpiries(doubtfulUntilMs, service), failureDomain, DECLINED_MS);
+      addExpiry(getExpiries(declinedUntilMs, service), id, DECLINED_MS);
+      addExpiry(
+        getExpiries(lastResortUntilMs, service),
+        failureDomain,
+        DECLINED_MS,
+      );
     },
   };
 }
--- a/src/proxying/proxy_server.ts
+++ b/src/proxying/proxy_server.ts
@@ -78,7 +78,6 @@
 /** Attempts in progress per core; an own request holds as much of the VM. */
 const MAX_OPEN_PER_CORE = 100;
 const MAX_BODY_BYTES = 16_777_216;
-const NOT_LISTED: Withheld = { kind: "withheld", reason: "not_usable" };
 const NO_CONNECTION: Withheld = { kind: "withheld", reason: "no_connection" };
 
 /**
@@ -106,8 +105,11 @@
   }
 
   /** @returns Why a server must not get a request of this VM, if so. */
-  function findWithholding(server: KnownServer): Withheld | undefined {
+  function findWithholding(
+    server: KnownServer | undefined,
+  ): Withheld | undefined {
     const kind = "withheld";
+    if (server === undefined) return { kind, reason: "not_usable" };
     if (registry.isDraining(server)) return { kind, reason: "draining" };
     if (!registry.isUsable(server)) return { kind, reason: "not_usable" };
     const backoffMs = options.backoffs.getLeftMs(server.listed.id);
@@ -126,18 +128,16 @@
     }
     const denial = findDenial(server);
     if (denial !== undefined) return decline(message, response, denial);
-    const withheld = server === undefined
-      ? NOT_LISTED
-      : findWithholding(server);
-    if (server === undefined || withheld !== undefined) {
-      return withhold(message, response, order, withheld ?? NOT_LISTED);
+    const withheld = findWithholding(server);
+    if (withheld !== undefined) {
+      return withhold(message, response, order, withheld);
     }
     stats.open++;
     const hold = options.bodyBudget.open(
       clock.monotonicMs() + order.remainingMs,
     );
     try {
-      await run(message, response, { order, server, hold });
+      await run(message, response, { order, server: server!, hold });
     } catch (cause) {
       log.info({ error: describeError(cause) }, "proxied attempt cut");
       response.destroy();
@@ -173,7 +173,11 @@
       () => findWithholding(server) === undefined,
     );
     const result = await awaitResult(attempt, response, order);
-    if (result.kind !== "withdrawn") stats.sent++;
+    if (result.kind === "withdrawn") {
+      const withheld = findWithholding(server) ?? NO_CONNECTION;
+      return withhold(message, response, order, withheld);
+    }
+    stats.sent++;
     log.info(
       {
         requestId: codec.decodeRequest(message.headers).requestId,
@@ -188,10 +192,6 @@
     const isOwnFailure = result.kind === "not_sent" &&
       reach.assess(server.listed.service) === "lost";
     if (!isOwnFailure) options.recordResult(server, result, order.fingerprint);
-    if (result.kind === "withdrawn") {
-      const withheld = findWithholding(server) ?? NO_CONNECTION;
-      return withhold(message, response, order, withheld);
-    }
     sendResult(response, result, isOwnFailure);
   }
 
--- a/src/servers/reach_evidence.ts
+++ b/src/servers/reach_evidence.ts
@@ -6,8 +6,8 @@
  * and other VMs still reach it. A server that is down fails alone: connections
  * to other servers of its service open meanwhile. Open connections may live on
  * while no new one opens, so that responses alone prove nothing. Several servers
- * may crash together, and requests come back to them, so that a service is only
- * lost once connections to servers that were chosen at random failed.
+ * may crash together, and requests are placed on them again and again. Only
+ * failed probes of random servers therefore make a service lost.
  *
  * @module
  */
@@ -98,8 +98,9 @@
 /** Distinct servers whose probes timed out that make a service lost. */
 const MIN_SILENT_PROBES = 2;
 /**
- * The same where probes are refused, as by servers that have crashed. With a
- * third of the servers down, one in a hundred sets of four has no other.
+ * Distinct servers whose probes were refused that make a service lost. Servers
+ * that have crashed refuse too: with a third of the servers down, all four of a
+ * random set are down in about one case of a hundred.
  */
 const MIN_REFUSED_PROBES = 4;
 /** Failures and silence are forgotten after this time. */
--- a/src/servers/reach_monitor.ts
+++ b/src/servers/reach_monitor.ts
@@ -171,7 +171,7 @@
    * @param onAccepted Called with each connection that opens.
    * @returns Whether one of them accepted.
    */
-  async function probe(
+  async function probeServers(
     servers: readonly ListedServer[],
     onAccepted = () => {},
   ): Promise<boolean> {
@@ -229,7 +229,7 @@
     const others = selectTargets(service, count - suspects.length, suspects);
     const targets = [...suspects, ...others];
     checking.add(service);
-    probe(targets).then(() => {
+    probeServers(targets).then(() => {
       checking.delete(service);
       if (targets.length > 0 && evidence.isSuspected(service)) {
         check(service, []);
@@ -239,7 +239,7 @@
 
   /** Probes a lost service until one of its servers accepts a connection. */
   function startProbing(service: string, lost: LostService): void {
-    probe(selectTargets(service, PROBED_SERVERS)).then(() => {
+    probeServers(selectTargets(service, PROBED_SERVERS)).then(() => {
       const isLost = lostServices.get(service) === lost;
       if (isLost && !lost.isConfirmed) confirm(service, lost);
     });
@@ -334,7 +334,7 @@
       const others = selectTargets(server.service, COMPARED_SERVERS, [server]);
       if (others.length === 0) return true;
       return await new Promise<boolean>((resolve) => {
-        probe(others, () => resolve(true)).then(resolve);
+        probeServers(others, () => resolve(true)).then(resolve);
       });
     },
     subscribe: (onChange) => void listeners.push(onChange),
--- a/src/serving/attempt_observer.ts
+++ b/src/serving/attempt_observer.ts
@@ -13,6 +13,7 @@
 import type { ServerRateLimits } from "../servers/rate_limits.ts";
 import type { ServerReachability } from "../servers/reachability.ts";
 import type { RunTimes } from "../servers/run_times.ts";
+import type { ServerSignals } from "../servers/signals.ts";
 import { limitSlowdown } from "../servers/speed.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { LatencyModel } from "./latency_model.ts";
@@ -166,21 +167,28 @@
     const { load, limitPerS, isDraining, backoffMs } = result.signals;
     if (load !== undefined) server.load.report(load);
     options.rateLimits.record(server.listed.id, limitPerS);
+    recordAvailability(server, { isDraining, backoffMs });
+  }
+
+  /** Records a drain or backoff, as the server or a proxying VM tells of it. */
+  function recordAvailability(
+    server: KnownServer,
+    { isDraining, backoffMs }: Pick<ServerSignals, "isDraining" | "backoffMs">,
+  ): void {
     if (isDraining) options.registry.markDraining(server);
     if (backoffMs !== undefined) {
       options.backoffs.begin(server.listed.id, backoffMs);
     }
   }
 
-  /** Records what a proxying VM knows of the server. */
   function recordWithheld(
     server: KnownServer,
     { reason, backoffMs }: Withheld,
   ): void {
-    if (reason === "draining") options.registry.markDraining(server);
-    if (backoffMs !== undefined) {
-      options.backoffs.begin(server.listed.id, backoffMs);
-    }
+    recordAvailability(server, {
+      isDraining: reason === "draining",
+      backoffMs,
+    });
   }
 
   function recordAnswer(
--- a/src/serving/placer.ts
+++ b/src/serving/placer.ts
@@ -213,7 +213,7 @@
       computeMaxUtilization(latencyLimit, slots, demand);
     const choiceOptions: PlacementRequest = {
       candidates,
-      tried: excludedServers,
+      excluded: excludedServers,
       maxUtilization: latencyLimit,
       ...(demand === undefined && !exceedsShare ? {} : {
         getMaxUtilization: (slots) =>
@@ -440,10 +440,10 @@
     placement: PlacementRequest,
   ): SlotProspect | undefined {
     const nowMs = clock.monotonicMs();
-    const { tried, copies } = placement;
+    const { excluded, copies } = placement;
     const sharing = placement.candidates.flatMap((servers) =>
       servers.filter((server) =>
-        !tried.has(server.listed.id) && server.coldUntilMs <= nowMs &&
+        !excluded.has(server.listed.id) && server.coldUntilMs <= nowMs &&
         isOpen(server) && permits.isValid(server.listed)
       ).slice(0, copies)
     );
--- a/src/serving/server_transport.ts
+++ b/src/serving/server_transport.ts
@@ -79,12 +79,15 @@
 }
 
 /**
- * VMs that are asked for one attempt. Where half of the fleet can't help, three
- * would leave one request in eight unserved.
+ * VMs that are asked for one attempt. Where half of the fleet reaches no server,
+ * six in a row decline one request in 64, until their declines are remembered.
  */
 const MAX_ASKED = 6;
-/** Nobody is asked again for this long once as many VMs have declined. */
-const NO_PATH_MS = 250;
+/**
+ * Nobody is asked again for this long once as many VMs have declined, so that a
+ * fleet in which no VM reaches the service refuses requests at once.
+ */
+const ASK_PAUSE_MS = 250;
 /** A VM is not asked with less time left. */
 const MIN_PROXY_MS = 20;
 
@@ -97,7 +100,7 @@
 ): ServerTransport {
   const { clock, log, exchange, reach, proxies, proxyClient } = options;
   /** Until when nobody is asked, by service and the regions of the request. */
-  const noPathUntilMs = new Map<string, number>();
+  const pausedUntilMs = new Map<string, number>();
   const stats: TransportStats = { proxied: 0, withoutPath: 0 };
 
   /** Whether own connections may serve an attempt. */
@@ -164,10 +167,10 @@
       const { server, request, remainingMs } = asked;
       const { service } = server;
       const regions = request.homeRegions ?? [];
-      const path = [service, ...regions].join(" ");
+      const pauseKey = [service, ...regions].join(" ");
       const startedAtMs = clock.monotonicMs();
-      const wasJustAsked = startedAtMs < (noPathUntilMs.get(path) ?? 0);
-      for (let asked = 0; asked < MAX_ASKED && !wasJustAsked; asked++) {
+      const isPaused = startedAtMs < (pausedUntilMs.get(pauseKey) ?? 0);
+      for (let asked = 0; asked < MAX_ASKED && !isPaused; asked++) {
         const tookMs = clock.monotonicMs() - startedAtMs;
         const leftMs = remainingMs - tookMs;
         if (leftMs < MIN_PROXY_MS || abortReason !== undefined) break;
@@ -176,7 +179,7 @@
         const outcome = await ask(vm, leftMs);
         if (outcome !== undefined) return outcome;
         if (asked + 1 === MAX_ASKED) {
-          noPathUntilMs.set(path, clock.monotonicMs() + NO_PATH_MS);
+          pausedUntilMs.set(pauseKey, clock.monotonicMs() + ASK_PAUSE_MS);
         }
       }
       const isPathBroken = true;
