--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -371,6 +371,7 @@
         reply(response, 200, {
           ...echo,
           "X-Response-Stamp": `${id}.${requestId}`,
+          ...options.extraHeaders,
         }, text);
         record.write("backend answers 200", { id: requestId, server: id });
       }
