--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -121,10 +121,10 @@
 
 /** The platform's store: rows, transactions and feeds (PROTOCOL.md). */
 export async function startStore(host) {
-  const rows = new Map();
+  let rows = new Map();
+  let era = 1;
   const waiters = new Set();
   const sockets = new Set();
-  const dropped = new Map();
   let ver = 1;
   let fault;
   function put(table, key, value) {
@@ -170,6 +170,7 @@
     if (url.pathname === "/v1/rows-feed") {
       const table = query.get("table_name");
       const after = Number(query.get("after"));
+      if (after > ver) return send(410, {});
       const changed = () => list(table).filter((row) => row.ver > after);
       if (changed().length === 0) {
         await new Promise((resolve) => {
@@ -232,6 +233,8 @@
     send(404, {});
   }
   const server = http.createServer((request, response) => {
+    response.setHeader("Store-Era", era);
+    if (fault === "reset") return void request.socket.resetAndDestroy();
     if (fault === "silent") return;
     if (fault === "busy") {
       return void response.writeHead(503, { "content-length": 0 }).end();
@@ -247,8 +250,18 @@
     address: `${host}:${server.address().port}`,
     put,
     remove: (table, key) => put(table, key, undefined),
-    setFault: (next) => void (fault = next),
-    dropped,
+    setFault(next) {
+      fault = next;
+      if (next === "reset") { for (const socket of sockets) socket.destroy(); }
+    },
+    takeCopy: () => ({ rows: new Map(rows), ver }),
+    /** Comes back from a copy: versions go back, and the era rises by one. */
+    restore(copy) {
+      rows = new Map(copy.rows);
+      ver = copy.ver;
+      era++;
+      for (const socket of sockets) socket.destroy();
+    },
     close() {
       for (const socket of sockets) socket.destroy();
       server.close();
