Log which requests the exit of a stopped process cuts

Callers lost requests around planned stops, and the log couldn't tell why: 'stopped' counted requests but named none. Hypothesis 1 (late requests) shows as arrivals long after the stop in stage serving, 2 (answers on their way) as sending, 3 (another end) by the missing lines.

No decision changes.

--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -10,7 +10,10 @@
 import { type Clock, pause } from "../runtime/clock.ts";
 import type { HttpServer } from "../runtime/http_server.ts";
 import type { Exchange } from "../serving/exchange.ts";
-import type { FrontServer } from "../serving/front_server.ts";
+import type {
+  FrontServer,
+  UnansweredRequest,
+} from "../serving/front_server.ts";
 import type { Log } from "../telemetry/log.ts";
 
 /** Components to stop, and time limits. */
@@ -39,6 +42,8 @@
  * Connections still open after this time are closed by the exit of the process.
  */
 const CLOSE_TIMEOUT_MS = 100;
+/** Requests that are logged one by one when the process ends under them. */
+const MAX_LOGGED_REQUESTS = 100;
 
 /**
  * Continues to serve until clients no longer use the address of this VM, then
@@ -59,7 +64,13 @@
   await pause(clock, Math.min(addressExpiryMs, maxLeaveMs));
   const remainingMs = maxLeaveMs - (clock.monotonicMs() - startedAtMs);
   await Promise.race([front.close(), pause(clock, Math.max(0, remainingMs))]);
-  log.info({ openRequests: front.countOpenRequests() }, "stopped");
+  const unanswered = front.listUnanswered();
+  log.info({
+    openRequests: front.countOpenRequests(),
+    unanswered: unanswered.length,
+    tookMs: Math.round(clock.monotonicMs() - startedAtMs),
+  }, "stopped");
+  logCutRequests(options, unanswered, startedAtMs);
   options.readers.forEach((reader) => reader.stop());
   mesh.stop();
   options.control.forEach(({ server }) => server.close());
@@ -68,3 +79,21 @@
     pause(clock, CLOSE_TIMEOUT_MS),
   ]);
 }
+
+/** Logs requests whose connections the exit of the process closes. */
+function logCutRequests(
+  { clock, log }: LeaveOptions,
+  unanswered: readonly UnansweredRequest[],
+  leavingAtMs: number,
+): void {
+  const nowMs = clock.monotonicMs();
+  const logged = unanswered.slice(0, MAX_LOGGED_REQUESTS);
+  for (const { arrivedAtMs, ...request } of logged) {
+    log.warn({
+      ...request,
+      // Negative where it arrived before the process was told to stop.
+      arrivedAfterStopMs: Math.round(arrivedAtMs - leavingAtMs),
+      ageMs: Math.round(nowMs - arrivedAtMs),
+    }, "request cut by exit");
+  }
+}
--- a/src/serving/client_connections.ts
+++ b/src/serving/client_connections.ts
@@ -16,6 +16,8 @@
 export interface BegunRequest {
   message: IncomingMessage;
   response: ServerResponse;
+  /** When its headers had arrived, on the monotonic clock. */
+  arrivedAtMs: number;
   /** Aborted when the client disconnects before it has the whole response. */
   signal: ClientSignal;
   /**
@@ -50,12 +52,14 @@
    *
    * @param message The request.
    * @param response Its response.
+   * @param arrivedAtMs When its headers had arrived, on the monotonic clock.
    * @returns The begun request; undefined where it follows a response that
    *   closes the connection and must not run.
    */
   begin(
     message: IncomingMessage,
     response: ServerResponse,
+    arrivedAtMs: number,
   ): BegunRequest | undefined;
   /**
    * Gives up reading a connection, and closes it after the responses to the
@@ -74,6 +78,21 @@
    * @returns Whether a response is being sent on it.
    */
   isSending(socket: Socket): boolean;
+  /** @returns The requests whose clients don't have the whole response yet. */
+  listBegun(): UnsettledRequest[];
+}
+
+/** How far a request has come: until its client has the whole response. */
+export type RequestStage = "receiving" | "serving" | "sending";
+
+/** A request whose client doesn't have the whole response yet. */
+export interface UnsettledRequest {
+  message: IncomingMessage;
+  /** When its headers had arrived, on the monotonic clock. */
+  arrivedAtMs: number;
+  stage: RequestStage;
+  /** Bytes of the response that this process still holds. */
+  unsentBytes: number;
 }
 
 interface Connection {
@@ -89,6 +108,7 @@
 interface OpenRequest {
   message: IncomingMessage;
   response: ServerResponse;
+  arrivedAtMs: number;
   settle(): void;
 }
 
@@ -140,6 +160,7 @@
   function begin(
     message: IncomingMessage,
     response: ServerResponse,
+    arrivedAtMs: number,
   ): BegunRequest | undefined {
     const { socket } = message;
     const connection = connections.get(socket) ?? open(socket);
@@ -149,6 +170,7 @@
     const request: OpenRequest = {
       message,
       response,
+      arrivedAtMs,
       settle() {
         if (!connection.begun.delete(request)) return;
         if (!response.writableFinished) signal.abort();
@@ -179,6 +201,7 @@
     const begun: BegunRequest = {
       message,
       response,
+      arrivedAtMs,
       signal,
       onSettled(run) {
         if (connection.begun.has(request)) settledCallbacks.push(run);
@@ -242,5 +265,21 @@
       const [first] = connections.get(socket)?.begun ?? [];
       return first !== undefined && first.response.headersSent;
     },
+    listBegun: () =>
+      [...connections.values()].flatMap(({ begun }) =>
+        [...begun].map(describeRequest)
+      ),
   };
 }
+
+function describeRequest(
+  { message, response, arrivedAtMs }: OpenRequest,
+): UnsettledRequest {
+  const unsentBytes = response.writableLength;
+  const stage = response.headersSent
+    ? "sending"
+    : message.complete
+    ? "serving"
+    : "receiving";
+  return { message, arrivedAtMs, stage, unsentBytes };
+}
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -32,6 +32,7 @@
 import {
   type BegunRequest,
   createClientConnections,
+  type UnsettledRequest,
 } from "./client_connections.ts";
 import type { RequestHandler } from "./request_handler.ts";
 import { computeDeadlineAtMs } from "./request_progress.ts";
@@ -67,6 +68,14 @@
   close(): Promise<void>;
   /** @returns Number of requests that are being served. */
   countOpenRequests(): number;
+  /** @returns The requests whose clients don't have the whole answer yet. */
+  listUnanswered(): UnansweredRequest[];
+}
+
+/** A request whose client doesn't have the whole answer yet. */
+export interface UnansweredRequest extends Omit<UnsettledRequest, "message"> {
+  requestId: string | undefined;
+  path: string;
 }
 
 /** The parser rejects requests with larger headers. */
@@ -157,7 +166,7 @@
     expectsContinue = false,
   ): Promise<void> {
     const arrivedAtMs = clock.monotonicMs();
-    const begun = connections.begin(message, response);
+    const begun = connections.begin(message, response, arrivedAtMs);
     if (begun === undefined) {
       const { requestId } = codec.decodeRequest(message.headers);
       log.info({ requestId }, "request behind a closing answer not begun");
@@ -165,7 +174,7 @@
     }
     openRequests++;
     try {
-      await serve(begun, arrivedAtMs, expectsContinue);
+      await serve(begun, expectsContinue);
     } catch (cause) {
       log.error({ error: describeError(cause) }, "request failed unexpectedly");
       response.destroy();
@@ -176,10 +185,9 @@
 
   async function serve(
     begun: BegunRequest,
-    arrivedAtMs: number,
     expectsContinue: boolean,
   ): Promise<void> {
-    const { message } = begun;
+    const { message, arrivedAtMs } = begun;
     const table = options.getRouteTable();
     const metadata = codec.decodeRequest(message.headers);
     if (table === undefined) {
@@ -464,6 +472,12 @@
             server.closeIdleConnections();
           }),
         countOpenRequests: () => openRequests,
+        listUnanswered: () =>
+          connections.listBegun().map(({ message, ...unsettled }) => ({
+            ...unsettled,
+            requestId: codec.decodeRequest(message.headers).requestId,
+            path: message.url ?? "/",
+          })),
       });
     });
   });
