Accept while leaving only requests that can use all of their time

What callers saw: requests that a VM accepted after SIGTERM ended without an answer, or with 502, as its process exited; with work of 1.9 s, those sent 3.7 s after SIGTERM and later.

Cause: until 4.8 s a leaving VM accepted every request, whatever time it had, and at 5.6 s its process exits. Class: work is accepted without regard to an end that the process knows.

Why the fix works: the end of the process is known from SIGTERM on. A request is accepted only if its time (route's timeout, client's deadline; for a download the client's deadline) ends before; else it is refused at once as not run, before its body is read, and its client goes to another VM. It holds for requests that began before SIGTERM and haven't been sent, and is looked at again before each first attempt, when a connection to the server is free as well. How long requests usually take isn't used: what takes longer than usual would be cut.

--- a/src/gateway/core.ts
+++ b/src/gateway/core.ts
@@ -101,6 +101,7 @@
 import { createLatencyModel } from "../serving/latency_model.ts";
 import { createOverflowPlacer } from "../serving/overflow_placer.ts";
 import { createPlacer } from "../serving/placer.ts";
+import type { ProcessEnd } from "../serving/process_end.ts";
 import {
   createServerTransport,
   type ServerTransport,
@@ -123,6 +124,7 @@
   vms: VmViews;
   cacheModel: ObjectCacheModel;
   running: RunningRequests;
+  processEnd: ProcessEnd;
   factStore: FactStore;
   freshness: FreshnessTracker;
   /** @returns Demand by region as reported by hubs; undefined without hubs. */
@@ -491,6 +493,7 @@
     permits,
     inflightBodies,
     limiter,
+    processEnd: options.processEnd,
   });
 
   return {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -46,6 +46,7 @@
 import { startOverloadMonitor } from "../runtime/overload.ts";
 import type { Stoppable } from "../runtime/process.ts";
 import { startFrontServer } from "../serving/front_server.ts";
+import { createProcessEnd } from "../serving/process_end.ts";
 import type { WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
 import { type ControlPaths, startControlServers } from "./control_routes.ts";
@@ -112,6 +113,7 @@
   const vms = createVmViews(self, memberTable);
   const cacheModel = createObjectCacheModel();
   const runningRequests = createRunningRequests(clock);
+  const processEnd = createProcessEnd();
   const core = createCore({
     ...options,
     self,
@@ -119,6 +121,7 @@
     vms,
     cacheModel,
     running: runningRequests,
+    processEnd,
     factStore,
     freshness,
     getFleetDemand: () => mesh.getDemand(),
@@ -287,6 +290,7 @@
     clock,
     log,
     metrics,
+    processEnd,
     isOverloaded: overloadMonitor.isOverloaded,
     getRouteTable: core.getRoutes,
     getRouteTableAgeMs: () => factStore.getAgeMs("operations"),
@@ -352,6 +356,7 @@
         readers,
         exchange: core.exchange,
         proxyClient: core.proxyClient,
+        processEnd,
         control: [...controlServers, peerServer],
         graceMs: settings.bounds.graceMs,
         ttlMs,
--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -1,6 +1,7 @@
 /**
- * Graceful shutdown of a gateway: requests in progress are completed, and
- * clients have time to stop using its address.
+ * Graceful shutdown of a gateway: clients have time to stop using its address,
+ * requests are accepted as long as they can be completed, and those in progress
+ * are completed.
  *
  * @module
  */
@@ -14,6 +15,7 @@
   FrontServer,
   UnansweredRequest,
 } from "../serving/front_server.ts";
+import type { ProcessEnd } from "../serving/process_end.ts";
 import type { Log } from "../telemetry/log.ts";
 
 /** Components to stop, and time limits. */
@@ -25,6 +27,7 @@
   readers: readonly Reader[];
   exchange: Exchange;
   proxyClient: ProxyClient;
+  processEnd: Pick<ProcessEnd, "schedule">;
   control: readonly HttpServer[];
   /** Time until the process is killed, in ms. */
   graceMs: number;
@@ -56,11 +59,12 @@
   const { clock, log, front, mesh } = options;
   const startedAtMs = clock.monotonicMs();
   log.info({ openRequests: front.countOpenRequests() }, "leaving");
+  const maxLeaveMs = options.graceMs - EXIT_MARGIN_MS;
+  options.processEnd.schedule(startedAtMs + maxLeaveMs);
   mesh.sendReport();
   front.startLeaving();
   const addressExpiryMs = options.ttlMs * MAX_TTL_OVERRUN_FACTOR +
     LATE_CONNECTION_MARGIN_MS;
-  const maxLeaveMs = options.graceMs - EXIT_MARGIN_MS;
   await pause(clock, Math.min(addressExpiryMs, maxLeaveMs));
   const remainingMs = maxLeaveMs - (clock.monotonicMs() - startedAtMs);
   await Promise.race([front.close(), pause(clock, Math.max(0, remainingMs))]);
--- a/src/queueing/fixture.ts
+++ b/src/queueing/fixture.ts
@@ -35,6 +35,7 @@
 import { createInflightBodies } from "../serving/inflight_bodies.ts";
 import { createLatencyModel } from "../serving/latency_model.ts";
 import { createPlacer } from "../serving/placer.ts";
+import { createProcessEnd } from "../serving/process_end.ts";
 import { createRequestHandler } from "../serving/request_handler.ts";
 import type { ExchangeResult, ServeResult } from "../serving/types.ts";
 import { createSilentLog } from "../telemetry/log.ts";
@@ -178,6 +179,7 @@
       getCompetingPriorities,
     });
     const handler = createRequestHandler({
+      processEnd: createProcessEnd(),
       clock,
       log,
       random,
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -34,9 +34,14 @@
   createClientConnections,
   type UnsettledRequest,
 } from "./client_connections.ts";
+import { computeResponseEndMs, type ProcessEnd } from "./process_end.ts";
 import type { RequestHandler } from "./request_handler.ts";
 import { computeDeadlineAtMs } from "./request_progress.ts";
-import type { ServeResult, WireCodec } from "./types.ts";
+import {
+  OTHER_VM_RETRY_MS,
+  type ServeResult,
+  type WireCodec,
+} from "./types.ts";
 
 /** Options of the front server. */
 export interface FrontServerOptions {
@@ -49,6 +54,7 @@
   clock: Clock;
   log: Log;
   metrics: ServingMetrics;
+  processEnd: Pick<ProcessEnd, "isAfter">;
   /** Whether the event loop is saturated, so that connections wait for it. */
   isOverloaded: () => boolean;
   /** Returns the active routes; undefined before the first configuration. */
@@ -253,6 +259,7 @@
       declaredBytes: Number(message.headers["content-length"] ?? 0),
       holdBodies,
       deadlineAtMs,
+      responseEndMs: computeResponseEndMs(route, metadata, arrivedAtMs),
       expectsContinue,
     });
     if (options.isOverloaded()) await yieldToEventLoop();
@@ -309,6 +316,8 @@
     let rejected: ReceivedBody | undefined;
     if (declaredBytes > admission.maxBodyBytes) {
       rejected = { kind: "too_large" };
+    } else if (!options.processEnd.isAfter(admission.responseEndMs)) {
+      rejected = refuseAsLeaving();
     } else if (bodies?.tryHoldRequest(declaredBytes) === false) {
       rejected = refuseBody(route, declaredBytes);
     } else if (bodies?.tryHoldAnswer(answerBytes) === false) {
@@ -377,6 +386,15 @@
     });
   }
 
+  function refuseAsLeaving(): ReceivedBody {
+    const reason = "leaving";
+    const retryAfterMs = OTHER_VM_RETRY_MS;
+    return {
+      kind: "refused",
+      result: { kind: "refused", reason, retryAfterMs },
+    };
+  }
+
   function refuseBody(route: Route, bytes: number): ReceivedBody {
     const maxMs = route.timeoutMs * RETRY_AFTER_SHARE;
     const result: ServeResult = {
@@ -533,6 +551,8 @@
   /** Undefined without a memory limit. */
   holdBodies: (() => BodyHold) | undefined;
   deadlineAtMs: number;
+  /** When the client has the whole response at the latest. */
+  responseEndMs: number;
   /** Whether the client sends the body only when it is asked for it. */
   expectsContinue: boolean;
 }
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -32,6 +32,7 @@
 import { getCountedBytes, type InflightBodies } from "./inflight_bodies.ts";
 import type { LatencyModel } from "./latency_model.ts";
 import type { PlacedAttempt, Placer } from "./placer.ts";
+import { computeResponseEndMs, type ProcessEnd } from "./process_end.ts";
 import {
   computeDeadlineAtMs,
   makeObjectName,
@@ -41,6 +42,7 @@
 import {
   type CallerRequest,
   MIN_SERVER_ERROR_STATUS,
+  OTHER_VM_RETRY_MS,
   type RefusalReason,
   type ServerAnswer,
   type ServeResult,
@@ -69,6 +71,7 @@
   inflightBodies: Pick<InflightBodies, "begin" | "end" | "recordServerEnd">;
   /** Rate limits of client accounts. */
   limiter: RateLimiter;
+  processEnd: Pick<ProcessEnd, "isAfter">;
 }
 
 /** Handles requests of clients. */
@@ -190,6 +193,9 @@
       }
       const remainingMs = progress.deadlineAtMs - clock.monotonicMs();
       if (remainingMs < MIN_ATTEMPT_MS) return giveUp(progress, "too_late");
+      if (!mayHaveRun(progress) && !mayFinish(request)) {
+        return giveUp(progress, "leaving", OTHER_VM_RETRY_MS);
+      }
       const placed = options.placer.place(progress);
       if (placed.kind === "not_placed") {
         // Only what has not run may wait.
@@ -214,6 +220,12 @@
     }
   }
 
+  /** Whether a request can use all of its time before this process ends. */
+  function mayFinish({ route, metadata, arrivedAtMs }: CallerRequest): boolean {
+    const endMs = computeResponseEndMs(route, metadata, arrivedAtMs);
+    return options.processEnd.isAfter(endMs);
+  }
+
   /** Refuses a request that crashes servers, with the time when it may run. */
   function refuseSetAside(
     progress: RequestProgress,
@@ -287,7 +299,8 @@
       fingerprint: progress.fingerprint,
       remainingMs,
       maySend: () =>
-        registry.isUsable(server) && options.permits.isValid(server.listed),
+        registry.isUsable(server) && options.permits.isValid(server.listed) &&
+        (mayHaveRun(progress) || mayFinish(request)),
     });
     const onClientLeft = () => attempt.abort("client_left");
     request.signal.addEventListener("abort", onClientLeft);
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -170,7 +170,15 @@
   /** Servers crashed under the same request; it must not run for now. */
   | "set_aside"
   /** This VM has no memory for the request's bodies. */
-  | "memory_short";
+  | "memory_short"
+  /** This VM stops before the request's time ends. */
+  | "leaving";
+
+/**
+ * Retry-After where other VMs can serve the request at once: it only separates
+ * clients that are refused together.
+ */
+export const OTHER_VM_RETRY_MS = 10;
 
 /** Result of a request for its client. */
 export type ServeResult =
