Let a stopping VM complete the attempts that it sends for other VMs

What callers saw: a VM that reaches no server sends requests by way of another one. When that one stopped, it waited for its own clients only, and the attempts of the other VM were cut (502) once clients no longer used its address.

Found by looking for the cause of the cut requests elsewhere: accepted work that the exit doesn't wait for. Test 'an attempt for another VM is not cut when the VM that sends it stops': 502 before, 200 now.

The stop waits for these attempts as well, and one that has no connection yet and would outlast the process is given back as not sent.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -172,6 +172,7 @@
     bodyBudget: core.bodyBudget,
     cores: settings.cores,
     isOverloaded: overloadMonitor.isOverloaded,
+    processEnd,
     recordResult: core.recordProxied,
   });
   const peerServer = await listen(
@@ -347,7 +348,6 @@
       reachabilitySharing.stop();
       core.suspects.stop();
       core.waitQueue.stop();
-      proxyServer.startLeaving();
       return leave({
         clock,
         log,
@@ -356,6 +356,7 @@
         readers,
         exchange: core.exchange,
         proxyClient: core.proxyClient,
+        proxyServer,
         processEnd,
         control: [...controlServers, peerServer],
         graceMs: settings.bounds.graceMs,
--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -8,6 +8,7 @@
 import type { Mesh } from "../members/mesh.ts";
 import type { Reader } from "../news/reader.ts";
 import type { ProxyClient } from "../proxying/proxy_client.ts";
+import type { ProxyServer } from "../proxying/proxy_server.ts";
 import { type Clock, pause } from "../runtime/clock.ts";
 import type { HttpServer } from "../runtime/http_server.ts";
 import type { Exchange } from "../serving/exchange.ts";
@@ -27,6 +28,7 @@
   readers: readonly Reader[];
   exchange: Exchange;
   proxyClient: ProxyClient;
+  proxyServer: Pick<ProxyServer, "startLeaving" | "awaitIdle">;
   processEnd: Pick<ProcessEnd, "schedule">;
   control: readonly HttpServer[];
   /** Time until the process is killed, in ms. */
@@ -56,18 +58,22 @@
  * @returns A promise that resolves when the process may exit.
  */
 export async function leave(options: LeaveOptions): Promise<void> {
-  const { clock, log, front, mesh } = options;
+  const { clock, log, front, mesh, proxyServer } = options;
   const startedAtMs = clock.monotonicMs();
   log.info({ openRequests: front.countOpenRequests() }, "leaving");
   const maxLeaveMs = options.graceMs - EXIT_MARGIN_MS;
   options.processEnd.schedule(startedAtMs + maxLeaveMs);
   mesh.sendReport();
   front.startLeaving();
+  proxyServer.startLeaving();
   const addressExpiryMs = options.ttlMs * MAX_TTL_OVERRUN_FACTOR +
     LATE_CONNECTION_MARGIN_MS;
   await pause(clock, Math.min(addressExpiryMs, maxLeaveMs));
   const remainingMs = maxLeaveMs - (clock.monotonicMs() - startedAtMs);
-  await Promise.race([front.close(), pause(clock, Math.max(0, remainingMs))]);
+  await Promise.race([
+    Promise.all([front.close(), proxyServer.awaitIdle()]),
+    pause(clock, Math.max(0, remainingMs)),
+  ]);
   const unanswered = front.listUnanswered();
   log.info({
     openRequests: front.countOpenRequests(),
--- a/src/proxying/proxy_server.ts
+++ b/src/proxying/proxy_server.ts
@@ -12,6 +12,7 @@
 import type { KnownServer, ServerRegistry } from "../servers/registry.ts";
 import type { BodyBudget, BodyHold } from "../serving/body_budget.ts";
 import type { Exchange } from "../serving/exchange.ts";
+import type { ProcessEnd } from "../serving/process_end.ts";
 import { type Attempt, copyEndToEndHeaders } from "../serving/http_attempt.ts";
 import type { ExchangeResult, WireCodec } from "../serving/types.ts";
 import type { Log } from "../telemetry/log.ts";
@@ -31,6 +32,8 @@
   handle(message: IncomingMessage, response: ServerResponse): Promise<void>;
   /** Declines from now on; attempts in progress are completed. */
   startLeaving(): void;
+  /** @returns A promise that resolves once no attempt is in progress. */
+  awaitIdle(): Promise<void>;
   /** @returns Counts since the start of the process. */
   getStats(): ProxyServerStats;
 }
@@ -61,6 +64,7 @@
   cores: number;
   /** Whether the event loop is saturated. */
   isOverloaded: () => boolean;
+  processEnd: Pick<ProcessEnd, "isAfter">;
   /**
    * Records how a server responded to an attempt of another VM.
    *
@@ -94,6 +98,14 @@
     withheld: 0,
   };
   let isLeaving = false;
+  let idleCallbacks: (() => void)[] = [];
+
+  function notifyIdle(): void {
+    if (stats.open > 0) return;
+    const notified = idleCallbacks;
+    idleCallbacks = [];
+    for (const run of notified) run();
+  }
 
   /** @returns Why an order is declined before its body is read, if it is. */
   function findDenial(server: KnownServer | undefined): string | undefined {
@@ -144,6 +156,7 @@
     } finally {
       hold.release();
       stats.open--;
+      notifyIdle();
     }
   }
 
@@ -170,7 +183,9 @@
         holdBodies: () => hold,
       },
       headers as Record<string, string | string[]>,
-      () => findWithholding(server) === undefined,
+      () =>
+        findWithholding(server) === undefined &&
+        options.processEnd.isAfter(startedAtMs + order.remainingMs),
     );
     const result = await awaitResult(attempt, response, order);
     if (result.kind === "withdrawn") {
@@ -250,6 +265,11 @@
   return {
     handle,
     startLeaving: () => void (isLeaving = true),
+    awaitIdle: () =>
+      new Promise((resolve) => {
+        idleCallbacks.push(resolve);
+        notifyIdle();
+      }),
     getStats: () => ({ ...stats }),
   };
 }
