Send no request to a second server as the process ends

What was seen in the logs of a stopped VM: the connections to servers are closed as the process ends, the requests on them count as cut, and idempotent ones are sent to a second server, which runs them for nobody ('connection cut', 'retry', 'choose' within 10 ms of 'process exits').

A retry needs time until the request's deadline and until the end of the process. Test 'the end of a process sends no request to a second server': two servers got the request before, one now.

--- a/src/serving/process_end.ts
+++ b/src/serving/process_end.ts
@@ -14,6 +14,8 @@
    * @param atMs When it is, on the monotonic clock.
    */
   schedule(atMs: number): void;
+  /** @returns When it is, on the monotonic clock; infinite while none is set. */
+  getMs(): number;
   /**
    * @param untilMs When some work ends at the latest, on the monotonic clock.
    * @returns Whether its result can still be passed on before the end.
@@ -29,6 +31,7 @@
   let endsAtMs = Infinity;
   return {
     schedule: (atMs) => void (endsAtMs = atMs),
+    getMs: () => endsAtMs,
     isAfter: (untilMs) => untilMs + RESPONSE_MARGIN_MS <= endsAtMs,
   };
 }
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -71,7 +71,7 @@
   inflightBodies: Pick<InflightBodies, "begin" | "end" | "recordServerEnd">;
   /** Rate limits of client accounts. */
   limiter: RateLimiter;
-  processEnd: Pick<ProcessEnd, "isAfter">;
+  processEnd: Pick<ProcessEnd, "getMs" | "isAfter">;
 }
 
 /** Handles requests of clients. */
@@ -486,7 +486,11 @@
     const { request, triedServers, service, fingerprint } = progress;
     if (triedServers.size >= request.route.maxAttempts) return "attempts_used";
     if (!mayRetry(suspects.assess(fingerprint))) return "servers_ended";
-    const leftMs = progress.deadlineAtMs - clock.monotonicMs();
+    const endsAtMs = Math.min(
+      progress.deadlineAtMs,
+      options.processEnd.getMs(),
+    );
+    const leftMs = endsAtMs - clock.monotonicMs();
     if (leftMs < MIN_ATTEMPT_MS) return "too_late";
     return budget.take(service) ? undefined : "budget_spent";
   }
