--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -4,8 +4,11 @@
 # of the bundle, and the launcher. Identifiers aren't minified, to keep stack
 # traces readable. platform/bundle/ takes the place of packages and of modules of
 # Node of which the gateway uses little.
+#
+#   sh scripts/bundle.sh [DIRECTORY]    (default: target)
 set -eu
 cd "$(dirname "$0")/.."
+target=${1:-target}
 bundle() {
   npx esbuild "platform/$1.ts" --bundle --platform=node --target=node20 \
     --format=cjs --minify-whitespace --minify-syntax --log-level=warning \
@@ -18,11 +21,11 @@
     --alias:node:worker_threads=./platform/bundle/worker_threads.ts \
     --alias:supports-color=./platform/bundle/empty.ts \
     --alias:msgpackr-extract=./platform/bundle/empty.ts \
-    --alias:node:net=./platform/bundle/net.ts --outfile="target/$2.cjs"
+    --alias:node:net=./platform/bundle/net.ts --outfile="$target/$2.cjs"
 }
 bundle gateway gateway_bundle
 bundle launch gateway
 # V8 rejects a code cache that was written with other options.
 options=$(sed -n 's/^run = "node \(.*\) target.*/\1/p' deploy/system.toml)
 # shellcheck disable=SC2086 # several options
-node $options target/gateway.cjs --write-code-cache
+node $options "$target/gateway.cjs" --write-code-cache
