--- a/src/explain/causes.ts
+++ b/src/explain/causes.ts
@@ -34,6 +34,7 @@
   | "refused, memory short"
   /** No VM that was asked reached the service. */
   | "refused, out of reach"
+  | "refused, VM leaving"
   | "refused, other"
   | "over the account's limit"
   | "unknown caller"
@@ -135,6 +136,7 @@
   if (reason === "throttled") return "refused, throttled";
   if (reason === "memory_short") return "refused, memory short";
   if (reason === "out_of_reach") return "refused, out of reach";
+  if (reason === "leaving") return "refused, VM leaving";
   const last = choices.at(-1);
   if (reason !== "all_full" || last?.uses === undefined) {
     return "refused, other";
--- a/src/explain/causes_test.ts
+++ b/src/explain/causes_test.ts
@@ -51,6 +51,10 @@
     outcome: "refused",
     reason: "out_of_reach",
   }],
+  ["refused, VM leaving", { use: 0.5 }, { outcome: "withdrawn" }, {
+    outcome: "refused",
+    reason: "leaving",
+  }],
   ["over the account's limit", { use: 0.5 }, { tookMs: 2 }, {
     outcome: "limited",
   }],
