Keep a VM up until the answers for other VMs are sent

Cause: accepted work that the exit doesn't wait for. The memory of such answers is now held until they are sent as well.

Test 'a VM doesn't stop while its answer for another VM is being sent': stopped after 0.3 of 16 MB before.

--- a/src/proxying/proxy_server.ts
+++ b/src/proxying/proxy_server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
@@ -150,6 +151,8 @@
     );
     try {
       await run(message, response, { order, server: server!, hold });
+      // The other VM may take long to read a large answer.
+      if (!response.closed) await once(response, "close");
     } catch (cause) {
       log.info({ error: describeError(cause) }, "proxied attempt cut");
       response.destroy();
@@ -189,8 +192,11 @@
     );
     const result = await awaitResult(attempt, response, order);
     if (result.kind === "withdrawn") {
-      const withheld = findWithholding(server) ?? NO_CONNECTION;
-      return withhold(message, response, order, withheld);
+      const withheld = findWithholding(server);
+      if (withheld === undefined && isLeaving) {
+        return decline(message, response, "leaving");
+      }
+      return withhold(message, response, order, withheld ?? NO_CONNECTION);
     }
     stats.sent++;
     log.info(
