--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -70,10 +70,8 @@
     LATE_CONNECTION_MARGIN_MS;
   await pause(clock, Math.min(addressExpiryMs, maxLeaveMs));
   const remainingMs = maxLeaveMs - (clock.monotonicMs() - startedAtMs);
-  await Promise.race([
-    Promise.all([front.close(), proxyServer.awaitIdle()]),
-    pause(clock, Math.max(0, remainingMs)),
-  ]);
+  const completed = Promise.all([front.close(), proxyServer.awaitIdle()]);
+  await Promise.race([completed, pause(clock, Math.max(0, remainingMs))]);
   const unanswered = front.listUnanswered();
   log.info({
     openRequests: front.countOpenRequests(),
@@ -84,8 +82,14 @@
   options.readers.forEach((reader) => reader.stop());
   mesh.stop();
   options.control.forEach(({ server }) => server.close());
+  const closed = Promise.all([
+    options.exchange.close(),
+    options.proxyClient.close(),
+  ]);
+  // What the closed connections carried ends now, and with it answers that were
+  // ready behind it.
   await Promise.race([
-    Promise.all([options.exchange.close(), options.proxyClient.close()]),
+    closed.then(() => completed),
     pause(clock, CLOSE_TIMEOUT_MS),
   ]);
 }
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -191,8 +191,7 @@
       if (assessment.kind === "set_aside") {
         return refuseSetAside(progress, assessment);
       }
-      const remainingMs = progress.deadlineAtMs - clock.monotonicMs();
-      if (remainingMs < MIN_ATTEMPT_MS) return giveUp(progress, "too_late");
+      if (!hasTimeForAttempt(progress)) return giveUp(progress, "too_late");
       if (!mayHaveRun(progress) && !mayFinish(request)) {
         return giveUp(progress, "leaving", OTHER_VM_RETRY_MS);
       }
@@ -212,6 +211,7 @@
       if (assessment.kind === "suspect") {
         suspects.recordProbe(progress.fingerprint);
       }
+      const remainingMs = progress.deadlineAtMs - clock.monotonicMs();
       const step = await runAttempt(progress, placed, remainingMs);
       if (step.kind === "done") return step.result;
       if (progress.triedServers.size >= route.maxAttempts) {
@@ -220,6 +220,17 @@
     }
   }
 
+  /**
+   * Whether an attempt has time. One that follows an attempt that may have run is
+   * made also if the process may end under it: a refusal would not be true.
+   */
+  function hasTimeForAttempt(progress: RequestProgress): boolean {
+    const endsAtMs = mayHaveRun(progress)
+      ? Math.min(progress.deadlineAtMs, options.processEnd.getMs())
+      : progress.deadlineAtMs;
+    return endsAtMs - clock.monotonicMs() >= MIN_ATTEMPT_MS;
+  }
+
   /** Whether a request can use all of its time before this process ends. */
   function mayFinish({ route, metadata, arrivedAtMs }: CallerRequest): boolean {
     const endMs = computeResponseEndMs(route, metadata, arrivedAtMs);
@@ -486,12 +497,7 @@
     const { request, triedServers, service, fingerprint } = progress;
     if (triedServers.size >= request.route.maxAttempts) return "attempts_used";
     if (!mayRetry(suspects.assess(fingerprint))) return "servers_ended";
-    const endsAtMs = Math.min(
-      progress.deadlineAtMs,
-      options.processEnd.getMs(),
-    );
-    const leftMs = endsAtMs - clock.monotonicMs();
-    if (leftMs < MIN_ATTEMPT_MS) return "too_late";
+    if (!hasTimeForAttempt(progress)) return "too_late";
     return budget.take(service) ? undefined : "budget_spent";
   }
 
