Announce the close to requests that began before the stop

Callers of a stopping entry, and entries that had handed a request over to it, kept their connection when the request had begun before SIGTERM: its answer said `connection: keep-alive`, since the header was set when a request arrived. A connection that becomes idle after the listening socket is closed isn't closed by Node, so that the stop waited for it until the client or the keep-alive timeout of 60 s ended it; in a trial with an entry that had got a hand-over, `stop()` had not resolved 30 s and 60 s later. A request that follows on such a connection crosses its close.

The header is now set on all responses that have not sent their headers when the stop begins.

--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -31,7 +31,10 @@
   /** `host:port` that the server listens on. */
   address: string;
   server: Server;
-  /** Sends `connection: close` with each response from now on. */
+  /**
+   * Sends `connection: close` with each response from now on, also to requests in
+   * progress.
+   */
   startClosing(): void;
   /** Stops accepting connections; resolves when all requests have ended. */
   close(): Promise<void>;
@@ -136,6 +139,10 @@
 ): Promise<HttpServer> {
   const { host, port } = splitAddress(address);
   let isClosing = false;
+  const unfinishedResponses = new Set<ServerResponse>();
+  const announceClose = (response: ServerResponse) => {
+    if (!response.headersSent) response.setHeader("connection", "close");
+  };
   const server = createServer({
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
@@ -144,7 +151,9 @@
     maxHeaderSize: maxHeaderBytes,
     noDelay: true,
   }, (request, response) => {
-    if (isClosing) response.setHeader("connection", "close");
+    unfinishedResponses.add(response);
+    response.once("close", () => unfinishedResponses.delete(response));
+    if (isClosing) announceClose(response);
     if (intercept?.isWanted(request.headers)) {
       return intercept.handle(request, response);
     }
@@ -167,7 +176,10 @@
       resolve({
         address: `${host}:${bound.port}`,
         server,
-        startClosing: () => void (isClosing = true),
+        startClosing() {
+          isClosing = true;
+          for (const response of unfinishedResponses) announceClose(response);
+        },
         close: () => closeServer(server),
       });
     });
