Don't let connections without a whole request hold the stop

A stopping steer or entry waited for ever for a connection on which its client had sent nothing or a part of a request, and for one whose answer was being sent when the stop began: Node's HTTP server ends its checks for slow connections when it is closed (headers 5 s, whole request 15 s), and closes only those connections that are idle at that moment. The service manager then kills the process, and with it the requests that it has accepted.

The listening socket is now closed with the method of `net.Server`, which leaves the checks running until the last connection has ended, and connections that become idle later are closed. A peer server of a gateway uses the same code.

Tests in `http_server_test.ts`: the three new ones failed before, each after 20 s in which `close()` had not resolved; all four take 11 s together now, since the checks allow 5 s for headers.

--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -12,7 +12,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import polka, { type Handler, type Polka, type Request } from "polka";
 import { splitAddress } from "./address.ts";
 import { StepError } from "./errors.ts";
@@ -139,6 +139,7 @@
 ): Promise<HttpServer> {
   const { host, port } = splitAddress(address);
   let isClosing = false;
+  let isClosed = false;
   const unfinishedResponses = new Set<ServerResponse>();
   const announceClose = (response: ServerResponse) => {
     if (!response.headersSent) response.setHeader("connection", "close");
@@ -152,7 +153,11 @@
     noDelay: true,
   }, (request, response) => {
     unfinishedResponses.add(response);
-    response.once("close", () => unfinishedResponses.delete(response));
+    response.once("close", () => {
+      unfinishedResponses.delete(response);
+      // The connection counts as idle only after this event.
+      if (isClosed) setImmediate(() => server.closeIdleConnections());
+    });
     if (isClosing) announceClose(response);
     if (intercept?.isWanted(request.headers)) {
       return intercept.handle(request, response);
@@ -180,7 +185,10 @@
           isClosing = true;
           for (const response of unfinishedResponses) announceClose(response);
         },
-        close: () => closeServer(server),
+        close() {
+          isClosed = true;
+          return closeServer(server);
+        },
       });
     });
   });
@@ -188,7 +196,12 @@
 
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve());
+    // The method of `node:http` ends the checks for slow connections, so that a
+    // connection without a complete request would stay open.
+    NetServer.prototype.close.call(server, () => {
+      server.close();
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
--- a/src/runtime/http_server_test.ts
+++ b/src/runtime/http_server_test.ts
@@ -1,9 +1,12 @@
 /**
  * Tests of graceful shutdown of HTTP servers.
  */
+import { once } from "node:events";
+import { connect } from "node:net";
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
 import { request } from "undici";
+import { waitUntil } from "../deployment/fixture.ts";
 import { createRouter, type HttpServer, listen } from "./http_server.ts";
 
 const test = suite<{ http: HttpServer; finish: () => void }>("http server");
@@ -15,6 +18,11 @@
     await finished;
     response.end("answer");
   });
+  router.get("/started", async (_request, response) => {
+    response.flushHeaders();
+    await finished;
+    response.end("answer");
+  });
   context.http = await listen(router, "127.0.0.1:0");
 });
 
@@ -32,4 +40,32 @@
   await http.close();
 });
 
+for (
+  const [state, bytes] of [
+    ["sent nothing", ""],
+    ["sent a part of its headers", "GET /slow HTTP/1.1\r\nhost:"],
+  ]
+) {
+  test(`a connection that has ${state} doesn't hold the stop`, async ({ http }) => {
+    const accepted = once(http.server, "connection");
+    const [host, port] = http.address.split(":");
+    const socket = connect(Number(port), host);
+    socket.resume().write(bytes);
+    await accepted;
+    let isClosed = false;
+    void http.close().then(() => isClosed = true);
+    await waitUntil(() => isClosed);
+  });
+}
+
+test("an answer that was being sent at the stop leaves no connection open", async ({ http, finish }) => {
+  const answered = await request(`http://${http.address}/started`);
+  http.startClosing();
+  let isClosed = false;
+  void http.close().then(() => isClosed = true);
+  finish();
+  assert.is(await answered.body.text(), "answer");
+  await waitUntil(() => isClosed);
+});
+
 test.run();
