Finish requests of other entries before a stopping entry closes

A request that another entry had handed over was cut when the receiving entry stopped: at-most-once requests ended as `unknown` (504, "The client is destroyed") while their backend server ran them, idempotent ones were sent once more. The stop waited for the callers' address alone, and closed the connections to backend servers as soon as no caller of its own was left, whatever the peer address was still running.

The stop now waits, after the callers' address, until the peer address has no request in progress; it takes no new connections meanwhile, and its links stay open since what runs still needs the list of members.

--- a/src/daemon/daemon_core.ts
+++ b/src/daemon/daemon_core.ts
@@ -135,6 +135,10 @@
         const noticeMs = ending.getNoticeMs();
         await pause(clock, noticeMs);
         await callerServer.close();
+        // Hand-overs in progress still need the links to peers, which are
+        // connections of the same server.
+        void peerServer.close();
+        await peerServer.waitUntilIdle();
         await close(ending);
       },
       async kill() {
--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -36,7 +36,12 @@
    * progress.
    */
   startClosing(): void;
-  /** Stops accepting connections; resolves when all requests have ended. */
+  /** @returns Resolves as soon as no request is in progress. */
+  waitUntilIdle(): Promise<void>;
+  /**
+   * Stops accepting connections; resolves when all have ended, upgraded ones
+   * included.
+   */
   close(): Promise<void>;
 }
 
@@ -141,6 +146,7 @@
   let isClosing = false;
   let isClosed = false;
   const unfinishedResponses = new Set<ServerResponse>();
+  const idleListeners: (() => void)[] = [];
   const announceClose = (response: ServerResponse) => {
     if (!response.headersSent) response.setHeader("connection", "close");
   };
@@ -155,6 +161,9 @@
     unfinishedResponses.add(response);
     response.once("close", () => {
       unfinishedResponses.delete(response);
+      if (unfinishedResponses.size === 0) {
+        for (const resolve of idleListeners.splice(0)) resolve();
+      }
       // The connection counts as idle only after this event.
       if (isClosed) setImmediate(() => server.closeIdleConnections());
     });
@@ -185,6 +194,10 @@
           isClosing = true;
           for (const response of unfinishedResponses) announceClose(response);
         },
+        waitUntilIdle() {
+          if (unfinishedResponses.size === 0) return Promise.resolve();
+          return new Promise((resolve) => idleListeners.push(resolve));
+        },
         close() {
           isClosed = true;
           return closeServer(server);
