Keep the answers of at-most-once requests until a stopping entry is done

A caller whose connection broke during an at-most-once request asks again with the same key, through any entry, and gets the first run's answer as long as the owner of the key lives. A stopping owner closed its peer address and cut the run as soon as the callers that were still connected had their answers: the caller got `unknown`, and the backend server saw a cancellation of a request that it was running.

The stop now waits until the forwarder has no request in progress, whether or not its caller is still connected, before it closes the peer address.

--- a/src/daemon/daemon_core.ts
+++ b/src/daemon/daemon_core.ts
@@ -69,6 +69,11 @@
    * of the caller address, in ms.
    */
   getNoticeMs(): number;
+  /**
+   * @returns Resolves when accepted work has ended that goes on without its
+   *   caller.
+   */
+  finishWork(): Promise<void>;
   /** Stops what the role itself started. */
   close(): Promise<void>;
 }
@@ -135,6 +140,8 @@
         const noticeMs = ending.getNoticeMs();
         await pause(clock, noticeMs);
         await callerServer.close();
+        // Callers that ask again by way of peers still get its answers.
+        await ending.finishWork();
         // Hand-overs in progress still need the links to peers, which are
         // connections of the same server.
         void peerServer.close();
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -116,6 +116,7 @@
 
   return core.makeDaemon({
     getNoticeMs: () => getLongestTtlMs() + LEAVE_SLACK_MS,
+    finishWork: forwarder.waitUntilIdle,
     async close() {
       loadTimer.cancel();
       monitor.close();
--- a/src/entry/entry_stop_test.ts
+++ b/src/entry/entry_stop_test.ts
@@ -17,6 +17,7 @@
 } from "../deployment/in_process.ts";
 import { HANDOVER_PATH } from "../forwarding/peer_client.ts";
 import { HEADERS } from "../forwarding/types.ts";
+import type { LookupAnswer } from "../lookup/types.ts";
 import { KEY_HEADER } from "../runtime/access.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { daemonSettingsSchema } from "../runtime/settings.ts";
@@ -27,8 +28,8 @@
 /** Makes runs outlast the time for which a leaving entry is still looked up. */
 const SLOW_FACTOR = 150;
 const DEADLINE_MS = 20_000;
-/** Prefix of the keys of the other entry of the failure domain. */
-const OWNER_KEY_PREFIX = "thies-1-b.1790000000000.29833333";
+/** A key of the other entry of the failure domain. */
+const OTHER_ENTRY_KEY = "thies-1-b.1790000000000.29833333.goat-1717";
 
 const test = suite<{ deployment: RunningDeployment }>("entry stop");
 
@@ -46,34 +47,96 @@
   return [...backends.values()].flatMap(({ servers }) => [...servers.values()]);
 }
 
-function handOver(deployment: RunningDeployment, id: string) {
-  const { settings } = deployment.files.processes
+interface HandoverOptions {
+  mode: "run" | "own";
+  key: string;
+  signal?: AbortSignal;
+}
+
+function getSettings({ files }: RunningDeployment) {
+  const { settings } = files.processes
     .find(({ name }) => name === STOPPED_ENTRY)!;
-  const { peerAddress, peerKey } = daemonSettingsSchema.parse(settings);
+  return daemonSettingsSchema.parse(settings);
+}
+
+/** Hands a request over to the entry that is stopped. */
+function handOver(
+  deployment: RunningDeployment,
+  { mode, key, signal }: HandoverOptions,
+) {
+  const { peerAddress, peerKey } = getSettings(deployment);
   return request(`http://${peerAddress}${HANDOVER_PATH}`, {
     method: "POST",
+    signal,
     headers: {
       [KEY_HEADER]: peerKey,
-      [HEADERS.mode]: "run",
+      [HEADERS.mode]: mode,
       [HEADERS.service]: SERVICE,
       [HEADERS.path]: "/entries",
       "x-http-method": "POST",
-      [HEADERS.idempotencyKey]: `${OWNER_KEY_PREFIX}.${id}`,
-      [HEADERS.requestId]: id,
+      [HEADERS.idempotencyKey]: key,
+      [HEADERS.requestId]: "handed-over",
       [HEADERS.deadlineMs]: String(DEADLINE_MS),
-      [HEADERS.hops]: "2",
+      [HEADERS.clientBlock]: "10.1.7.0/24",
+      [HEADERS.region]: "thies",
+      [HEADERS.hops]: "1",
     },
   });
 }
 
+async function isListening(address: string): Promise<boolean> {
+  try {
+    await (await request(`http://${address}/`)).body.dump();
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** Looks up the prefix of the keys that the entry owns. */
+async function findKeyPrefix({ files }: RunningDeployment): Promise<string> {
+  const response = await request(
+    `http://${
+      files.load.steers[0].caller
+    }/v1/lookup/${SERVICE}?client=10.1.7.7`,
+  );
+  const { entries } = await response.body.json() as LookupAnswer;
+  return entries.find(({ id }) => STOPPED_ENTRY.endsWith(id))!.keyPrefix;
+}
+
 test("a stopping entry doesn't cut a request that another entry handed over", async ({ deployment }) => {
   const servers = listServers(deployment);
   for (const { faults } of servers) faults.slowFactor = SLOW_FACTOR;
-  const handedOver = handOver(deployment, "handed-over");
+  const handedOver = handOver(deployment, {
+    mode: "run",
+    key: OTHER_ENTRY_KEY,
+  });
   await waitUntil(() => servers.some(({ records }) => records.length > 0));
   await deployment.daemons.get(STOPPED_ENTRY)!.stop();
   const { headers, body } = await handedOver;
   assert.is(headers[HEADERS.outcome], "answer", await body.text());
 });
 
+test("a stopping entry keeps the answer for a caller that has lost its connection", async ({ deployment }) => {
+  const servers = listServers(deployment);
+  for (const { faults } of servers) faults.slowFactor = SLOW_FACTOR;
+  const key = `${await findKeyPrefix(deployment)}.goat-1717`;
+  const disconnect = new AbortController();
+  const lost = handOver(deployment, {
+    mode: "own",
+    key,
+    signal: disconnect.signal,
+  });
+  await waitUntil(() => servers.some(({ records }) => records.length > 0));
+  disconnect.abort();
+  await lost.catch(() => {});
+  const stopped = deployment.daemons.get(STOPPED_ENTRY)!.stop();
+  const { callerAddress } = getSettings(deployment);
+  await waitUntil(async () => !(await isListening(callerAddress)));
+  const { headers, body } = await handOver(deployment, { mode: "own", key });
+  assert.is(headers[HEADERS.outcome], "answer", await body.text());
+  await stopped;
+  assert.is(servers.flatMap(({ records }) => records).length, 1);
+});
+
 test.run();
--- a/src/forwarding/request_forwarder.ts
+++ b/src/forwarding/request_forwarder.ts
@@ -74,6 +74,11 @@
     document: ServiceDocument,
     request: ForwardRequest,
   ): Promise<Outcome>;
+  /**
+   * @returns Resolves as soon as no request is in progress. At-most-once requests
+   *   are in progress until they have ended, also after their caller has left.
+   */
+  waitUntilIdle(): Promise<void>;
 }
 
 /**
@@ -87,19 +92,31 @@
     options;
   const { notRun, unknown } = createOutcomeFactory(random);
   const { self } = agent;
+  const unfinished = new Set<Promise<Outcome>>();
+
+  function track(pending: Promise<Outcome>): Promise<Outcome> {
+    unfinished.add(pending);
+    const remove = () => void unfinished.delete(pending);
+    pending.then(remove, remove);
+    return pending;
+  }
+
+  async function waitUntilIdle(): Promise<void> {
+    while (unfinished.size > 0) await Promise.allSettled(unfinished);
+  }
 
   function handle(
     document: ServiceDocument,
     request: ForwardRequest,
   ): Promise<Outcome> {
     const { key } = request;
-    if (key === undefined) return routeToDomain(document, request);
+    if (key === undefined) return track(routeToDomain(document, request));
     const isOwn = key.vmId === self.vmId &&
       key.incarnation === self.incarnation;
     const pending = isOwn
       ? runOwnKey(document, request, key)
       : forwardToOwner(request, key);
-    return resolveByDeadline(pending, request);
+    return resolveByDeadline(track(pending), request);
   }
 
   function runOwnKey(
@@ -375,5 +392,9 @@
     });
   }
 
-  return { handle, runLocally };
+  return {
+    handle,
+    runLocally: (document, request) => track(runLocally(document, request)),
+    waitUntilIdle,
+  };
 }
--- a/src/steer/steer.ts
+++ b/src/steer/steer.ts
@@ -43,6 +43,7 @@
   await core.startCallerServer(router);
   return core.makeDaemon({
     getNoticeMs: () => LEAVE_NOTICE_MS,
+    finishWork: () => Promise.resolve(),
     async close() {
       planner.close();
       await platform.close();
