Don't cut answers that are being sent when a server closes

A steer or entry that closed its callers' address, about a look-up's time to live after SIGTERM, cut every answer whose client hadn't taken all of it from the process yet: clients that read slowly got the first part of a large answer, and for at-most-once requests they couldn't tell what had become of it. Cause: the close ends idle connections by Node's `closeIdleConnections`, which counts a connection as idle as soon as the last byte of its answer has been written to the response, not when it has been sent.

Idle is now a connection that has no response in progress and has got nothing since its last request, as the gateway's server for clients counts already. It holds for the peer and control servers of a gateway, too, which use the same code.

--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -12,7 +12,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import polka, { type Handler, type Polka, type Request } from "polka";
 import { splitAddress } from "./address.ts";
 import { StepError } from "./errors.ts";
@@ -150,6 +150,17 @@
   const announceClose = (response: ServerResponse) => {
     if (!response.headersSent) response.setHeader("connection", "close");
   };
+  const sockets = new Set<Socket>();
+  const settledBytesRead = new WeakMap<Socket, number>();
+  const settle = (socket: Socket) =>
+    void settledBytesRead.set(socket, socket.bytesRead);
+  const closeIdle = () => {
+    const busy = new Set([...unfinishedResponses].map(({ req }) => req.socket));
+    for (const socket of sockets) {
+      const isReceiving = settledBytesRead.get(socket) !== socket.bytesRead;
+      if (!busy.has(socket) && !isReceiving) socket.destroy();
+    }
+  };
   const server = createServer({
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
@@ -159,13 +170,14 @@
     noDelay: true,
   }, (request, response) => {
     unfinishedResponses.add(response);
+    request.once("end", () => settle(request.socket));
     response.once("close", () => {
       unfinishedResponses.delete(response);
       if (unfinishedResponses.size === 0) {
         for (const resolve of idleListeners.splice(0)) resolve();
       }
-      // The connection counts as idle only after this event.
-      if (isClosed) setImmediate(() => server.closeIdleConnections());
+      settle(request.socket);
+      if (isClosed) closeIdle();
     });
     if (isClosing) announceClose(response);
     if (intercept?.isWanted(request.headers)) {
@@ -173,6 +185,13 @@
     }
     router.handler(request, response);
   });
+  server.on("connection", (socket: Socket) => {
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+  });
+  // The method of `node:http` would also close connections whose answer is
+  // still being sent.
+  server.closeIdleConnections = closeIdle;
   return new Promise((resolve, reject) => {
     server.once("error", (cause) => {
       const message = `Cannot listen on ${address}: ${cause.message}`;
--- a/src/runtime/http_server_test.ts
+++ b/src/runtime/http_server_test.ts
@@ -1,6 +1,7 @@
 /**
  * Tests of graceful shutdown of HTTP servers.
  */
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import { connect } from "node:net";
 import * as assert from "uvu/assert";
@@ -9,6 +10,9 @@
 import { waitUntil } from "../deployment/fixture.ts";
 import { createRouter, type HttpServer, listen } from "./http_server.ts";
 
+/** More than the socket buffers hold. */
+const LARGE_BYTES = 33_554_432;
+
 const test = suite<{ http: HttpServer; finish: () => void }>("http server");
 
 test.before.each(async (context) => {
@@ -23,6 +27,10 @@
     await finished;
     response.end("answer");
   });
+  router.get("/large", (_request, response) => {
+    response.setHeader("connection", "close");
+    response.end(Buffer.alloc(LARGE_BYTES));
+  });
   context.http = await listen(router, "127.0.0.1:0");
 });
 
@@ -68,4 +76,16 @@
   await waitUntil(() => isClosed);
 });
 
+test("an answer that is being sent is not cut by the close", async ({ http }) => {
+  const [host, port] = http.address.split(":");
+  const socket = connect(Number(port), host).pause();
+  socket.write("GET /large HTTP/1.1\r\nhost: test\r\n\r\n");
+  await once(http.server, "request");
+  const closed = http.close();
+  let receivedBytes = 0;
+  for await (const chunk of socket) receivedBytes += chunk.length;
+  assert.ok(receivedBytes > LARGE_BYTES, `${receivedBytes} bytes`);
+  await closed;
+});
+
 test.run();
