Bound the stop of a steer or entry, and log the requests that it cuts

A client that didn't read its answer held the stop of a daemon for ever, and the service manager then killed the process at a time that nobody had chosen.

A daemon now cuts what is in progress 75 s after the close of its callers' address, and logs each such request. All accepted work ends before: deadlines are 60 s at most, at-most-once requests go on for 10 s more. The bound follows from the requests' deadlines and not from a grace period, since a daemon isn't told that of its service manager.

Test: "a client that reads no answer doesn't hold the stop" (with a clock that the test advances) doesn't end without the cut: tsx reports "Exiting early before testing is finished" with `close()` not resolved.

--- a/src/daemon/daemon_core.ts
+++ b/src/daemon/daemon_core.ts
@@ -12,7 +12,11 @@
 import type { Platform } from "../platform/types.ts";
 import { splitAddress } from "../runtime/address.ts";
 import { type Clock, pause } from "../runtime/clock.ts";
-import { type HttpServer, listen } from "../runtime/http_server.ts";
+import {
+  cutRequestsAfter,
+  type HttpServer,
+  listen,
+} from "../runtime/http_server.ts";
 import { createMetrics, type Metrics } from "../runtime/metrics.ts";
 import type { Daemon } from "../runtime/process.ts";
 import type { DaemonSettings } from "../runtime/settings.ts";
@@ -21,6 +25,12 @@
 /** Interval of the check whether a newer process replaced this one, in ms. */
 const REPLACEMENT_CHECK_PERIOD_MS = 500;
 
+/**
+ * Time from the close of the caller address until requests that are still in
+ * progress are cut, in ms: the longest deadline, and 15 s to send the answer.
+ */
+const MAX_FINISH_MS = 75_000;
+
 /** Dependencies and settings of a daemon's core. */
 export interface DaemonCoreOptions {
   role: Role;
@@ -139,6 +149,7 @@
         for (const server of servers) server.startClosing();
         const noticeMs = ending.getNoticeMs();
         await pause(clock, noticeMs);
+        const cutTimer = cutRequestsAfter(servers, clock, MAX_FINISH_MS);
         await callerServer.close();
         // Callers that ask again by way of peers still get its answers.
         await ending.finishWork();
@@ -147,6 +158,7 @@
         void peerServer.close();
         await peerServer.waitUntilIdle();
         await close(ending);
+        cutTimer.cancel();
       },
       async kill() {
         for (const { server } of servers) server.closeAllConnections();
--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -15,7 +15,11 @@
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import polka, { type Handler, type Polka, type Request } from "polka";
 import { splitAddress } from "./address.ts";
+import type { Clock, Timer } from "./clock.ts";
 import { StepError } from "./errors.ts";
+import { createLogger } from "./logger.ts";
+
+const log = createLogger("http");
 
 /** Largest request body that is accepted. */
 export const MAX_BODY_BYTES = 1_048_576;
@@ -36,6 +40,8 @@
    * progress.
    */
   startClosing(): void;
+  /** Closes the connections of all requests that are in progress. */
+  cutRequests(): void;
   /** @returns Resolves as soon as no request is in progress. */
   waitUntilIdle(): Promise<void>;
   /**
@@ -213,6 +219,17 @@
           isClosing = true;
           for (const response of unfinishedResponses) announceClose(response);
         },
+        cutRequests() {
+          for (const { req } of unfinishedResponses) {
+            log.warn("Request cut by the stop", {
+              step: "http.cut",
+              peer: req.socket.remoteAddress ?? "unknown",
+              method: req.method,
+              path: req.url?.split("?")[0],
+            });
+            req.socket.destroy();
+          }
+        },
         waitUntilIdle() {
           if (unfinishedResponses.size === 0) return Promise.resolve();
           return new Promise((resolve) => idleListeners.push(resolve));
@@ -238,6 +255,25 @@
   });
 }
 
+/**
+ * Closes the connections of requests that are still in progress after some time,
+ * such as those of clients that don't read their answers.
+ *
+ * @param servers The servers of the requests.
+ * @param clock The clock.
+ * @param limitMs The time, in ms.
+ * @returns A timer whose cancellation lets the requests go on.
+ */
+export function cutRequestsAfter(
+  servers: readonly HttpServer[],
+  clock: Clock,
+  limitMs: number,
+): Timer {
+  return clock.after(limitMs, () => {
+    for (const server of servers) server.cutRequests();
+  });
+}
+
 /**
  * Reads the whole body of a request.
  *
--- a/src/runtime/http_server_test.ts
+++ b/src/runtime/http_server_test.ts
@@ -8,7 +8,13 @@
 import { suite } from "uvu";
 import { request } from "undici";
 import { waitUntil } from "../deployment/fixture.ts";
-import { createRouter, type HttpServer, listen } from "./http_server.ts";
+import { createFakeClock, createSystemClock, pause } from "./clock.ts";
+import {
+  createRouter,
+  cutRequestsAfter,
+  type HttpServer,
+  listen,
+} from "./http_server.ts";
 
 /** More than the socket buffers hold. */
 const LARGE_BYTES = 33_554_432;
@@ -88,4 +94,20 @@
   await closed;
 });
 
+test("a client that reads no answer doesn't hold the stop", async ({ http }) => {
+  const clock = createFakeClock();
+  const [host, port] = http.address.split(":");
+  const socket = connect(Number(port), host).pause();
+  socket.on("error", () => {});
+  socket.write("GET /large HTTP/1.1\r\nhost: test\r\n\r\n");
+  await once(http.server, "request");
+  let isClosed = false;
+  cutRequestsAfter([http], clock, 1_000);
+  const closed = http.close().then(() => isClosed = true);
+  await pause(createSystemClock(), 200);
+  assert.not(isClosed, "the answer is still being sent");
+  clock.advance(1_000);
+  await closed;
+});
+
 test.run();
