Don't let a rejected connection to the peer address end the process

A steer, entry or gateway ended, with all requests that it was running, when someone asked its peer address for a link without the key, or at another path, and reset the connection before the refusal was sent. Node's HTTP server hands the socket of an upgrade request over without a listener for its errors, so that the error of the connection became an uncaught exception. No key is needed.

The refused socket has a listener of its own now. Accepted ones had one already, from the WebSocket library.

--- a/src/runtime/peer_link.ts
+++ b/src/runtime/peer_link.ts
@@ -230,6 +230,10 @@
   server.on("upgrade", (request: IncomingMessage, stream: Duplex, head) => {
     const isAllowed = key === undefined || hasKey(request, key);
     if (request.url !== PEER_PATH || !isAllowed) {
+      // The HTTP server has removed its own listener.
+      stream.on("error", (cause) => {
+        log.debug(describeError(cause), { step: "peer.upgrade" });
+      });
       stream.end("HTTP/1.1 401 Unauthorized\r\ncontent-length: 0\r\n\r\n");
       return;
     }
