End the process when its stop fails

A daemon whose graceful stop threw an error stayed half stopped: the error was logged as an unhandled rejection, `process.exit` was never reached, and further signals were ignored, until the service manager killed it. It now logs the error and ends with code 1.

Test: "a stop that fails ends the process" (a process of its own) failed before, still running after 20 s; passes now in 0.4 s.

--- a/src/runtime/process.ts
+++ b/src/runtime/process.ts
@@ -64,7 +64,12 @@
   const stop = async () => {
     if (isStopping) return;
     isStopping = true;
-    await daemon.stop();
+    try {
+      await daemon.stop();
+    } catch (cause) {
+      log.error(describeError(cause), { step: "stop", peer: "self" });
+      process.exit(EXIT_CODES.failure);
+    }
     process.exit(EXIT_CODES.ok);
   };
   void daemon.replaced?.then(() => {
