Stop gracefully when SIGTERM comes during the start

A steer or entry that got SIGTERM during its start was ended by the signal at once, since the handlers were installed only after the start. An entry has opened its peer address by then, its peers count it as serving, and it runs what they hand over as soon as it has a configuration; such requests were cut, and the peers weren't told that it leaves.

The handlers are installed first. The stop begins when the start has ended. A start that takes over 3 s more is one without a configuration (an entry is ready within 1 s of having one), for which hand-overs are refused as not run; the process ends then, so that Ctrl-C ends a daemon that can't reach its platform.

--- a/src/runtime/process.ts
+++ b/src/runtime/process.ts
@@ -5,6 +5,7 @@
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { createSystemClock, pause } from "./clock.ts";
 import { describeError, StepError } from "./errors.ts";
 import { createLogger } from "./logger.ts";
 
@@ -22,6 +23,13 @@
   unknown: 4,
 } as const;
 
+/**
+ * Time that a start in progress gets to end when a signal stops the process, in
+ * ms. A daemon whose start takes longer has no configuration, so that it has
+ * accepted nothing.
+ */
+const MAX_START_WAIT_MS = 3_000;
+
 /** A running component that can be stopped. */
 export interface Stoppable {
   /** Stops gracefully; resolves when the work in progress is finished. */
@@ -41,7 +49,8 @@
 
 /**
  * Runs a daemon until SIGTERM, SIGINT or its replacement, then stops it
- * gracefully and exits the process. Where the daemon can't start, the process
+ * gracefully and exits the process, also where the signal comes during the start.
+ * Where the daemon can't start, the process
  * exits with a code of {@link EXIT_CODES}.
  *
  * @param name Name of the binary, for `--help` and error messages.
@@ -52,35 +61,37 @@
   start: (settingsFile: string) => Promise<Stoppable & Partial<Daemon>>,
 ): Promise<void> {
   const settingsFile = readSettingsArgument(name);
-  let daemon: Stoppable & Partial<Daemon>;
-  try {
-    daemon = await start(settingsFile);
-  } catch (cause) {
-    process.stderr.write(`${name}: ${describeError(cause)}\n`);
-    const isInvalid = cause instanceof StepError && cause.kind === "invalid";
-    process.exit(isInvalid ? EXIT_CODES.usage : EXIT_CODES.failure);
-  }
+  const starting = Promise.resolve(settingsFile).then(start);
   let isStopping = false;
   const stop = async () => {
     if (isStopping) return;
     isStopping = true;
     try {
-      await daemon.stop();
+      const startLimit = pause(createSystemClock(), MAX_START_WAIT_MS);
+      const daemon = await Promise.race([starting, startLimit]);
+      await daemon?.stop();
     } catch (cause) {
       log.error(describeError(cause), { step: "stop", peer: "self" });
       process.exit(EXIT_CODES.failure);
     }
     process.exit(EXIT_CODES.ok);
   };
-  void daemon.replaced?.then(() => {
-    log.error("Replaced by a newer process", { step: "process", peer: name });
-    return stop();
-  });
   process.on("SIGTERM", () => void stop());
   process.on("SIGINT", () => void stop());
   process.on("unhandledRejection", (cause) => {
     log.error(describeError(cause), { step: "process", peer: "self" });
   });
+  try {
+    const daemon = await starting;
+    void daemon.replaced?.then(() => {
+      log.error("Replaced by a newer process", { step: "process", peer: name });
+      return stop();
+    });
+  } catch (cause) {
+    process.stderr.write(`${name}: ${describeError(cause)}\n`);
+    const isInvalid = cause instanceof StepError && cause.kind === "invalid";
+    process.exit(isInvalid ? EXIT_CODES.usage : EXIT_CODES.failure);
+  }
 }
 
 function readSettingsArgument(name: string): string {
--- a/src/runtime/process_test.ts
+++ b/src/runtime/process_test.ts
@@ -43,6 +43,12 @@
   return getEnd();
 }
 
+async function readOutput(daemon: ChildProcess): Promise<string> {
+  let output = "";
+  for await (const chunk of daemon.stdout!) output += chunk;
+  return output;
+}
+
 test("a stop that fails ends the process", async (context) => {
   context.daemon = await startDaemon(`
     setTimeout(() => console.log("ready"), 100);
@@ -52,4 +58,25 @@
   assert.is(await waitForExit(context.daemon), 1);
 });
 
+test("SIGTERM during the start stops the daemon gracefully", async (context) => {
+  context.daemon = await startDaemon(`
+    console.log("ready");
+    await sleep(300);
+    return { stop: async () => console.log("stopped") };
+  `);
+  const output = readOutput(context.daemon);
+  context.daemon.kill("SIGTERM");
+  assert.is(await waitForExit(context.daemon), 0);
+  assert.match(await output, "stopped");
+});
+
+test("SIGTERM ends a process whose start doesn't end", async (context) => {
+  context.daemon = await startDaemon(`
+    console.log("ready");
+    await new Promise(() => {});
+  `);
+  context.daemon.kill("SIGTERM");
+  await waitForExit(context.daemon);
+});
+
 test.run();
