--- a/src/runtime/process.ts
+++ b/src/runtime/process.ts
@@ -50,8 +50,8 @@
 /**
  * Runs a daemon until SIGTERM, SIGINT or its replacement, then stops it
  * gracefully and exits the process, also where the signal comes during the start.
- * Where the daemon can't start, the process
- * exits with a code of {@link EXIT_CODES}.
+ * Where the daemon can't start, the process exits with a code of
+ * {@link EXIT_CODES}.
  *
  * @param name Name of the binary, for `--help` and error messages.
  * @param start Starts the daemon, given the path of its settings file.
