Keep the socket of a request whose client has left

The count of idle connections, added when closes stopped to cut answers, read the socket from the request, which has none any more where the client left before its answer: the exception ended the process. The socket is read when the request begins.

--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -151,7 +151,7 @@
   const { host, port } = splitAddress(address);
   let isClosing = false;
   let isClosed = false;
-  const unfinishedResponses = new Set<ServerResponse>();
+  const unfinishedResponses = new Map<ServerResponse, Socket>();
   const idleListeners: (() => void)[] = [];
   const announceClose = (response: ServerResponse) => {
     if (!response.headersSent) response.setHeader("connection", "close");
@@ -161,7 +161,7 @@
   const settle = (socket: Socket) =>
     void settledBytesRead.set(socket, socket.bytesRead);
   const closeIdle = () => {
-    const busy = new Set([...unfinishedResponses].map(({ req }) => req.socket));
+    const busy = new Set(unfinishedResponses.values());
     for (const socket of sockets) {
       const isReceiving = settledBytesRead.get(socket) !== socket.bytesRead;
       if (!busy.has(socket) && !isReceiving) socket.destroy();
@@ -175,14 +175,16 @@
     maxHeaderSize: maxHeaderBytes,
     noDelay: true,
   }, (request, response) => {
-    unfinishedResponses.add(response);
-    request.once("end", () => settle(request.socket));
+    // A request loses its socket when its client has left.
+    const { socket } = request;
+    unfinishedResponses.set(response, socket);
+    request.once("end", () => settle(socket));
     response.once("close", () => {
       unfinishedResponses.delete(response);
       if (unfinishedResponses.size === 0) {
         for (const resolve of idleListeners.splice(0)) resolve();
       }
-      settle(request.socket);
+      settle(socket);
       if (isClosed) closeIdle();
     });
     if (isClosing) announceClose(response);
@@ -217,17 +219,19 @@
         server,
         startClosing() {
           isClosing = true;
-          for (const response of unfinishedResponses) announceClose(response);
+          for (const response of unfinishedResponses.keys()) {
+            announceClose(response);
+          }
         },
         cutRequests() {
-          for (const { req } of unfinishedResponses) {
+          for (const [{ req }, socket] of unfinishedResponses) {
             log.warn("Request cut by the stop", {
               step: "http.cut",
-              peer: req.socket.remoteAddress ?? "unknown",
+              peer: socket.remoteAddress ?? "unknown",
               method: req.method,
               path: req.url?.split("?")[0],
             });
-            req.socket.destroy();
+            socket.destroy();
           }
         },
         waitUntilIdle() {
