Don't pass off answers that are reset as whole

A backend server that answers without a length, and whose connection was reset during the answer, as it is when its process is killed, had the first part of it passed on to the caller as its whole answer. docs/INTERFACES.md promises the contrary. Cause: undici takes ECONNRESET for the regular end of an answer that announced the close.

The client for backend servers now watches its connections with the failure detector that gateways have, and fails such an answer. The detector is imported from `src/serving`, where others work; `src/runtime` would be its place.

--- a/src/forwarding/backend_client.ts
+++ b/src/forwarding/backend_client.ts
@@ -10,11 +10,15 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { BackendServer, ServiceDocument } from "../config/schema.ts";
 import { parseRetryAfterMs } from "../runtime/retry_after.ts";
 import { classifyTransportError, describeError } from "../runtime/errors.ts";
 import type { HealthReport } from "../control/messages.ts";
+import {
+  createFailureDetector,
+  type FailureDetector,
+} from "../serving/http_attempt.ts";
 import type { ExchangeResult, ForwardRequest } from "./types.ts";
 import { HEADERS } from "./types.ts";
 
@@ -57,7 +61,8 @@
 
 /** Sends requests to backend servers over HTTP/1.1, one pool per address. */
 export class HttpBackendClient extends BackendClient {
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, Dispatcher>();
+  readonly #failures = createFailureDetector();
 
   override async exchange(
     exchange: BackendExchange,
@@ -122,22 +127,52 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
-  #getPool(server: BackendServer): Pool {
+  #getPool(server: BackendServer): Dispatcher {
     const existing = this.#pools.get(server.address);
     if (existing) return existing;
     const pool = new Pool(`http://${server.address}`, {
       connections: Math.min(server.slots + 1, server.connections),
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: createConnector(this.#failures),
       keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-    });
+    }).compose(createResetInterceptor(this.#failures));
     this.#pools.set(server.address, pool);
     return pool;
   }
 }
 
+function createConnector(failures: FailureDetector): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  return (options, callback) =>
+    connect(options, (...result) => {
+      const [, socket] = result;
+      if (socket) failures.watch(socket);
+      callback(...result);
+    });
+}
+
+/** Fails answers that end because their connection is reset. */
+function createResetInterceptor(
+  failures: FailureDetector,
+): Dispatcher.DispatcherComposeInterceptor {
+  return (dispatch) => (options, handler) =>
+    dispatch(options, {
+      onRequestStart: (...args) => handler.onRequestStart?.(...args),
+      onResponseStart: (...args) => handler.onResponseStart?.(...args),
+      onResponseData: (...args) => handler.onResponseData?.(...args),
+      onResponseError: (...args) => handler.onResponseError?.(...args),
+      onResponseEnd(controller, trailers) {
+        if (failures.isFailing()) {
+          const error = new Error("The connection was reset");
+          return handler.onResponseError?.(controller, error);
+        }
+        handler.onResponseEnd?.(controller, trailers);
+      },
+    });
+}
+
 interface AnswerContext {
   document: ServiceDocument;
   server: BackendServer;
--- a/src/forwarding/backend_client_test.ts
+++ b/src/forwarding/backend_client_test.ts
@@ -1,4 +1,6 @@
 import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
 import { type ServiceDocument, serviceSchema } from "../config/schema.ts";
@@ -108,6 +110,41 @@
   });
 }
 
+for (const lengthHeader of ["", "content-length: 100\r\n"]) {
+  const kind = lengthHeader === "" ? "without" : "with";
+  test(`an answer ${kind} a length that is reset is not passed off as whole`, async (context) => {
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write(
+          `HTTP/1.1 200 OK\r\n${lengthHeader}connection: close\r\n\r\npart`,
+        );
+        setTimeout(() => socket.resetAndDestroy(), 50);
+      });
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    context.document.backendServers[0].address = `127.0.0.1:${port}`;
+    const result = await send(context);
+    server.close();
+    assert.is(result.kind, "failed");
+  });
+}
+
+test("an answer without a length that ends with its connection is whole", async (context) => {
+  const server = createServer((socket) => {
+    socket.once("data", () => {
+      socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole");
+    });
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  context.document.backendServers[0].address = `127.0.0.1:${port}`;
+  const result = await send(context);
+  server.close();
+  assert.is(result.kind === "answer" && `${result.answer.body}`, "whole");
+});
+
 test("concurrent answers are complete and belong to their requests", async (context) => {
   const results = await Promise.all(
     ["a", "b", "c", "d"].map((id) => send(context, id)),
