Confine the failure of a connection to a server to its attempt

Cause: undici 7.30.2 finishes its parser when such a connection is reset (ECONNRESET in 'error'), ends ('end') or is destroyed without an error ('close'). Parser.finish asserts that the parser isn't paused, and completes the request, which asserts that it wasn't aborted. Both throw in an event of the socket, where nothing catches them. holdAnswer pauses answers, so the first is met in practice. Five ways were found: a reset with Connection: close or HTTP/1.0; an end (FIN) right behind the head of either; an abort between a reset and its event; and, not an exception but the same code, an answer without length that counted as complete when its connection was destroyed.

Fix: the connector puts confineFailures in front of undici's listeners. An exception of any listener destroys that socket; a reset reaches undici under undici's own code for failed connections, and 'close' is preceded by an error, so that the parser is never finished there. The attempt ends as lost. It holds for connections to servers, to other VMs and to the store, whatever the answer's head, and answers that wait stay paused. A request that was not yet written when its idle connection was reset is now sent over a new one, as after a regular close; before, it was lost. Not pausing answers of closing connections would have left out HTTP/1.0 and aborts, and read them without room. The detector's listener for 'error' is gone, since nothing completes in that event any more.

--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -15,7 +15,7 @@
   createFakeClock,
   createSystemClock,
 } from "../runtime/clock.ts";
-import { openSocket } from "../runtime/open_socket.ts";
+import { type OpenSocket, openSocket } from "../runtime/open_socket.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import type { ServerPermits } from "../servers/permits.ts";
 import { type BodyBudget, createBodyBudget } from "./body_budget.ts";
@@ -54,13 +54,18 @@
 /**
  * @param codec Codec of the headers.
  * @param connections Number of connections to each server.
- * @returns An exchange over sockets of the operating system.
+ * @param open Opens sockets; those of the operating system by default.
+ * @returns An exchange.
  */
-export function makeExchange(codec: WireCodec, connections: number): Exchange {
+export function makeExchange(
+  codec: WireCodec,
+  connections: number,
+  open: OpenSocket = openSocket,
+): Exchange {
   return createExchange({
     codec,
     clock: createSystemClock(),
-    openSocket,
+    openSocket: open,
     observer: {
       recordConnected() {},
       recordConnectFailure() {},
--- a/src/serving/http_attempt.ts
+++ b/src/serving/http_attempt.ts
@@ -60,25 +60,22 @@
 }
 
 /**
- * An answer without a length ends with its connection, and undici takes it as
- * complete also when the connection is reset. The listeners here run before
- * undici's, in the same step of the event loop, and so distinguish a reset from
- * the regular end of an answer. A reset that arrives together with data appears
- * as a regular end, but the socket then has no remote address any more.
+ * An answer without a length ends with its connection. A reset that arrives
+ * together with data appears as a regular end, but the socket then has no remote
+ * address any more. The listener here runs before undici's, in the same step of
+ * the event loop, and so distinguishes it from the regular end of an answer.
+ * Other resets end the attempt; see `connection_errors.ts`.
  *
  * @returns A detector that watches no connection.
  */
 export function createFailureDetector(): FailureDetector {
   let isFailing = false;
-  const recordFailure = () => {
-    isFailing = true;
-    process.nextTick(() => void (isFailing = false));
-  };
   return {
     watch(socket) {
-      socket.on("error", recordFailure);
       socket.on("end", () => {
-        if (socket.remoteAddress === undefined) recordFailure();
+        if (socket.remoteAddress !== undefined) return;
+        isFailing = true;
+        process.nextTick(() => void (isFailing = false));
       });
     },
     isFailing: () => isFailing,
--- a/src/serving/server_connector.ts
+++ b/src/serving/server_connector.ts
@@ -10,6 +10,7 @@
 import type { buildConnector } from "undici";
 import type { Clock } from "../runtime/clock.ts";
 import type { OpenSocket } from "../runtime/open_socket.ts";
+import { confineFailures } from "./connection_errors.ts";
 
 /** Connect timeout; a round trip between regions takes 70 ms. */
 export const CONNECT_TIMEOUT_MS = 400;
@@ -78,6 +79,7 @@
     const onConnect = () => {
       timer.cancel();
       socket.off("error", onError);
+      confineFailures(socket);
       observer.onConnected(socket);
       callback(null, socket);
     };
