Resume waiting answers outside of undici's parser

Seen by callers: while an answer waited for memory, another one that was smaller than expected was cut, and the one that waited was never read and timed out.

Cause: holding the declared size of the smaller answer gives bytes back from within undici's parser, which resumed the waiting answer's parser in the same call. undici parses one answer at a time (assert(currentParser === null)). The exception ended the wrong attempt, and the wait was over.

Fix: the answer is resumed in a microtask, when no parser runs. If that throws, its own attempt ends.

--- a/src/serving/http_attempt.ts
+++ b/src/serving/http_attempt.ts
@@ -143,10 +143,20 @@
       received.pause();
       stopWaiting = bodies.awaitAnswerRoom(
         declaredBytes,
-        () => received.resume(),
+        // The room may come from an answer that is being parsed, and undici
+        // parses one at a time.
+        () => queueMicrotask(() => resumeAnswer(received)),
       );
     }
 
+    function resumeAnswer(received: Dispatcher.DispatchController): void {
+      try {
+        received.resume();
+      } catch (cause) {
+        received.abort(cause as Error);
+      }
+    }
+
     pool.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
