Don't hold memory for interim responses

A response 103 with a declared length waited for memory as if it were the answer. undici pauses nothing for it, but then paused the answer itself, of whatever size, until the wait of the interim response ended.

--- a/src/serving/http_attempt.ts
+++ b/src/serving/http_attempt.ts
@@ -38,6 +38,9 @@
   "expect",
 ]);
 
+/** Responses of lower status are interim, and precede the answer. */
+const MIN_FINAL_STATUS = 200;
+
 /** The parts of a request that an attempt sends, besides its headers. */
 export type OutboundRequest = Pick<
   CallerRequest,
@@ -172,6 +175,7 @@
       },
       onResponseStart(started, statusCode, received) {
         onResponse();
+        if (statusCode < MIN_FINAL_STATUS) return;
         status = statusCode;
         answerHeaders = received;
         holdAnswer(started);
