End answers without length that outgrow the memory for bodies

Servers may send bytes without end in a body. Answers without declared length were read up to 16 MB each, with or without room, and several at a time exceeded the smallest VM's memory, which ends its process.

Fix: such an answer of over 1 MB ends its attempt as lost once there is no room for more. Up to 1 MB it is read without room, as before.

--- a/src/serving/http_attempt.ts
+++ b/src/serving/http_attempt.ts
@@ -41,6 +41,12 @@
 /** Responses of lower status are interim, and precede the answer. */
 const MIN_FINAL_STATUS = 200;
 
+/**
+ * Largest answer without declared length that is read though there is no room
+ * for it. It may have no end.
+ */
+const MAX_OVERDRAWN_BYTES = 1_000_000;
+
 /** The parts of a request that an attempt sends, besides its headers. */
 export type OutboundRequest = Pick<
   CallerRequest,
@@ -152,6 +158,17 @@
       );
     }
 
+    /** Holds what an answer without declared length has grown to. */
+    function holdMore(received: Dispatcher.DispatchController): void {
+      heldBytes = receivedBytes;
+      const bodies = request.holdBodies?.();
+      if (bodies === undefined || bodies.tryHoldAnswer(receivedBytes)) return;
+      if (receivedBytes <= MAX_OVERDRAWN_BYTES) {
+        return bodies.holdAnswer(receivedBytes);
+      }
+      received.abort(new Error("answer outgrew the memory for bodies"));
+    }
+
     function resumeAnswer(received: Dispatcher.DispatchController): void {
       try {
         received.resume();
@@ -180,12 +197,10 @@
         answerHeaders = received;
         holdAnswer(started);
       },
-      onResponseData(_controller, chunk) {
+      onResponseData(received, chunk) {
         chunks.push(chunk);
         receivedBytes += chunk.length;
-        if (receivedBytes <= heldBytes) return;
-        heldBytes = receivedBytes;
-        request.holdBodies?.().holdAnswer(receivedBytes);
+        if (receivedBytes > heldBytes) holdMore(received);
       },
       onResponseEnd() {
         if (isConnectionFailing()) {
