Merge failures of connections that end their attempt and not the process

The product's own client of backend servers confines its connections as well: the detector no longer sees resets that end in an error (its test fails without).

--- a/src/forwarding/backend_client.ts
+++ b/src/forwarding/backend_client.ts
@@ -15,6 +15,7 @@
 import { parseRetryAfterMs } from "../runtime/retry_after.ts";
 import { classifyTransportError, describeError } from "../runtime/errors.ts";
 import type { HealthReport } from "../control/messages.ts";
+import { confineConnections } from "../serving/connection_errors.ts";
 import {
   createFailureDetector,
   type FailureDetector,
@@ -144,7 +145,9 @@
 }
 
 function createConnector(failures: FailureDetector): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const connect = confineConnections(
+    buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
+  );
   return (options, callback) =>
     connect(options, (...result) => {
       const [, socket] = result;
--- a/src/serving/http_attempt.ts
+++ b/src/serving/http_attempt.ts
@@ -38,6 +38,15 @@
   "expect",
 ]);
 
+/** Responses of lower status are interim, and precede the answer. */
+const MIN_FINAL_STATUS = 200;
+
+/**
+ * Largest answer without declared length that is read though there is no room
+ * for it. It may have no end.
+ */
+const MAX_OVERDRAWN_BYTES = 1_000_000;
+
 /** The parts of a request that an attempt sends, besides its headers. */
 export type OutboundRequest = Pick<
   CallerRequest,
@@ -60,25 +69,22 @@
 }
 
 /**
- * An answer without a length ends with its connection, and undici takes it as
- * complete also when the connection is reset. The listeners here run before
- * undici's, in the same step of the event loop, and so distinguish a reset from
- * the regular end of an answer. A reset that arrives together with data appears
- * as a regular end, but the socket then has no remote address any more.
+ * An answer without a length ends with its connection. A reset that arrives
+ * together with data appears as a regular end, but the socket then has no remote
+ * address any more. The listener here runs before undici's, in the same step of
+ * the event loop, and so distinguishes it from the regular end of an answer.
+ * Other resets end the attempt; see `connection_errors.ts`.
  *
  * @returns A detector that watches no connection.
  */
 export function createFailureDetector(): FailureDetector {
   let isFailing = false;
-  const recordFailure = () => {
-    isFailing = true;
-    process.nextTick(() => void (isFailing = false));
-  };
   return {
     watch(socket) {
-      socket.on("error", recordFailure);
       socket.on("end", () => {
-        if (socket.remoteAddress === undefined) recordFailure();
+        if (socket.remoteAddress !== undefined) return;
+        isFailing = true;
+        process.nextTick(() => void (isFailing = false));
       });
     },
     isFailing: () => isFailing,
@@ -146,10 +152,31 @@
       received.pause();
       stopWaiting = bodies.awaitAnswerRoom(
         declaredBytes,
-        () => received.resume(),
+        // The room may come from an answer that is being parsed, and undici
+        // parses one at a time.
+        () => queueMicrotask(() => resumeAnswer(received)),
       );
     }
 
+    /** Holds what an answer without declared length has grown to. */
+    function holdMore(received: Dispatcher.DispatchController): void {
+      heldBytes = receivedBytes;
+      const bodies = request.holdBodies?.();
+      if (bodies === undefined || bodies.tryHoldAnswer(receivedBytes)) return;
+      if (receivedBytes <= MAX_OVERDRAWN_BYTES) {
+        return bodies.holdAnswer(receivedBytes);
+      }
+      received.abort(new Error("answer outgrew the memory for bodies"));
+    }
+
+    function resumeAnswer(received: Dispatcher.DispatchController): void {
+      try {
+        received.resume();
+      } catch (cause) {
+        received.abort(cause as Error);
+      }
+    }
+
     pool.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -165,16 +192,15 @@
       },
       onResponseStart(started, statusCode, received) {
         onResponse();
+        if (statusCode < MIN_FINAL_STATUS) return;
         status = statusCode;
         answerHeaders = received;
         holdAnswer(started);
       },
-      onResponseData(_controller, chunk) {
+      onResponseData(received, chunk) {
         chunks.push(chunk);
         receivedBytes += chunk.length;
-        if (receivedBytes <= heldBytes) return;
-        heldBytes = receivedBytes;
-        request.holdBodies?.().holdAnswer(receivedBytes);
+        if (receivedBytes > heldBytes) holdMore(received);
       },
       onResponseEnd() {
         if (isConnectionFailing()) {
