Exit also where nobody reads the log

What was seen: a process whose output was a full pipe that nobody read never ended after SIGTERM. SIGKILL ended it at the end of the grace period, whatever the process had still to do then.

Cause: the exit wrote the buffered lines with flushSync(), which waits for the reader without limit. Without it the process would hang all the same: a thread of the pool is in a write to the pipe, and process.exit() joins these threads (tried with a program of five lines: gone after 5 s, by SIGKILL).

Ruled out: a reader that is gone. Pino stops writing after EPIPE; tried with a request in progress at the exit, the previous code ended with code 0.

--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -26,8 +26,11 @@
   log: Log;
   /** @returns Number of lines dropped since the start. */
   countDroppedLines(): number;
-  /** Writes the buffered lines synchronously, before the process exits. */
-  flush(): void;
+  /**
+   * Writes the buffered lines, before the process exits. The promise doesn't
+   * resolve while the reader of the output doesn't read.
+   */
+  flush(): Promise<void>;
 }
 
 /**
@@ -58,10 +61,16 @@
     output.flush();
   }, FLUSH_INTERVAL_MS);
   timer.unref();
+  const flushOnce = () =>
+    new Promise<void>((resolve) => output.flush(() => resolve()));
   return {
     log,
     countDroppedLines: () => droppedLines,
-    flush: () => output.flushSync(),
+    async flush() {
+      // The first one ends while up to MIN_WRITE_BYTES are still buffered.
+      await flushOnce();
+      await flushOnce();
+    },
   };
 }
 
