Don't wait for the disk when the log is flushed at the exit

What was seen: with eight processes that stopped at once with 50 requests in progress each, their logs going to files, 11 of 16 ended by SIGKILL, most of them before the grace period of 3 s was over, so by their own hand: the flush had taken more than its 150 ms.

Cause: a flush of sonic-boom with a callback also synchronizes the file with the disk, and the exit did so twice, which the processes of one disk wait for.

Fix: the exit waits for the writes (`drain`) only.

--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -61,8 +61,13 @@
     output.flush();
   }, FLUSH_INTERVAL_MS);
   timer.unref();
+  /** Unlike flush() with a callback, doesn't wait for the disk. */
   const flushOnce = () =>
-    new Promise<void>((resolve) => output.flush(() => resolve()));
+    new Promise<void>((resolve) => {
+      output.once("drain", resolve);
+      output.once("error", () => resolve());
+      output.flush();
+    });
   return {
     log,
     countDroppedLines: () => droppedLines,
