Tell steers of other failure domains at once that an entry leaves

A leaving entry accepts callers for the longest time to live of a look-up and 0.7 s, so that no caller holds its address when it closes. The steers of its own failure domain learn at once that it leaves, those of others from views that are sent once a second: they went on naming it in look-ups that outlived it, and callers with such an answer found the address closed, or lost a request that crossed the close on a kept connection.

A steer now sends its view at once when a member of its failure domain announces that it leaves.

--- a/src/control/agent.ts
+++ b/src/control/agent.ts
@@ -169,6 +169,13 @@
     if (state === undefined) return;
     state.member = member;
     handleHeartbeat(link, throughVersion);
+    // Steers of other failure domains would name it in look-ups until the next
+    // regular view.
+    const isLeaving = member.state === "leaving" &&
+      member.failureDomain === self.failureDomain;
+    if (isLeaving && self.role === "steer") {
+      views.sendOwn(replica.throughVersion);
+    }
   }
 
   function handleHeartbeat(link: PeerLink, throughVersion: number): void {
--- a/src/entry/entry_stop_test.ts
+++ b/src/entry/entry_stop_test.ts
@@ -19,7 +19,7 @@
 import { HEADERS } from "../forwarding/types.ts";
 import type { LookupAnswer } from "../lookup/types.ts";
 import { KEY_HEADER } from "../runtime/access.ts";
-import { createSystemClock } from "../runtime/clock.ts";
+import { createSystemClock, pause } from "../runtime/clock.ts";
 import { daemonSettingsSchema } from "../runtime/settings.ts";
 
 const clock = createSystemClock();
@@ -93,14 +93,19 @@
   }
 }
 
-/** Looks up the prefix of the keys that the entry owns. */
-async function findKeyPrefix({ files }: RunningDeployment): Promise<string> {
+/** Looks up the entries for a client near the entry, at a steer of a region. */
+async function lookUp({ files }: RunningDeployment, region: string) {
+  const { caller } = files.load.steers
+    .find((steer) => steer.region === region)!;
   const response = await request(
-    `http://${
-      files.load.steers[0].caller
-    }/v1/lookup/${SERVICE}?client=10.1.7.7`,
+    `http://${caller}/v1/lookup/${SERVICE}?client=10.1.7.7`,
   );
-  const { entries } = await response.body.json() as LookupAnswer;
+  return await response.body.json() as LookupAnswer;
+}
+
+/** Looks up the prefix of the keys that the entry owns. */
+async function findKeyPrefix(deployment: RunningDeployment): Promise<string> {
+  const { entries } = await lookUp(deployment, "thies");
   return entries.find(({ id }) => STOPPED_ENTRY.endsWith(id))!.keyPrefix;
 }
 
@@ -139,4 +144,22 @@
   assert.is(servers.flatMap(({ records }) => records).length, 1);
 });
 
+test("no look-up names an entry for longer than it accepts callers", async ({ deployment }) => {
+  const { callerAddress } = getSettings(deployment);
+  const isNamed = ({ entries }: LookupAnswer) =>
+    entries.some(({ address }) => address === callerAddress);
+  await waitUntil(async () => isNamed(await lookUp(deployment, "kaolack")));
+  const stopped = deployment.daemons.get(STOPPED_ENTRY)!.stop();
+  let lastUseMs = 0;
+  while (await isListening(callerAddress)) {
+    const answer = await lookUp(deployment, "kaolack");
+    if (isNamed(answer)) lastUseMs = clock.monotonicMs() + answer.ttlMs;
+    await pause(clock, 20);
+  }
+  assert.ok(lastUseMs > 0);
+  const remainingMs = Math.max(0, lastUseMs - clock.monotonicMs());
+  await stopped;
+  assert.is(remainingMs, 0);
+});
+
 test.run();
