--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -1,12 +1,14 @@
 /**
- * Graceful shutdown of a gateway: requests in progress are completed, and
- * clients have time to stop using its address.
+ * Graceful shutdown of a gateway: clients have time to stop using its address,
+ * requests are accepted as long as they can be completed, and those in progress
+ * are completed.
  *
  * @module
  */
 import type { Mesh } from "../members/mesh.ts";
 import type { Reader } from "../news/reader.ts";
 import type { ProxyClient } from "../proxying/proxy_client.ts";
+import type { ProxyServer } from "../proxying/proxy_server.ts";
 import { type Clock, pause } from "../runtime/clock.ts";
 import type { HttpServer } from "../runtime/http_server.ts";
 import type { Exchange } from "../serving/exchange.ts";
@@ -14,6 +16,7 @@
   FrontServer,
   UnansweredRequest,
 } from "../serving/front_server.ts";
+import type { ProcessEnd } from "../serving/process_end.ts";
 import type { Log } from "../telemetry/log.ts";
 
 /** Components to stop, and time limits. */
@@ -25,6 +28,8 @@
   readers: readonly Reader[];
   exchange: Exchange;
   proxyClient: ProxyClient;
+  proxyServer: Pick<ProxyServer, "startLeaving" | "awaitIdle">;
+  processEnd: Pick<ProcessEnd, "schedule">;
   control: readonly HttpServer[];
   /** Time until the process is killed, in ms. */
   graceMs: number;
@@ -53,17 +58,22 @@
  * @returns A promise that resolves when the process may exit.
  */
 export async function leave(options: LeaveOptions): Promise<void> {
-  const { clock, log, front, mesh } = options;
+  const { clock, log, front, mesh, proxyServer } = options;
   const startedAtMs = clock.monotonicMs();
   log.info({ openRequests: front.countOpenRequests() }, "leaving");
+  const maxLeaveMs = options.graceMs - EXIT_MARGIN_MS;
+  options.processEnd.schedule(startedAtMs + maxLeaveMs);
   mesh.sendReport();
   front.startLeaving();
+  proxyServer.startLeaving();
   const addressExpiryMs = options.ttlMs * MAX_TTL_OVERRUN_FACTOR +
     LATE_CONNECTION_MARGIN_MS;
-  const maxLeaveMs = options.graceMs - EXIT_MARGIN_MS;
   await pause(clock, Math.min(addressExpiryMs, maxLeaveMs));
   const remainingMs = maxLeaveMs - (clock.monotonicMs() - startedAtMs);
-  await Promise.race([front.close(), pause(clock, Math.max(0, remainingMs))]);
+  await Promise.race([
+    Promise.all([front.close(), proxyServer.awaitIdle()]),
+    pause(clock, Math.max(0, remainingMs)),
+  ]);
   const unanswered = front.listUnanswered();
   log.info({
     openRequests: front.countOpenRequests(),
