--- a/src/runtime/http_server.ts
+++ b/src/runtime/http_server.ts
@@ -12,10 +12,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import polka, { type Handler, type Polka, type Request } from "polka";
 import { splitAddress } from "./address.ts";
+import type { Clock, Timer } from "./clock.ts";
 import { StepError } from "./errors.ts";
+import { createLogger } from "./logger.ts";
+
+const log = createLogger("http");
 
 /** Largest request body that is accepted. */
 export const MAX_BODY_BYTES = 1_048_576;
@@ -31,9 +35,19 @@
   /** `host:port` that the server listens on. */
   address: string;
   server: Server;
-  /** Sends `connection: close` with each response from now on. */
+  /**
+   * Sends `connection: close` with each response from now on, also to requests in
+   * progress.
+   */
   startClosing(): void;
-  /** Stops accepting connections; resolves when all requests have ended. */
+  /** Closes the connections of all requests that are in progress. */
+  cutRequests(): void;
+  /** @returns Resolves as soon as no request is in progress. */
+  waitUntilIdle(): Promise<void>;
+  /**
+   * Stops accepting connections; resolves when all have ended, upgraded ones
+   * included.
+   */
   close(): Promise<void>;
 }
 
@@ -136,6 +150,23 @@
 ): Promise<HttpServer> {
   const { host, port } = splitAddress(address);
   let isClosing = false;
+  let isClosed = false;
+  const unfinishedResponses = new Map<ServerResponse, Socket>();
+  const idleListeners: (() => void)[] = [];
+  const announceClose = (response: ServerResponse) => {
+    if (!response.headersSent) response.setHeader("connection", "close");
+  };
+  const sockets = new Set<Socket>();
+  const settledBytesRead = new WeakMap<Socket, number>();
+  const settle = (socket: Socket) =>
+    void settledBytesRead.set(socket, socket.bytesRead);
+  const closeIdle = () => {
+    const busy = new Set(unfinishedResponses.values());
+    for (const socket of sockets) {
+      const isReceiving = settledBytesRead.get(socket) !== socket.bytesRead;
+      if (!busy.has(socket) && !isReceiving) socket.destroy();
+    }
+  };
   const server = createServer({
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
@@ -144,12 +175,31 @@
     maxHeaderSize: maxHeaderBytes,
     noDelay: true,
   }, (request, response) => {
-    if (isClosing) response.setHeader("connection", "close");
+    // A request loses its socket when its client has left.
+    const { socket } = request;
+    unfinishedResponses.set(response, socket);
+    request.once("end", () => settle(socket));
+    response.once("close", () => {
+      unfinishedResponses.delete(response);
+      if (unfinishedResponses.size === 0) {
+        for (const resolve of idleListeners.splice(0)) resolve();
+      }
+      settle(socket);
+      if (isClosed) closeIdle();
+    });
+    if (isClosing) announceClose(response);
     if (intercept?.isWanted(request.headers)) {
       return intercept.handle(request, response);
     }
     router.handler(request, response);
   });
+  server.on("connection", (socket: Socket) => {
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+  });
+  // The method of `node:http` would also close connections whose answer is
+  // still being sent.
+  server.closeIdleConnections = closeIdle;
   return new Promise((resolve, reject) => {
     server.once("error", (cause) => {
       const message = `Cannot listen on ${address}: ${cause.message}`;
@@ -167,8 +217,31 @@
       resolve({
         address: `${host}:${bound.port}`,
         server,
-        startClosing: () => void (isClosing = true),
-        close: () => closeServer(server),
+        startClosing() {
+          isClosing = true;
+          for (const response of unfinishedResponses.keys()) {
+            announceClose(response);
+          }
+        },
+        cutRequests() {
+          for (const [{ req }, socket] of unfinishedResponses) {
+            log.warn("Request cut by the stop", {
+              step: "http.cut",
+              peer: socket.remoteAddress ?? "unknown",
+              method: req.method,
+              path: req.url?.split("?")[0],
+            });
+            socket.destroy();
+          }
+        },
+        waitUntilIdle() {
+          if (unfinishedResponses.size === 0) return Promise.resolve();
+          return new Promise((resolve) => idleListeners.push(resolve));
+        },
+        close() {
+          isClosed = true;
+          return closeServer(server);
+        },
       });
     });
   });
@@ -176,11 +249,35 @@
 
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve());
+    // The method of `node:http` ends the checks for slow connections, so that a
+    // connection without a complete request would stay open.
+    NetServer.prototype.close.call(server, () => {
+      server.close();
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
 
+/**
+ * Closes the connections of requests that are still in progress after some time,
+ * such as those of clients that don't read their answers.
+ *
+ * @param servers The servers of the requests.
+ * @param clock The clock.
+ * @param limitMs The time, in ms.
+ * @returns A timer whose cancellation lets the requests go on.
+ */
+export function cutRequestsAfter(
+  servers: readonly HttpServer[],
+  clock: Clock,
+  limitMs: number,
+): Timer {
+  return clock.after(limitMs, () => {
+    for (const server of servers) server.cutRequests();
+  });
+}
+
 /**
  * Reads the whole body of a request.
  *
