Count the grace period from SIGTERM, also when it comes during the start

What callers saw: a VM that got SIGTERM while it started accepted requests whose time ended after the process did. Their connections closed without an answer, while a backend server was at work.

Cause: the end of the process was computed when the stop began, and a stop begins only once the start is done. Until then no end was known, and after it the end was later than the kill by what the start had still taken. It is the cause of the requests that planned stops lost: work accepted without regard to an end that the process knows from SIGTERM on.

Fix: the end is scheduled when the signal arrives, and a stop that begins later doesn't postpone it. Requests that could not end by then are refused as not run.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -52,7 +52,7 @@
 import { type ControlPaths, startControlServers } from "./control_routes.ts";
 import { createCore } from "./core.ts";
 import { createGatewayMetrics } from "./gauges.ts";
-import { leave } from "./leave.ts";
+import { leave, scheduleProcessEnd } from "./leave.ts";
 import { startServerLimitSharing } from "./server_limits.ts";
 import { startReachabilitySharing } from "./server_reachability.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -69,6 +69,11 @@
   paths: ControlPaths;
   /** Opens connections to backend servers. */
   openServerSocket: OpenSocket;
+  /**
+   * Resolves when the process is told to stop, also while the gateway starts: the
+   * time until it is killed runs from then on.
+   */
+  stopRequested?: Promise<void>;
 }
 
 /**
@@ -114,6 +119,9 @@
   const cacheModel = createObjectCacheModel();
   const runningRequests = createRunningRequests(clock);
   const processEnd = createProcessEnd();
+  void options.stopRequested?.then(() =>
+    scheduleProcessEnd(processEnd, clock, settings.bounds.graceMs)
+  );
   const core = createCore({
     ...options,
     self,
--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -29,7 +29,7 @@
   exchange: Exchange;
   proxyClient: ProxyClient;
   proxyServer: Pick<ProxyServer, "startLeaving" | "awaitIdle">;
-  processEnd: Pick<ProcessEnd, "schedule">;
+  processEnd: Pick<ProcessEnd, "schedule" | "getMs">;
   control: readonly HttpServer[];
   /** Time until the process is killed, in ms. */
   graceMs: number;
@@ -50,6 +50,21 @@
 /** Requests that are logged one by one when the process ends under them. */
 const MAX_LOGGED_REQUESTS = 100;
 
+/**
+ * Sets when the process has to have stopped.
+ *
+ * @param processEnd End of the process; an earlier one stays.
+ * @param clock Clock of the process, at the time at which it is told to stop.
+ * @param graceMs Time until the process is killed, in ms.
+ */
+export function scheduleProcessEnd(
+  processEnd: Pick<ProcessEnd, "schedule">,
+  clock: Clock,
+  graceMs: number,
+): void {
+  processEnd.schedule(clock.monotonicMs() + graceMs - EXIT_MARGIN_MS);
+}
+
 /**
  * Continues to serve until clients no longer use the address of this VM, then
  * stops all components.
@@ -58,11 +73,11 @@
  * @returns A promise that resolves when the process may exit.
  */
 export async function leave(options: LeaveOptions): Promise<void> {
-  const { clock, log, front, mesh, proxyServer } = options;
+  const { clock, log, front, mesh, proxyServer, processEnd } = options;
   const startedAtMs = clock.monotonicMs();
   log.info({ openRequests: front.countOpenRequests() }, "leaving");
-  const maxLeaveMs = options.graceMs - EXIT_MARGIN_MS;
-  options.processEnd.schedule(startedAtMs + maxLeaveMs);
+  scheduleProcessEnd(processEnd, clock, options.graceMs);
+  const maxLeaveMs = Math.max(0, processEnd.getMs() - startedAtMs);
   mesh.sendReport();
   front.startLeaving();
   proxyServer.startLeaving();
--- a/src/serving/process_end.ts
+++ b/src/serving/process_end.ts
@@ -9,7 +9,8 @@
 /** The end of this process. */
 export interface ProcessEnd {
   /**
-   * Sets the end. What began before is not affected.
+   * Sets the end, unless it is already set to an earlier time. What began before
+   * is not affected.
    *
    * @param atMs When it is, on the monotonic clock.
    */
@@ -30,7 +31,7 @@
 export function createProcessEnd(): ProcessEnd {
   let endsAtMs = Infinity;
   return {
-    schedule: (atMs) => void (endsAtMs = atMs),
+    schedule: (atMs) => void (endsAtMs = Math.min(endsAtMs, atMs)),
     getMs: () => endsAtMs,
     isAfter: (untilMs) => untilMs + RESPONSE_MARGIN_MS <= endsAtMs,
   };
--- a/src/serving/process_end_test.ts
+++ b/src/serving/process_end_test.ts
@@ -27,6 +27,13 @@
   assert.ok(processEnd.isAfter(9_000));
 });
 
+test("a stop that begins late does not postpone the end of the process", () => {
+  const processEnd = createProcessEnd();
+  processEnd.schedule(10_000);
+  processEnd.schedule(12_000);
+  assert.is(processEnd.getMs(), 10_000);
+});
+
 test("a request ends with its route's timeout or its client's deadline", () => {
   const route = makeRoute({ timeoutMs: 1_000 });
   const endMs = (deadlineMs: number | undefined) =>
