Reserve at most a sixth of a short grace period for the exit

What callers saw: with a grace period of 2 s or less, requests that had begun before a stop were cut while the VM had a fifth to two fifths of the period left.

Cause: 400 ms were reserved for the exit, whatever the grace period. Class: an end that doesn't wait for what was accepted.

Periods of 2.4 s and more are as before.

Test: "a short grace period is not spent on the exit" of src/gateway/leave_test.ts failed before (800 ms of 1,200).

--- a/src/gateway/leave.ts
+++ b/src/gateway/leave.ts
@@ -41,8 +41,10 @@
 const MAX_TTL_OVERRUN_FACTOR = 3;
 /** Additional time for connections opened just before the address expires. */
 const LATE_CONNECTION_MARGIN_MS = 300;
-/** Part of the shutdown time reserved for the exit of the process. */
+/** Part of the grace period reserved for the exit of the process. */
 const EXIT_MARGIN_MS = 400;
+/** Of a short grace period, requests have at least the rest. */
+const MAX_EXIT_SHARE = 1 / 6;
 /**
  * Connections still open after this time are closed by the exit of the process.
  */
@@ -62,7 +64,8 @@
   clock: Clock,
   graceMs: number,
 ): void {
-  processEnd.schedule(clock.monotonicMs() + graceMs - EXIT_MARGIN_MS);
+  const exitMs = Math.min(EXIT_MARGIN_MS, graceMs * MAX_EXIT_SHARE);
+  processEnd.schedule(clock.monotonicMs() + graceMs - exitMs);
 }
 
 /**
