Accept all waiting connections before a stopped VM closes its socket

Why it works: turns go on until one accepts nothing. What is left to the end of the stop is still reset: such a VM has no time to read it.

Test: "a busy VM that stops accepting resets no waiting connection" now has five connections.

--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -135,6 +135,7 @@
   const answerSizes = createAnswerSizes();
   const connections = createClientConnections();
   let openRequests = 0;
+  let acceptedConnections = 0;
 
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -148,7 +149,10 @@
     "checkContinue",
     (message, response) => void handleMessage(message, response, true),
   );
-  server.on("connection", connections.open);
+  server.on("connection", (socket) => {
+    acceptedConnections++;
+    connections.open(socket);
+  });
   server.on("clientError", (error, socket) => {
     // Bytes that can't be parsed must not cost the requests before them their
     // answers.
@@ -490,14 +494,25 @@
     discardBody(begun, clock);
   }
 
+  /**
+   * Accepts the connections that wait, which closing the listening socket would
+   * reset. Node.js accepts one in each turn of the event loop.
+   */
+  async function acceptWaiting(): Promise<void> {
+    let acceptedBefore: number;
+    do {
+      acceptedBefore = acceptedConnections;
+      await nextTurn();
+    } while (acceptedConnections > acceptedBefore);
+  }
+
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(options.address.port, options.address.host, () => {
       resolve({
         startLeaving: connections.startLeaving,
         async close() {
-          // Accepts the connections that wait: closing the socket resets them.
-          await nextTurn();
+          await acceptWaiting();
           await new Promise<void>((onClosed) => {
             server.close(() => onClosed());
             server.closeIdleConnections();
