Tell from logs and metrics how long requests waited to be read

A VM whose event loop is busy, or that gets no processor time, reads requests late, and its log showed them ended in time: their time was counted from the moment at which their heads had been parsed.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -44,6 +44,7 @@
 import type { OpenSocket } from "../runtime/open_socket.ts";
 import { createRouter, listen } from "../runtime/http_server.ts";
 import { startOverloadMonitor } from "../runtime/overload.ts";
+import { startReadDelay } from "../runtime/read_delay.ts";
 import type { Stoppable } from "../runtime/process.ts";
 import { startFrontServer } from "../serving/front_server.ts";
 import { createProcessEnd } from "../serving/process_end.ts";
@@ -135,12 +136,18 @@
     getFleetDemand: () => mesh.getDemand(),
     broadcastFacts: (updates) => mesh.broadcastFacts(updates),
   });
-  const metrics = createGatewayMetrics(
+  const readDelay = startReadDelay({
+    clock,
+    onHeldUp: (delayMs) =>
+      log.warn({ delayMs: Math.round(delayMs) }, "requests waited to be read"),
+  });
+  const metrics = createGatewayMetrics({
     core,
     factStore,
     freshness,
-    vms.countServing,
-  );
+    countServingVms: vms.countServing,
+    readDelay,
+  });
   const getMinReportedRunMs = (service: string) =>
     core.getCompetingPriorities(service).length > 1
       ? MIN_COMPETING_REPORTED_RUN_MS
@@ -301,6 +308,7 @@
     metrics,
     processEnd,
     isOverloaded: overloadMonitor.isOverloaded,
+    readDelay,
     getRouteTable: core.getRoutes,
     getRouteTableAgeMs: () => factStore.getAgeMs("operations"),
   });
@@ -350,6 +358,7 @@
       startCheck.cancel();
       freshnessMonitor?.cancel();
       overloadMonitor.stop();
+      readDelay.stop();
       activitySharing.stop();
       usageSharing.stop();
       serverLimitSharing.stop();
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -6,6 +6,7 @@
 import { type FactStore, getOldestAgeMs } from "../news/fact_store.ts";
 import type { FreshnessTracker } from "../news/freshness.ts";
 import { SOURCE_TOPICS } from "../news/types.ts";
+import type { ReadDelay } from "../runtime/read_delay.ts";
 import { MAX_COPIES } from "../placement/copies.ts";
 import { isUnusualSlowdown } from "../servers/speed.ts";
 import {
@@ -17,25 +18,35 @@
 /** Reported as the age of facts before there are any. */
 const UNKNOWN_AGE_MS = 1_000_000_000;
 
+/** What the gauges are read from. */
+export interface GaugeSources {
+  core: Core;
+  factStore: FactStore;
+  /** The proven age of the configuration. */
+  freshness: FreshnessTracker;
+  /** @returns The number of VMs that serve, by the local view. */
+  countServingVms: () => number;
+  readDelay: Pick<ReadDelay, "takeMaxMs">;
+}
+
 /**
- * @param core The core of the gateway.
- * @param factStore The facts.
- * @param freshness The proven age of the configuration.
- * @param countServingVms Returns the number of VMs that serve, by the local
- *   view.
+ * @param sources What the gauges are read from.
  * @returns The metrics of the process.
  */
 export function createGatewayMetrics(
-  core: Core,
-  factStore: FactStore,
-  freshness: FreshnessTracker,
-  countServingVms: () => number,
+  { core, factStore, freshness, countServingVms, readDelay }: GaugeSources,
 ): ServingMetrics {
   return createServingMetrics({
     backend_connections: {
       help: "Open connections to backend servers",
       read: () => core.exchange.countConnections(),
     },
+    read_delay_seconds: {
+      help:
+        "Longest time that requests may have waited to be read, since the " +
+        "last collection",
+      read: () => readDelay.takeMaxMs() / 1_000,
+    },
     body_bytes: {
       help: "Bytes of request and answer bodies held for clients",
       read: () => core.bodyBudget.getStats().heldBytes,
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -27,6 +27,7 @@
 } from "../runtime/body_discard.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { describeError } from "../runtime/errors.ts";
+import type { ReadDelay } from "../runtime/read_delay.ts";
 import { createRequestGate } from "../runtime/request_gate.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { ServingMetrics } from "../telemetry/metrics.ts";
@@ -65,6 +66,8 @@
   processEnd: Pick<ProcessEnd, "isAfter">;
   /** Whether the event loop is saturated, so that connections wait for it. */
   isOverloaded: () => boolean;
+  /** How long requests may have waited to be read. */
+  readDelay: Pick<ReadDelay, "getMs">;
   /** Returns the active routes; undefined before the first configuration. */
   getRouteTable: () => RouteTable | undefined;
   /** Returns the time since the routes were last known to be current, in ms. */
@@ -196,21 +199,24 @@
     response: ServerResponse,
     expectsContinue: boolean,
   ): void {
-    const arrivedAtMs = clock.monotonicMs();
+    const arrival: Arrival = {
+      atMs: clock.monotonicMs(),
+      readDelayMs: options.readDelay.getMs(),
+      expectsContinue,
+    };
     gate.admit(
       message,
       response,
-      () => void handleMessage(message, response, arrivedAtMs, expectsContinue),
+      () => void handleMessage(message, response, arrival),
     );
   }
 
   async function handleMessage(
     message: IncomingMessage,
     response: ServerResponse,
-    arrivedAtMs: number,
-    expectsContinue: boolean,
+    arrival: Arrival,
   ): Promise<void> {
-    const begun = connections.begin(message, response, arrivedAtMs);
+    const begun = connections.begin(message, response, arrival.atMs);
     if (begun === undefined) {
       const { requestId } = codec.decodeRequest(message.headers);
       log.info({ requestId }, "request behind a closing answer not begun");
@@ -218,7 +224,7 @@
     }
     openRequests++;
     try {
-      await serve(begun, expectsContinue);
+      await serve(begun, arrival);
     } catch (cause) {
       log.error({ error: describeError(cause) }, "request failed unexpectedly");
       response.destroy();
@@ -229,7 +235,7 @@
 
   async function serve(
     begun: BegunRequest,
-    expectsContinue: boolean,
+    { readDelayMs, expectsContinue }: Arrival,
   ): Promise<void> {
     const { message, arrivedAtMs } = begun;
     const table = options.getRouteTable();
@@ -285,6 +291,7 @@
           : undefined,
         ...configurationFields,
         tookMs: Math.round(tookMs),
+        readDelayMs: readDelayMs > 0 ? Math.round(readDelayMs) : undefined,
         targetMs: route.targetLatencyMs,
         stallMs: route.timeoutMs,
       });
@@ -641,6 +648,16 @@
   stallMs?: number;
 }
 
+/** How a request arrived. */
+interface Arrival {
+  /** When its headers had arrived, on the monotonic clock. */
+  atMs: number;
+  /** Time for which they may have waited to be read. */
+  readDelayMs: number;
+  /** Whether the client sends the body only when it is asked for it. */
+  expectsContinue: boolean;
+}
+
 /** How a request's bodies are admitted. */
 interface AdmissionOptions {
   route: Route;
