--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -225,6 +225,20 @@
   await stop();
 });
 
+// The next sign of the difference may come a second later, and a change has to be
+// in force after two.
+test("missed facts are requested though the difference shows only once", async () => {
+  const { address, factStore, stop } = await startTestMesh();
+  factStore.apply([makeServerUpdate(makeServer("1"), 1)]);
+  const link = await openLink(address, makeIdentity("other", "127.0.0.1:2"));
+  link.send(makeReport({ facts: 2, versionSum: 7 }));
+  await sleep(1_000);
+  const isRequested = link.received.some(({ kind }) => kind === "want");
+  link.close();
+  await stop();
+  assert.ok(isRequested);
+});
+
 test("a requested topic is sent whole, including removals", async () => {
   const { address, factStore, stop } = await startTestMesh();
   factStore.apply([makeServerUpdate(makeServer("1"), 1)]);
