Keep the newer configuration where the store returns an older one

Callers saw all VMs go back to an older configuration until the next row: within one epoch of the store the number of the row decided, and the configuration's own number was compared across epochs only. A removed row made VMs forget the number as well.

A configuration's own number now decides within an epoch too, ahead of the row's, and a configuration is replaced but never removed, so that all VMs keep the same one, also those that start while the store holds the older row. An operator sees "source returned older facts than this VM keeps" with both numbers, and configuration_version doesn't move. An author who wants old content back writes it under a new number.

--- a/src/news/epochs.ts
+++ b/src/news/epochs.ts
@@ -7,10 +7,12 @@
  * written in this epoch. Where that number isn't known exactly, a higher one is
  * safe: it only delays facts until the epoch is settled.
  *
+ * A configuration carries a number of its own, which decides within an epoch too.
+ *
  * @module
  */
 import type { ListedServer } from "../servers/types.ts";
-import type { FactUpdate } from "./types.ts";
+import { CONFIGURATION_KEY, type FactUpdate } from "./types.ts";
 import type { EpochStart, FactVersion } from "./version.ts";
 
 /** Epochs of one source. */
@@ -100,7 +102,9 @@
     getOriginEpoch,
     isNewer(update, current) {
       const [a, b] = [update.version, current.version];
-      if (a.epoch === b.epoch) return a.number > b.number;
+      if (a.epoch === b.epoch && !isConfiguration(update)) {
+        return a.number > b.number;
+      }
       const confirmingOrder = getConfirmingEpoch(a) - getConfirmingEpoch(b);
       if (confirmingOrder !== 0) return confirmingOrder > 0;
       const contentOrder = compareContents(update, current);
@@ -126,6 +130,11 @@
   return isSettled ? { ...start, isSettled } : start;
 }
 
+/** The source also accepts an older configuration within an epoch. */
+function isConfiguration({ key }: FactUpdate): boolean {
+  return key === CONFIGURATION_KEY;
+}
+
 /**
  * Compares facts whose contents show which is newer, whatever happened to the
  * source: a configuration carries a number that its author increments, and a
--- a/src/news/epochs_test.ts
+++ b/src/news/epochs_test.ts
@@ -73,6 +73,18 @@
     false,
     "an older configuration that is written again",
   ],
+  [
+    makeConfigurationUpdate(5, 61, 2),
+    makeConfigurationUpdate(6, 60, 2),
+    false,
+    "an older configuration of the same epoch",
+  ],
+  [
+    makeConfigurationUpdate(6, 61, 2),
+    makeConfigurationUpdate(6, 60, 2),
+    true,
+    "a configuration that is written again with its number",
+  ],
 ];
 
 for (const [update, current, isNewer, title] of comparisons) {
@@ -164,4 +176,36 @@
   );
 });
 
+test("VMs agree on the newest configuration, whatever the order of updates", () => {
+  const update = fc.tuple(
+    fc.integer({ min: 1, max: 5 }),
+    fc.integer({ min: 1, max: 30 }),
+    fc.integer({ min: 1, max: 3 }),
+  );
+  const start = fc.record({
+    epoch: fc.integer({ min: 1, max: 3 }),
+    copiedThrough: fc.integer({ min: 1, max: 20 }),
+    isSettled: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(start, { maxLength: 4 }),
+      fc.array(update, { minLength: 1 }),
+      (starts, received) => {
+        const epochs = createEpochTracker();
+        epochs.record(starts);
+        const updates = received.map(([version, number, epoch]) =>
+          makeConfigurationUpdate(version, number, epoch)
+        );
+        const keep = (current: FactUpdate, update: FactUpdate) =>
+          epochs.isNewer(update, current) ? update : current;
+        const one = updates.reduce(keep);
+        const two = updates.toReversed().reduce(keep);
+        assert.not(epochs.isNewer(one, two));
+        assert.not(epochs.isNewer(two, one));
+      },
+    ),
+  );
+});
+
 test.run();
--- a/src/news/fact_store.ts
+++ b/src/news/fact_store.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import { createEpochTracker, type EpochTracker } from "./epochs.ts";
 import {
+  CONFIGURATION_KEY,
   type Fact,
   type FactBatch,
   type FactUpdate,
@@ -28,7 +29,7 @@
   previous: Fact | undefined,
 ) => void;
 
-/** The facts of one VM. */
+/** The facts of one VM. A configuration is replaced, but never removed. */
 export interface FactStore {
   /**
    * Applies updates.
@@ -220,6 +221,7 @@
 
   function applyUpdate(update: FactUpdate): boolean {
     const previous = stored.get(update.key);
+    if (removesConfiguration(update, previous?.update)) return false;
     const state = topicStates.get(update.topic)!;
     const isNewer = previous === undefined
       ? update.version.epoch >= state.epochs.getSettled()
@@ -377,6 +379,17 @@
   };
 }
 
+/**
+ * Whether an update removes a configuration. One is in force until a newer one
+ * replaces it: forgotten, it would let an older one in.
+ */
+function removesConfiguration(
+  update: FactUpdate,
+  previous: FactUpdate | undefined,
+): boolean {
+  return update.fact === undefined && previous?.key === CONFIGURATION_KEY;
+}
+
 /**
  * @param store Store of the facts.
  * @returns The greatest age of a topic that is read from a source, in ms;
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -11,6 +11,7 @@
 import type { FactStore } from "./fact_store.ts";
 import type { Instant } from "./freshness.ts";
 import type {
+  Fact,
   FactBatch,
   FactSource,
   FactUpdate,
@@ -208,12 +209,19 @@
     publish(updates, asOf);
   }
 
-  /** Logs facts of the source for which this VM keeps a version of another epoch. */
+  /** Logs facts of the source that are older than what this VM keeps. */
   function logOlderFacts({ items, version: position }: FactBatch): void {
-    const older = items.flatMap(({ key, version }) => {
-      const known = store.get(key)?.version;
-      if (known === undefined || known.epoch === version.epoch) return [];
-      return known.number === version.number ? [] : [{ key, version, known }];
+    const older = items.flatMap(({ key, version, fact }) => {
+      const known = store.get(key);
+      if (known === undefined) return [];
+      const { epoch, number } = known.version;
+      if (epoch === version.epoch && number >= version.number) return [];
+      if (number === version.number) return [];
+      const configurations = {
+        configuration: getConfigurationVersion(fact),
+        knownConfiguration: getConfigurationVersion(known.fact),
+      };
+      return [{ key, version, known: known.version, ...configurations }];
     });
     if (older.length === 0) return;
     const shown = older.slice(0, MAX_LOGGED_FACTS);
@@ -272,3 +280,9 @@
   void run();
   return { stop: () => void (stopped = true) };
 }
+
+function getConfigurationVersion(fact: Fact | undefined): number | undefined {
+  return fact?.kind === "configuration"
+    ? fact.configuration.version
+    : undefined;
+}
