Keep the newer document where a newer row holds an older one

Its number now decides; after a restore the time of the put does, as before. The new test of view_test.ts failed before.

--- a/src/config/view.ts
+++ b/src/config/view.ts
@@ -96,9 +96,9 @@
 }
 
 /**
- * Parses a row unless it is older than the document in force. After a restore of
- * the table the row version is higher although the document may be older; then
- * the time of the put decides.
+ * Parses a row unless its document is older than the one in force: the row may be
+ * newer all the same. After a restore of the table, numbers may have been given
+ * out again; then the time of the put decides.
  */
 function parseNewer(
   row: Row,
@@ -109,10 +109,13 @@
   if (stored === undefined || inForce === undefined) return stored;
   const isRestored = getTableEpoch(row.version) >
     getTableEpoch(inForce.rowVersion);
-  if (!isRestored || stored.atMs >= inForce.atMs) return stored;
+  const isOlder = isRestored
+    ? stored.atMs < inForce.atMs
+    : stored.number < inForce.number;
+  if (!isOlder) return stored;
   log.warn(
-    `${row.key}: the restored table holds version ${stored.number}, older ` +
-      `than version ${inForce.number} in force; put the document again`,
+    `${row.key}: the table holds version ${stored.number}, older than version ` +
+      `${inForce.number} in force; put the document again`,
     { step: "config.apply" },
   );
   return undefined;
--- a/src/config/view_test.ts
+++ b/src/config/view_test.ts
@@ -34,6 +34,12 @@
   assert.is(getNumberInForce(lost, copied, putNext), 3);
 });
 
+test("an older document in a newer row does not come into force", () => {
+  assert.is(getNumberInForce(makeRow(2, 3, 100), makeRow(1, 4, 200)), 2);
+  const next = makeRow(3, 5, 300);
+  assert.is(getNumberInForce(makeRow(2, 3, 100), makeRow(1, 4, 200), next), 3);
+});
+
 // Such a time can't be printed, and no later put would be newer.
 for (const atMs of [-1, 1e300]) {
   test(`a document put at ${atMs} ms does not come into force`, () => {
