Turn down configurations that contradict themselves

Callers got 404 or were refused where a configuration was taken that couldn't be in force as a whole: routes to a service that it lacks, splits whose weights are all 0, two routes with the prefix of one host, two services or accounts of one name, one key of two accounts. Its fields had been checked one by one, nothing looked at all of them.

findContradictions is part of the schema that both the store's rows and the facts of other VMs pass, so no path takes what another turns down. The last valid configuration stays in force, and "skipped invalid row" names the fields.

--- a/src/news/schema.ts
+++ b/src/news/schema.ts
@@ -6,6 +6,7 @@
  */
 import * as z from "zod";
 import { isHostPort } from "../runtime/address.ts";
+import { findContradictions } from "../routing/configuration_check.ts";
 import { MAX_TIMER_MS } from "../runtime/clock.ts";
 
 const MAX_NAME_CHARS = 200;
@@ -19,6 +20,8 @@
 /** Largest number that stands for an amount, such as a rate or a weight. */
 const MAX_AMOUNT = 1e9;
 const MAX_FINGERPRINT_CHARS = 64;
+/** Most contradictions of a configuration that are reported. */
+const MAX_PROBLEMS = 5;
 const name = z.string().min(1).max(MAX_NAME_CHARS);
 const fingerprint = z.string().min(1).max(MAX_FINGERPRINT_CHARS);
 /** Versions of facts are made from it, and have to stay exact. */
@@ -60,7 +63,7 @@
   homeRegions: regions,
 });
 
-/** Schema of a configuration. */
+/** Schema of a configuration, which also finds its contradictions. */
 export const configurationSchema = z.object({
   version: z.number().int().nonnegative(),
   routes: z.array(routeSchema).max(MAX_ENTRIES),
@@ -77,6 +80,11 @@
     idleTimeoutMs: positiveDurationMs,
   }),
   accounts: z.array(accountSchema).max(MAX_ACCOUNTS).optional(),
+}).superRefine((configuration, context) => {
+  const problems = findContradictions(configuration);
+  for (const { path, message } of problems.slice(0, MAX_PROBLEMS)) {
+    context.addIssue({ code: "custom", path, message });
+  }
 });
 
 /** Schema of a listed backend server. */
--- a/src/routing/table.ts
+++ b/src/routing/table.ts
@@ -77,8 +77,11 @@
   return index < 0 ? path : path.slice(0, index);
 }
 
-/** Removes the port and lowercases the host name. */
-function normalizeHost(host: string): string {
+/**
+ * @param host A host, with or without a port.
+ * @returns The name under which its routes are found.
+ */
+export function normalizeHost(host: string): string {
   const index = host.lastIndexOf(":");
   return (index < 0 ? host : host.slice(0, index)).toLowerCase();
 }
