Count a request's time from when it may have arrived, not from when it is read

Cause: a request's time began when its head had been parsed. What waits in a connection while the event loop is busy, or in the queue of the listening socket, of which Node.js accepts one connection a turn, had no time at all; the VM then gave such a request its whole time again, sent it to servers with it, and had the less time for the next ones.

What is read in a poll arrived after the last poll that ended before, which readDelay tells; new connections came after the last poll that accepted none, or after the opening of an own connection that has been accepted since, which is opened only while the queue isn't seen empty for 0.1 s. A request that waited is counted from there, refused once its time is over, and not begun if less is left than its route's answers take; refusals are cheap, so that the queue shrinks.

--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -18,6 +18,10 @@
 import type { RouteTable } from "../routing/table.ts";
 import type { Route } from "../routing/types.ts";
 import type { HostPort } from "../runtime/address.ts";
+import {
+  createAcceptDelay,
+  openOwnConnection,
+} from "../runtime/accept_delay.ts";
 import { createBodyBuffer } from "../runtime/body_buffer.ts";
 import {
   createBodyMeter,
@@ -158,6 +162,11 @@
     onDrop: (socket) => void connections.closeAfterBegun(socket),
   });
   const connections = createClientConnections(gate.hasWaiting);
+  const acceptDelay = createAcceptDelay({
+    clock,
+    readDelay: options.readDelay,
+    openProbe: (onFailed) => openOwnConnection(options.address, onFailed),
+  });
   let openRequests = 0;
   let acceptedConnections = 0;
 
@@ -175,7 +184,8 @@
   );
   server.on("connection", (socket) => {
     acceptedConnections++;
-    connections.open(socket);
+    if (acceptDelay.recordAccepted(socket)) connections.open(socket);
+    else socket.destroy();
   });
   server.on("clientError", (error, socket) => {
     // Bytes that can't be parsed must not cost the requests before them their
@@ -199,9 +209,10 @@
     response: ServerResponse,
     expectsContinue: boolean,
   ): void {
+    const readDelayMs = acceptDelay.getMs(message.socket);
     const arrival: Arrival = {
-      atMs: clock.monotonicMs(),
-      readDelayMs: options.readDelay.getMs(),
+      atMs: clock.monotonicMs() - readDelayMs,
+      readDelayMs,
       expectsContinue,
     };
     gate.admit(
@@ -650,9 +661,9 @@
 
 /** How a request arrived. */
 interface Arrival {
-  /** When its headers had arrived, on the monotonic clock. */
+  /** When its headers may have arrived first, on the monotonic clock. */
   atMs: number;
-  /** Time for which they may have waited to be read. */
+  /** Time for which they may have waited to be read since. */
   readDelayMs: number;
   /** Whether the client sends the body only when it is asked for it. */
   expectsContinue: boolean;
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -87,6 +87,8 @@
  * No attempt is made with less time left: a server needs that much to answer.
  */
 const MIN_ATTEMPT_MS = 20;
+/** A request whose first attempt begins sooner has not waited. */
+const MIN_LATE_START_MS = 100;
 /**
  * Least share of the route's timeout after which a timeout without a response
  * suggests that the server ended. After a short deadline of the client, or the
@@ -228,7 +230,22 @@
     const endsAtMs = mayHaveRun(progress)
       ? Math.min(progress.deadlineAtMs, options.processEnd.getMs())
       : progress.deadlineAtMs;
-    return endsAtMs - clock.monotonicMs() >= MIN_ATTEMPT_MS;
+    const leftMs = endsAtMs - clock.monotonicMs();
+    return leftMs >= MIN_ATTEMPT_MS && !isBegunTooLate(progress, leftMs);
+  }
+
+  /**
+   * Whether a request waited so long for its first attempt, as it does while this
+   * VM lacks processor time, that the attempt would end without its answer.
+   */
+  function isBegunTooLate(
+    { request, triedServers }: RequestProgress,
+    leftMs: number,
+  ): boolean {
+    const { route, arrivedAtMs } = request;
+    const waitedMs = clock.monotonicMs() - arrivedAtMs;
+    if (triedServers.size > 0 || waitedMs < MIN_LATE_START_MS) return false;
+    return leftMs < (options.latencyModel.getExpectedMs(route, "any") ?? 0);
   }
 
   /** Whether a request can use all of its time before this process ends. */
