Count the time of an entry's requests from when they may have arrived

What a request waited is now taken off, and one whose time is over is answered 503, not run. The new test of routes_test.ts failed before.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -21,6 +21,8 @@
 import { createBlockTableGetter } from "../lookup/routes.ts";
 import { requireKey } from "../runtime/access.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { createLogger } from "../runtime/logger.ts";
+import { startReadDelay } from "../runtime/read_delay.ts";
 import { createDial } from "../runtime/dial.ts";
 import { openSocket } from "../runtime/open_socket.ts";
 import { createRouter } from "../runtime/http_server.ts";
@@ -37,6 +39,8 @@
  * leaving entry, in ms.
  */
 const LEAVE_SLACK_MS = 700;
+const log = createLogger("entry");
+
 /** Limits seeds of the random generator to 31 bits. */
 const SEED_MASK = 0x7fff_ffff;
 
@@ -96,6 +100,11 @@
     outcomes: stats.counts(),
   }));
   const blocks = createBlockTableGetter(agent);
+  const readDelay = startReadDelay({
+    clock,
+    onHeldUp: (delayMs) =>
+      log.warn(`Requests waited to be read for ${Math.round(delayMs)} ms`),
+  });
   const routeOptions = {
     agent,
     forwarder,
@@ -103,6 +112,7 @@
     blocks,
     clock,
     bodies: createBodyBudget(),
+    readDelay,
   };
   const callerRouter = createRouter();
   addHandoverRoute(peerRouter, routeOptions);
@@ -124,6 +134,7 @@
     finishWork: forwarder.waitUntilIdle,
     async close() {
       loadTimer.cancel();
+      readDelay.stop();
       monitor.close();
       poisonRequests.close();
       await Promise.all([backends.close(), peers.close()]);
--- a/src/forwarding/routes.ts
+++ b/src/forwarding/routes.ts
@@ -15,6 +15,7 @@
 import { describeError } from "../runtime/errors.ts";
 import { getHeader, readBody, sendProblem } from "../runtime/http_server.ts";
 import { createId } from "../runtime/ids.ts";
+import type { ReadDelay } from "../runtime/read_delay.ts";
 import { createLogger } from "../runtime/logger.ts";
 import type { EntryStats } from "./entry_stats.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
@@ -40,6 +41,8 @@
   clock: Clock;
   /** Memory for the bodies of requests. */
   bodies: ByteBudget;
+  /** How long requests may have waited to be read. */
+  readDelay: Pick<ReadDelay, "getMs">;
 }
 
 /** @returns Memory for the bodies of all requests of an entry. */
@@ -211,7 +214,11 @@
       detail: `${HEADERS.deadlineMs} must be 1 to ${MAX_DEADLINE_MS}`,
     };
   }
-  const deadlineMs = options.clock.monotonicMs() + timeMs;
+  const leftMs = timeMs - options.readDelay.getMs();
+  if (leftMs <= 0) {
+    return { status: 503, detail: "Its time ended before it was read" };
+  }
+  const deadlineMs = options.clock.monotonicMs() + leftMs;
   const keyText = getHeader(request, HEADERS.idempotencyKey);
   const key = keyText === undefined ? undefined : parseKey(keyText);
   if (!requestClass.idempotent && key === undefined) {
--- a/src/forwarding/routes_test.ts
+++ b/src/forwarding/routes_test.ts
@@ -35,12 +35,15 @@
   client: HttpClient;
   /** Requests in progress, and what ends them. */
   pending: { request: ForwardRequest; end: (outcome: Outcome) => void }[];
+  /** Time for which requests wait to be read. */
+  readDelayMs: number;
 }
 
 const test = suite<Context>("callers' requests");
 
 test.before.each(async (context) => {
   context.pending = [];
+  context.readDelayMs = 0;
   const router = createRouter();
   const config = { services: new Map([["s", { document }]]) };
   const forwarder: Partial<RequestForwarder> = {
@@ -54,6 +57,7 @@
     blocks: () => createBlockTable([]),
     clock: createSystemClock(),
     bodies: createByteBudget(2_500),
+    readDelay: { getMs: () => context.readDelayMs },
   });
   context.server = await listen(router, "127.0.0.1:0");
   context.client = createHttpClient({
@@ -127,4 +131,19 @@
   assert.is((await next).status, 504);
 });
 
+test("a request that a busy entry reads late has only the rest of its time", async (context) => {
+  const { deadlineMs } = document.classes[0];
+  context.readDelayMs = deadlineMs - 100;
+  const answer = post(context, 0);
+  await waitForPending(context, 1);
+  const [{ request, end }] = context.pending;
+  assert.ok(request.deadlineMs - performance.now() <= 100);
+  end({ kind: "unknown", reason: "test", retryAfterS: 1 });
+  await answer;
+  context.readDelayMs = deadlineMs;
+  const refused = await post(context, 0);
+  assert.is(refused.status, 503);
+  assert.is(JSON.parse(refused.body.toString()).outcome, "not_run");
+});
+
 test.run();
