Ask for missed facts when a difference lasts, not at its next sign

A VM that missed a message, because the link opened just after it or was congested, compared digests and waited for a second message of the same VM, a second later or more: up to 2.5 s until a change was in force, where 2 are allowed, for configurations, evacuations and servers alike. Read messages counted its facts as current meanwhile, so that it didn't read for itself either.

A new difference is looked at again after 0.4 s, and the topic requested if nothing has changed here since. While changes arrive, the second-long rule holds as before, so that a fleet in motion doesn't exchange whole topics.

--- a/src/members/repair.ts
+++ b/src/members/repair.ts
@@ -38,6 +38,11 @@
   compare(other: FactPeer, topic: Topic, digest: TopicDigest): boolean;
 }
 
+/** A difference between the facts of this VM and of another one. */
+interface Difference {
+  sinceMs: number;
+}
+
 /** Dependencies of the fact repair. */
 export interface FactRepairOptions {
   factStore: FactStore;
@@ -45,13 +50,13 @@
   log: Log;
 }
 
+/** A difference that lasts this long is not due to changes in flight. */
+const DIVERGENCE_TIMEOUT_MS = 1_000;
 /**
- * Updates in flight make digests differ too, for at most one interval of the
- * reader (150 ms) and one round trip (70 ms). A difference that lasts this long
- * has another cause, and the repaired facts can still take effect within the
- * shortest limit (2 s).
+ * The same where no change arrives meanwhile: updates are in flight for at most
+ * one interval of the reader (150 ms) and one round trip (70 ms).
  */
-const DIVERGENCE_TIMEOUT_MS = 1_000;
+const QUIET_DIVERGENCE_TIMEOUT_MS = 400;
 /** Requests go to one VM at a time; an answer takes a round trip. */
 const REQUEST_PAUSE_MS = 500;
 
@@ -76,14 +81,32 @@
 export function createFactRepair(options: FactRepairOptions): FactRepair {
   const { factStore, clock, log } = options;
   const sentAtMs = new Map<Topic, number>();
-  const differentSinceMs = new WeakMap<FactPeer, Map<Topic, number>>();
+  const differences = new WeakMap<FactPeer, Map<Topic, Difference>>();
 
-  function getSince(other: FactPeer): Map<Topic, number> {
-    const known = differentSinceMs.get(other);
+  function getDifferences(other: FactPeer): Map<Topic, Difference> {
+    const known = differences.get(other);
     if (known !== undefined) return known;
-    const since = new Map<Topic, number>();
-    differentSinceMs.set(other, since);
-    return since;
+    const created = new Map<Topic, Difference>();
+    differences.set(other, created);
+    return created;
+  }
+
+  /**
+   * Checks a new difference again when it is due. The other VM may not repeat its
+   * digest for a second, and a change has to be in force after two.
+   */
+  function recheckLater(
+    other: FactPeer,
+    topic: Topic,
+    difference: Difference,
+  ): void {
+    const own = factStore.getDigest(topic);
+    clock.after(QUIET_DIVERGENCE_TIMEOUT_MS, () => {
+      const isCurrent = getDifferences(other).get(topic) === difference;
+      // Changes since then are what was in flight, or will show again.
+      const hasChanged = !isSameDigest(factStore.getDigest(topic), own);
+      if (isCurrent && !hasChanged) requestTopic(other, topic);
+    });
   }
 
   function requestTopic(other: FactPeer, topic: Topic): void {
@@ -102,17 +125,20 @@
       );
       factStore.recordEpochs(topic, digest.epochs ?? []);
       const own = factStore.getDigest(topic);
-      const since = getSince(other);
+      const known = getDifferences(other);
       if (isSameDigest(own, digest)) {
-        since.delete(topic);
+        known.delete(topic);
         return false;
       }
       const nowMs = clock.monotonicMs();
-      const sinceMs = since.get(topic) ?? nowMs;
-      since.set(topic, sinceMs);
+      const difference = known.get(topic) ?? { sinceMs: nowMs };
       const isLacking = own.facts === 0 || startedAfterRestore ||
-        nowMs - sinceMs >= DIVERGENCE_TIMEOUT_MS;
+        nowMs - difference.sinceMs >= DIVERGENCE_TIMEOUT_MS;
       if (isLacking && digest.facts > 0) requestTopic(other, topic);
+      if (!known.has(topic)) {
+        known.set(topic, difference);
+        if (digest.facts > 0) recheckLater(other, topic, difference);
+      }
       return isLacking;
     },
   };
