Prove no configuration by a restored store to VMs that start after the restore

VMs that read for others now leave a mark in the store, one row of a table of their own, when its epoch is settled; the first epoch of a fleet is so from its first start. A restore begins an epoch that isn't marked. A VM that starts reads the mark beside its first listing. Without it, keys are refused (503) until the operator writes in that epoch or the epoch is settled, 5 s later, as they are by VMs that saw the restore. Costs a call for each VM that starts and reads for itself, and a write for each epoch.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,6 +32,7 @@
 } from "../news/reader.ts";
 import {
   CONFIGURATION_KEY,
+  type EpochMarks,
   type FactSource,
   SOURCE_TOPICS,
 } from "../news/types.ts";
@@ -65,6 +66,7 @@
   clock: Clock;
   log: Log;
   source: FactSource;
+  epochMarks: EpochMarks;
   vmRegistry: VmRegistry;
   codec: WireCodec;
   paths: ControlPaths;
@@ -391,15 +393,16 @@
 /**
  * Whether a read of the source proves that the configuration is current. After
  * a restore the source may lack a configuration that no VM has read, so a read
- * proves nothing until the operator has written a configuration again.
+ * proves nothing until the operator has written a configuration again. A VM that
+ * has seen no other epoch can't know that there was none.
  */
 function canProveConfiguration(factStore: FactStore): boolean {
-  return !factStore.hasUnsettledRestore("operations") ||
+  return factStore.isSettled("operations") ||
     factStore.isFromLatestEpoch(CONFIGURATION_KEY);
 }
 
 function startReaders(
-  { source, clock, log, settings }: GatewayOptions,
+  { source, epochMarks, clock, log, settings }: GatewayOptions,
   factStore: FactStore,
   callbacks: Pick<
     ReaderOptions,
@@ -417,6 +420,8 @@
       clock,
       log,
       timings,
+      ...(topic === "operations" ? { epochMarks } : {}),
+      isFirstStart: settings.isFleetBootstrap,
       ...callbacks,
     });
   });
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -10,7 +10,9 @@
 import { createEpochSettlement } from "./epoch_settlement.ts";
 import type { FactStore } from "./fact_store.ts";
 import type { Instant } from "./freshness.ts";
+import { createMarkKeeper } from "./epoch_marks.ts";
 import type {
+  EpochMarks,
   Fact,
   FactBatch,
   FactSource,
@@ -88,6 +90,13 @@
   onRead: (topic: SourceTopic, requestedAt: Instant) => void;
   /** @returns The current instant. */
   getInstant: () => Instant;
+  /** Marks of settled epochs; undefined where none are kept for the topic. */
+  epochMarks?: EpochMarks;
+  /**
+   * Whether the source is read for the first time ever, so that its epoch can't
+   * have lost anything.
+   */
+  isFirstStart?: boolean;
 }
 
 /** A running reader. */
@@ -111,11 +120,14 @@
   let stopped = false;
   let position: FactVersion | undefined;
   const settlement = createEpochSettlement(topic, store, clock);
+  const marks = options.epochMarks && createMarkKeeper(options.epochMarks);
   let failures = 0;
 
   async function readOnce(): Promise<void> {
     const asOf = options.getInstant();
-    if (position === undefined || settlement.isDue()) return await list(asOf);
+    if (position === undefined || settlement.isDue() || isMarkUnknown()) {
+      return await list(asOf);
+    }
     const result = await source.follow(topic, position.number, timings.waitMs);
     settlement.recordAnswer();
     if (result.kind === "history_lost") {
@@ -141,7 +153,11 @@
 
   async function list(asOf: Instant): Promise<void> {
     const isSettlementDue = settlement.isDue();
-    const answer = await source.list(topic);
+    const isFirst = options.isFirstStart && store.getLatestEpoch(topic) === 0;
+    const [answer, marked] = await Promise.all([
+      source.list(topic),
+      isFirst ? undefined : readMark(),
+    ]);
     const batch = toFactBatch(answer);
     position = undefined;
     if (isOfEarlierEpoch(batch)) {
@@ -152,7 +168,8 @@
         } is known`,
       );
     }
-    const isSettled = isSettlementDue && settlement.settlesEpoch(batch);
+    const isSettled = isFirst || marked === batch.version.epoch ||
+      isSettlementDue && settlement.settlesEpoch(batch);
     if (answer.epoch !== undefined) recordEpoch(batch.version, isSettled);
     settlement.recordAnswer();
     const updates = store.applySnapshot(topic, batch);
@@ -164,6 +181,24 @@
     acceptBatch(batch, updates, asOf);
   }
 
+  /** Whether an epoch that this VM can't judge may have been marked as settled. */
+  function isMarkUnknown(): boolean {
+    return marks !== undefined && !store.isSettled(topic) &&
+      marks.isUnread(store.getLatestEpoch(topic));
+  }
+
+  /** Returns the epoch that is marked; undefined where it isn't needed. */
+  async function readMark(): Promise<number | undefined> {
+    const epoch = store.getLatestEpoch(topic);
+    if (marks === undefined || !marks.isUnread(epoch)) return undefined;
+    try {
+      return await marks.read(epoch);
+    } catch (cause) {
+      log.warn({ topic, error: describeError(cause) }, "epoch's mark not read");
+      return undefined;
+    }
+  }
+
   /** An answer that names no epoch belongs to the latest one that is known. */
   function toFactBatch(
     { items, version, epoch, invalidKeys }: SourceBatch,
@@ -195,8 +230,10 @@
       isSettled,
     }]);
     if (!isNew) return;
-    if (isSettled) log.info({ topic, epoch }, "epoch settled");
-    else log.warn({ topic, epoch, before, position: number }, "epoch began");
+    if (isSettled) {
+      log.info({ topic, epoch }, "epoch settled");
+      if (options.hasReadDuty()) marks?.setDue(epoch);
+    } else log.warn({ topic, epoch, before, position: number }, "epoch began");
   }
 
   function acceptBatch(
@@ -207,6 +244,9 @@
     position = batch.version;
     logOlderFacts(batch);
     publish(updates, asOf);
+    marks?.writeDue().catch((cause) => {
+      log.warn({ topic, error: describeError(cause) }, "epoch not marked");
+    });
   }
 
   /** Logs facts of the source that are older than what this VM keeps. */
--- a/src/news/types.ts
+++ b/src/news/types.ts
@@ -131,3 +131,16 @@
     waitMs: number,
   ): Promise<FollowResult>;
 }
+
+/**
+ * Keeps the settled epoch of a source in the source itself, so that VMs that start
+ * while no other one is up can tell a source that lost nothing from one that was
+ * restored: a restore begins an epoch that no VM has marked. Calls throw StepError
+ * on failure.
+ */
+export abstract class EpochMarks {
+  /** @returns The epoch that was marked last; undefined where none was. */
+  abstract read(): Promise<number | undefined>;
+  /** @param epoch An epoch that is settled. */
+  abstract write(epoch: number): Promise<void>;
+}
