--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -360,7 +360,6 @@
       startCheck.cancel();
       freshnessMonitor?.cancel();
       overloadMonitor.stop();
-      readDelay.stop();
       activitySharing.stop();
       usageSharing.stop();
       serverLimitSharing.stop();
@@ -380,7 +379,10 @@
         control: [...controlServers, peerServer],
         graceMs: settings.bounds.graceMs,
         ttlMs,
-      }).finally(core.reachMonitor.stop);
+      }).finally(() => {
+        core.reachMonitor.stop();
+        readDelay.stop();
+      });
     },
   };
 }
