Test that answers which servers cut in their heads don't look whole

Reported by operators of other systems: a backend server stopped within its answer's head and closed, and clients got a 200 framed as whole.

--- a/src/caller/caller_test.ts
+++ b/src/caller/caller_test.ts
@@ -9,6 +9,7 @@
   ENDLESS_ANSWERS,
   startEndlessServer,
 } from "../standin/endless_server.ts";
+import { listHeadCuts, startCutServer } from "../standin/cut_server.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { type Call, type Caller, createCaller } from "./mod.ts";
 
@@ -222,4 +223,22 @@
   assert.is(result.kind === "not_run" && result.retryAfterS, 600);
 });
 
+test("an entry's answer that is cut in its head is not passed off as whole", async (context) => {
+  const makeHeaders = () => `${HEADERS.outcome}: answer\r\n`;
+  const entry = await startCutServer(makeHeaders);
+  const steer = await serveLookups(
+    context,
+    JSON.stringify(makeLookupAnswer(entry.address)),
+  );
+  const caller = startCaller(context, steer);
+  for (const cut of listHeadCuts(makeHeaders, 3)) {
+    entry.setCut(cut);
+    const { kind } = await caller.call(call);
+    assert.is(kind, "unknown", JSON.stringify(cut));
+  }
+  entry.setCut(undefined);
+  assert.is((await caller.call(call)).kind, "answer");
+  entry.close();
+});
+
 test.run();
--- a/src/forwarding/backend_client_test.ts
+++ b/src/forwarding/backend_client_test.ts
@@ -16,6 +16,7 @@
   ENDLESS_ANSWERS,
   startEndlessServer,
 } from "../standin/endless_server.ts";
+import { listHeadCuts, startCutServer } from "../standin/cut_server.ts";
 import {
   type AnswerMode,
   type BackendFaults,
@@ -23,7 +24,7 @@
   startStandinBackend,
 } from "../standin/backend_server.ts";
 import { HttpBackendClient } from "./backend_client.ts";
-import type { ExchangeResult, ForwardRequest } from "./types.ts";
+import { type ExchangeResult, type ForwardRequest, HEADERS } from "./types.ts";
 
 const clock = createSystemClock();
 
@@ -312,4 +313,18 @@
   assert.is((await context.client.probe(server)).state, "failing");
 });
 
+test("an answer that is cut in its head is not passed off as whole", async (context) => {
+  const makeHeaders = () => `${HEADERS.requestId}: r1\r\n`;
+  const server = await startCutServer(makeHeaders);
+  context.document.backendServers[0].address = server.address;
+  for (const cut of listHeadCuts(makeHeaders, 3)) {
+    server.setCut(cut);
+    const result = await send(context);
+    assert.is(result.kind, "failed", JSON.stringify({ cut, result }));
+  }
+  server.setCut(undefined);
+  assert.is((await send(context)).kind, "answer");
+  server.close();
+});
+
 test.run();
--- a/src/standin/cut_server.ts
+++ b/src/standin/cut_server.ts
@@ -11,7 +11,7 @@
 /** Body of a whole answer. */
 export const WHOLE_BODY = "whole answer";
 /** Answers by how they are framed; `{headers}` stands for further headers. */
-export const ANSWER_FORMS = {
+const ANSWER_FORMS = {
   "length last": "HTTP/1.1 200 OK\r\n{headers}Content-Length: 12\r\n\r\n",
   "length first": "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n{headers}\r\n",
   "chunks": "HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n",
@@ -49,13 +49,32 @@
   close(): void;
 }
 
+/** Returns the head of an answer with further headers, up to the empty line. */
+function makeAnswerHead(form: AnswerForm, headers: string): string {
+  return ANSWER_FORMS[form].replace("{headers}", headers);
+}
+
 /**
- * @param form How an answer is framed.
- * @param headers Its headers besides those of the form, each with a line end.
- * @returns The head, up to the empty line.
+ * @param makeHeaders Makes the headers of the answer, each with a line end, from a
+ *   request's head.
+ * @param stepBytes Distance of the bytes after which answers are cut.
+ * @param silenceMs Time from the bytes to the end, in ms.
+ * @returns Answers of all forms that are closed and reset within their heads.
  */
-export function makeAnswerHead(form: AnswerForm, headers: string): string {
-  return ANSWER_FORMS[form].replace("{headers}", headers);
+export function listHeadCuts(
+  makeHeaders: (requestHead: string) => string,
+  stepBytes: number,
+  silenceMs = 0,
+): AnswerCut[] {
+  return (Object.keys(ANSWER_FORMS) as AnswerForm[]).flatMap((form) => {
+    const headBytes = makeAnswerHead(form, makeHeaders("")).length;
+    const cuts: AnswerCut[] = [];
+    for (let bytes = 1; bytes < headBytes; bytes += stepBytes) {
+      cuts.push({ form, bytes, end: "close", silenceMs });
+      cuts.push({ form, bytes, end: "reset", silenceMs });
+    }
+    return cuts;
+  });
 }
 
 /**
