--- a/src/serving/fixture.ts
+++ b/src/serving/fixture.ts
@@ -112,6 +112,7 @@
     homeRegions: [],
     route: makeRoute(),
     arrivedAtMs: 0,
+    readDelayMs: 0,
     signal: new AbortController().signal,
     ...changes,
   };
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -184,7 +184,8 @@
   );
   server.on("connection", (socket) => {
     acceptedConnections++;
-    if (acceptDelay.recordAccepted(socket)) connections.open(socket);
+    const isClient = acceptDelay.recordAccepted(socket);
+    if (isClient) connections.open(socket);
     else socket.destroy();
   });
   server.on("clientError", (error, socket) => {
@@ -349,6 +350,7 @@
       route,
       homeRegions: checked.homeRegions,
       arrivedAtMs,
+      readDelayMs,
       signal: begun.signal,
       holdBodies,
     });
@@ -663,7 +665,7 @@
 interface Arrival {
   /** When its headers may have arrived first, on the monotonic clock. */
   atMs: number;
-  /** Time for which they may have waited to be read since. */
+  /** Time from then until they were read, in ms; 0 where it is too short. */
   readDelayMs: number;
   /** Whether the client sends the body only when it is asked for it. */
   expectsContinue: boolean;
--- a/src/serving/request_handler.ts
+++ b/src/serving/request_handler.ts
@@ -87,8 +87,6 @@
  * No attempt is made with less time left: a server needs that much to answer.
  */
 const MIN_ATTEMPT_MS = 20;
-/** A request whose first attempt begins sooner has not waited. */
-const MIN_LATE_START_MS = 100;
 /**
  * Least share of the route's timeout after which a timeout without a response
  * suggests that the server ended. After a short deadline of the client, or the
@@ -235,16 +233,14 @@
   }
 
   /**
-   * Whether a request waited so long for its first attempt, as it does while this
-   * VM lacks processor time, that the attempt would end without its answer.
+   * Whether a request waited so long to be read, as it does while this VM lacks
+   * processor time, that its first attempt would end without an answer.
    */
   function isBegunTooLate(
-    { request, triedServers }: RequestProgress,
+    { request: { route, readDelayMs }, triedServers }: RequestProgress,
     leftMs: number,
   ): boolean {
-    const { route, arrivedAtMs } = request;
-    const waitedMs = clock.monotonicMs() - arrivedAtMs;
-    if (triedServers.size > 0 || waitedMs < MIN_LATE_START_MS) return false;
+    if (triedServers.size > 0 || readDelayMs === 0) return false;
     return leftMs < (options.latencyModel.getExpectedMs(route, "any") ?? 0);
   }
 
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -76,8 +76,10 @@
    * undefined where none may.
    */
   homeRegions: readonly string[] | undefined;
-  /** When the headers had arrived, on the monotonic clock. */
+  /** When the headers may have arrived first, on the monotonic clock. */
   arrivedAtMs: number;
+  /** Time from then until they were read, in ms; 0 where it is too short. */
+  readDelayMs: number;
   /** Aborted when the client disconnects. */
   signal: ClientSignal;
   /**
