Take back the measure of connections that wait to be accepted

What a busy event loop delays is still counted, with a tolerance of a quarter of a second, half of what a route's timeout allows, so that short delays change nothing.

--- a/src/runtime/read_delay.ts
+++ b/src/runtime/read_delay.ts
@@ -14,8 +14,9 @@
 /** Measures how long bytes wait to be read. */
 export interface ReadDelay {
   /**
-   * @returns Longest time for which bytes that are read now can have waited, in
-   *   ms; 0 where the event loop is as good as idle.
+   * @returns Time for which bytes that are read now have waited, in ms: the longest
+   *   possible one less a tolerance, since a request that is given up too early
+   *   costs its caller more than one that is held a little too long.
    */
   getMs(): number;
   /** @returns The longest such time since the previous call, in ms. */
@@ -28,8 +29,8 @@
 export interface ReadDelayOptions {
   clock: Clock;
   /**
-   * Called when bytes may have waited for longer than {@link HELD_UP_MS}; at most
-   * once a second.
+   * Called when bytes may have waited for over a quarter of a second; at most once
+   * a second.
    *
    * @param delayMs The longest time since the previous call, in ms.
    */
@@ -39,10 +40,8 @@
 }
 
 const TURN_INTERVAL_MS = 50;
-/** Delays below this are those of the measurement. */
-const MIN_DELAY_MS = 2 * TURN_INTERVAL_MS;
-/** Delay from which requests are late. */
-export const HELD_UP_MS = 250;
+/** Half of the time for which a request may be held past its route's timeout. */
+const TOLERANCE_MS = 250;
 const REPORT_INTERVAL_MS = 1_000;
 
 /**
@@ -66,7 +65,7 @@
     unreportedMs = Math.max(unreportedMs, delayMs);
     // What this poll reads may have waited since the one before it.
     afterPoll(() => void (polledAtMs = nowMs));
-    if (unreportedMs < HELD_UP_MS) return void (unreportedMs = 0);
+    if (unreportedMs < TOLERANCE_MS) return void (unreportedMs = 0);
     if (nowMs - reportedAtMs < REPORT_INTERVAL_MS) return;
     reportedAtMs = nowMs;
     onHeldUp(unreportedMs);
@@ -76,8 +75,7 @@
   const timer = clock.every(TURN_INTERVAL_MS, recordTurn);
   return {
     getMs() {
-      const delayMs = clock.monotonicMs() - polledAtMs;
-      return delayMs < MIN_DELAY_MS ? 0 : delayMs;
+      return Math.max(0, clock.monotonicMs() - polledAtMs - TOLERANCE_MS);
     },
     takeMaxMs() {
       const takenMs = maxMs;
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -18,10 +18,7 @@
 import type { RouteTable } from "../routing/table.ts";
 import type { Route } from "../routing/types.ts";
 import type { HostPort } from "../runtime/address.ts";
-import {
-  createAcceptDelay,
-  openOwnConnection,
-} from "../runtime/accept_delay.ts";
+import { createAcceptDelay } from "../runtime/accept_delay.ts";
 import { createBodyBuffer } from "../runtime/body_buffer.ts";
 import {
   createBodyMeter,
@@ -165,7 +162,6 @@
   const acceptDelay = createAcceptDelay({
     clock,
     readDelay: options.readDelay,
-    openProbe: (onFailed) => openOwnConnection(options.address, onFailed),
   });
   let openRequests = 0;
   let acceptedConnections = 0;
@@ -184,9 +180,8 @@
   );
   server.on("connection", (socket) => {
     acceptedConnections++;
-    const isClient = acceptDelay.recordAccepted(socket);
-    if (isClient) connections.open(socket);
-    else socket.destroy();
+    acceptDelay.recordAccepted(socket);
+    connections.open(socket);
   });
   server.on("clientError", (error, socket) => {
     // Bytes that can't be parsed must not cost the requests before them their
