--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -255,6 +255,7 @@
       const known = store.get(key);
       if (known === undefined) return [];
       const { epoch, number } = known.version;
+      // An answer that is late, or a fact that is read again.
       if (epoch === version.epoch && number >= version.number) return [];
       if (number === version.number) return [];
       const configurations = {
