Log facts that other VMs send though the source has dropped them

The fact store now records the position up to which it knows the history of a topic, and "VM sent facts that the source no longer has" names the sender, the facts' versions and that position. It refuses nothing yet.

--- a/src/members/payloads.ts
+++ b/src/members/payloads.ts
@@ -172,6 +172,7 @@
     }
     const received = decodeUpdates(items, factStore.getLatestEpoch);
     logInvalid(link, received.invalid);
+    logRemoved(link, received.updates);
     const updates = whole === undefined
       ? factStore.apply(received.updates)
       : factStore.applyPeerSnapshot(
@@ -196,6 +197,22 @@
     log.error({ from, count: invalid.length, shown }, "skipped invalid facts");
   }
 
+  /** Logs facts that the sender has, though the source had dropped them. */
+  function logRemoved(link: VmLink, updates: readonly FactUpdate[]): void {
+    const removed = updates.filter((update) =>
+      update.fact !== undefined && factStore.isKnownRemoved(update)
+    );
+    if (removed.length === 0) return;
+    const from = links.get(link)?.identity?.id ?? link.peer;
+    const shown = removed.slice(0, MAX_LOGGED_FACTS)
+      .map(({ key, version }) => ({ key, version }));
+    const read = factStore.listReadPositions(removed[0].topic);
+    log.info(
+      { from, count: removed.length, shown, read },
+      "VM sent facts that the source no longer has",
+    );
+  }
+
   function logConfiguration(
     link: VmLink,
     updates: readonly FactUpdate[],
--- a/src/news/fact_store.ts
+++ b/src/news/fact_store.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from "../runtime/clock.ts";
 import { createEpochTracker, type EpochTracker } from "./epochs.ts";
+import { createReadPositions, type ReadPositions } from "./read_positions.ts";
 import {
   CONFIGURATION_KEY,
   type Fact,
@@ -38,6 +39,15 @@
    * @returns Those that were new to this VM.
    */
   apply(updates: readonly FactUpdate[]): FactUpdate[];
+  /**
+   * Applies changes that the source made to a topic since the position up to
+   * which this VM knew it.
+   *
+   * @param topic The topic.
+   * @param batch The changes, and the position up to which they reach.
+   * @returns Those that were new to this VM.
+   */
+  applyChanges(topic: Topic, batch: FactBatch): FactUpdate[];
   /**
    * Applies a full listing of a topic by its source. Facts that the listing
    * lacks are removed, except those of earlier epochs while the listing may come
@@ -69,6 +79,17 @@
    * @returns All its facts and removals, for a VM that lacks some of them.
    */
   listTopic(topic: Topic): FactUpdate[];
+  /**
+   * @param update A fact from another VM.
+   * @returns Whether it was removed: this VM lacks it, but knows the topic's
+   *   history up to a later position.
+   */
+  isKnownRemoved(update: FactUpdate): boolean;
+  /**
+   * @param topic The topic.
+   * @returns By epoch, the position up to which this VM knows the topic's history.
+   */
+  listReadPositions(topic: Topic): FactVersion[];
   /**
    * @param key Key of a fact.
    * @returns The newest update with that key; undefined where there is none.
@@ -161,6 +182,7 @@
 
 interface TopicState {
   epochs: EpochTracker;
+  readPositions: ReadPositions;
   /** Cached digest; undefined after a change. */
   digest: TopicDigest | undefined;
   /** Number of its stored facts and removals. */
@@ -177,11 +199,7 @@
   const stored = new Map<string, StoredUpdate>();
   const completeAtMs = new Map<Topic, number>();
   const topicStates = new Map<Topic, TopicState>(
-    TOPICS.map((topic) => [topic, {
-      epochs: createEpochTracker(),
-      digest: undefined,
-      keys: 0,
-    }]),
+    TOPICS.map((topic) => [topic, createTopicState()]),
   );
   const listeners: FactListener[] = [];
 
@@ -247,13 +265,32 @@
     return updates.filter(applyUpdate);
   }
 
+  function isKnownRemoved({ topic, key, version }: FactUpdate): boolean {
+    if (key === CONFIGURATION_KEY || stored.has(key)) return false;
+    return topicStates.get(topic)!.readPositions.includes(version);
+  }
+
+  /** Records that this VM knows all facts of a topic as of a batch. */
+  function recordRead(topic: Topic, batch: FactBatch): void {
+    if (batch.isEpochAssumed || !isDecoded(batch)) return;
+    topicStates.get(topic)!.readPositions.record(batch.version);
+  }
+
+  function applyChanges(topic: Topic, batch: FactBatch): FactUpdate[] {
+    const updates = apply(batch.items);
+    recordRead(topic, batch);
+    return updates;
+  }
+
   function applySnapshot(topic: Topic, batch: FactBatch): FactUpdate[] {
     const missing = listMissing(topic, batch.items, batch.invalidKeys)
       .filter((update) => covers(topic, batch.version, update.version));
     const removals = missing.map((update) =>
       makeRemoval(update, batch.version)
     );
-    return apply([...batch.items, ...removals]);
+    const updates = apply([...batch.items, ...removals]);
+    recordRead(topic, batch);
+    return updates;
   }
 
   function applyPeerSnapshot(
@@ -329,11 +366,14 @@
 
   return {
     apply,
+    applyChanges,
     applySnapshot,
     applyPeerSnapshot,
     listTopic: (topic) =>
       [...stored.values()].map(({ update }) => update)
         .filter((update) => update.topic === topic),
+    isKnownRemoved,
+    listReadPositions: (topic) => topicStates.get(topic)!.readPositions.list(),
     get: (key) => stored.get(key)?.update,
     recordEpochs(topic, starts) {
       const state = topicStates.get(topic)!;
@@ -379,6 +419,22 @@
   };
 }
 
+function createTopicState(): TopicState {
+  const epochs = createEpochTracker();
+  const readPositions = createReadPositions(epochs);
+  return { epochs, readPositions, digest: undefined, keys: 0 };
+}
+
+/**
+ * Whether a batch has an update for each of its facts. A configuration isn't
+ * needed: its own number decides which one is in force.
+ */
+function isDecoded({ items, invalidKeys = [] }: FactBatch): boolean {
+  return invalidKeys.every((invalid) =>
+    invalid === CONFIGURATION_KEY || items.some(({ key }) => key === invalid)
+  );
+}
+
 /**
  * Whether an update removes a configuration. One is in force until a newer one
  * replaces it: forgotten, it would let an older one in.
--- a/src/news/reader.ts
+++ b/src/news/reader.ts
@@ -148,7 +148,7 @@
       position = undefined;
       return;
     }
-    acceptBatch(batch, store.apply(batch.items), asOf);
+    acceptBatch(batch, store.applyChanges(topic, batch), asOf);
   }
 
   async function list(asOf: Instant): Promise<void> {
@@ -206,6 +206,7 @@
     const answerEpoch = epoch ?? store.getLatestEpoch(topic);
     return {
       version: makeVersion(version, answerEpoch),
+      isEpochAssumed: epoch === undefined && answerEpoch > 0,
       invalidKeys,
       items: items.map((update) => ({
         ...update,
--- a/src/news/types.ts
+++ b/src/news/types.ts
@@ -62,6 +62,8 @@
   version: FactVersion;
   /** Facts that exist without a valid update: what is known of them stays. */
   invalidKeys?: readonly string[];
+  /** Whether the source named no epoch, so that the version's may be wrong. */
+  isEpochAssumed?: boolean;
 }
 
 /** An update as a source numbers it; its epoch is that of the answer. */
