Keep facts that the source has dropped from coming back from other VMs

One VM had been partitioned from the store while the others started anew.

Cause: a VM without a stored predecessor of a fact took it from any other VM, whatever its version. A VM that has listed the topic later than that knows that the fact was removed, but it kept no record of how far it knows the topic, only removals that it has seen itself, for two minutes.

Fix: each VM records up to which position of which epoch it knows a topic's history, from its own reads, from the whole topic of another VM, and from the announcement of a reader that has the same facts. A fact before that position that it lacks was removed: it isn't taken, but from a listing that is as recent. Answers to requests for a topic carry the position, so that a VM that missed removals drops those facts, also while it doesn't reach the store. Removals are kept until the position shows them as well. Positions of different epochs are never compared; a configuration's own number decides, not its row's; answers with unreadable facts or without a named epoch show nothing. VMs of the earlier build ignore the new fields.

--- a/src/members/mesh.ts
+++ b/src/members/mesh.ts
@@ -7,6 +7,7 @@
 import type { FactStore } from "../news/fact_store.ts";
 import {
   type FactUpdate,
+  isSameDigest,
   type SourceTopic,
   type Topic,
   TOPICS,
@@ -298,9 +299,15 @@
 
   function receiveRead(
     state: LinkState,
-    { topic, digest, isOwn }: Extract<VmMessage, { kind: "read" }>,
+    { topic, digest, isOwn, readPositions = [] }: Extract<
+      VmMessage,
+      { kind: "read" }
+    >,
   ): void {
     if (repair.compare(state.facts, topic, digest)) return;
+    if (isSameDigest(factStore.getDigest(topic), digest)) {
+      factStore.recordReadPositions(topic, readPositions);
+    }
     factStore.recordComplete(topic, 0);
     // Forwarded only once: sent back and forth, it would keep the topic current
     // forever.
@@ -347,6 +354,7 @@
       topic,
       digest: factStore.getDigest(topic),
       isOwn,
+      readPositions: factStore.listReadPositions(topic),
     });
   }
 
--- a/src/members/mesh_test.ts
+++ b/src/members/mesh_test.ts
@@ -386,4 +386,65 @@
   await stop();
 });
 
+// Guards against evacuations that have ended, and servers that have left, which
+// come back from a VM that missed it.
+test("facts that the source has dropped are not taken from another VM", async () => {
+  const { address, factStore, stop } = await startTestMesh();
+  const kept = makeServerUpdate(makeServer("kept"), 6);
+  const left = makeServerUpdate(makeServer("left"), 5);
+  const joined = makeServerUpdate(makeServer("joined"), 12);
+  const version = makeVersion(10);
+  factStore.applySnapshot("servers", { items: [kept], version });
+  const link = await openLink(address, makeIdentity("peer", "127.0.0.1:2"));
+  link.send({ kind: "news", items: encodeUpdates([left, joined]) });
+  await waitUntil(() => factStore.get(joined.key) !== undefined);
+  const known = factStore.get(left.key);
+  link.close();
+  await stop();
+  assert.is(known?.fact, undefined);
+});
+
+test("a VM drops what another one knows to be removed", async () => {
+  const { address, factStore, stop } = await startTestMesh();
+  const left = makeServerUpdate(makeServer("left"), 5);
+  factStore.apply([left]);
+  const link = await openLink(address, makeIdentity("peer", "127.0.0.1:2"));
+  const readPositions = [makeVersion(10)];
+  link.send({
+    kind: "news",
+    items: encodeUpdates([makeServerUpdate(makeServer("kept"), 6)]),
+    snapshot: { topic: "servers", readPositions },
+  });
+  await waitUntil(() => factStore.get(left.key)?.fact === undefined);
+  link.send({ kind: "want", topic: "servers" });
+  const findSnapshot = () =>
+    link.received.flatMap((message) =>
+      message.kind === "news" ? [message.snapshot] : []
+    )[0];
+  await waitUntil(() => findSnapshot() !== undefined);
+  link.close();
+  await stop();
+  assert.equal(findSnapshot(), { topic: "servers", readPositions });
+});
+
+test("a VM with the facts of one that reads knows as well what was removed", async () => {
+  const { address, factStore, stop } = await startTestMesh();
+  factStore.apply([makeServerUpdate(makeServer("kept"), 6)]);
+  const link = await openLink(address, makeIdentity("peer", "127.0.0.1:2"));
+  const announce = (versionSum: number, number: number) =>
+    link.send({
+      kind: "read",
+      topic: "servers",
+      digest: { facts: 1, versionSum },
+      isOwn: true,
+      readPositions: [makeVersion(number)],
+    });
+  announce(7, 30);
+  announce(6, 20);
+  await waitUntil(() => factStore.listReadPositions("servers").length > 0);
+  link.close();
+  await stop();
+  assert.equal(factStore.listReadPositions("servers"), [makeVersion(20)]);
+});
+
 test.run();
--- a/src/members/message_checks.ts
+++ b/src/members/message_checks.ts
@@ -192,7 +192,12 @@
       digest: isDigest,
       isOwn: isBoolean,
     },
-    optional: {},
+    optional: {
+      readPositions: isArrayOf(
+        isObjectWith({ epoch: isCount, number: isCount }),
+        MAX_EPOCHS,
+      ),
+    },
   },
   view: {
     required: {
--- a/src/members/message_checks_test.ts
+++ b/src/members/message_checks_test.ts
@@ -91,7 +91,14 @@
     topic: fc.constantFrom("operations", "servers"),
     digest,
     isOwn: fc.boolean(),
-  }, { noNullPrototype: true }),
+    readPositions: fc.array(
+      fc.record({ epoch: count, number: count }, { noNullPrototype: true }),
+      { maxLength: 2 },
+    ),
+  }, {
+    requiredKeys: ["kind", "topic", "digest", "isOwn"],
+    noNullPrototype: true,
+  }),
   fc.record({
     kind: fc.constant("view"),
     scope: fc.constantFrom("linked", "fleet"),
--- a/src/members/messages.ts
+++ b/src/members/messages.ts
@@ -108,6 +108,11 @@
   epochs: epochStartsSchema.optional(),
 });
 
+const readPositionsSchema = z.array(z.object({
+  epoch: z.number().int().nonnegative(),
+  number: z.number().int().nonnegative(),
+})).max(MAX_EPOCHS);
+
 const usageFields = {
   scope: z.enum(["vm", "region", "rest"]),
   vms: z.number().int().nonnegative().max(MAX_MEMBERS),
@@ -197,6 +202,8 @@
     digest: digestSchema,
     /** Whether the sender itself read it, rather than forwarding the message. */
     isOwn: z.boolean(),
+    /** Up to where the sender knows it; absent from VMs of earlier versions. */
+    readPositions: readPositionsSchema.optional(),
   }),
   /** A hub's view of the VMs that are up. */
   z.object({
@@ -234,6 +241,14 @@
     }).optional(),
     /** The topic, if the items are all facts that exist of it. */
     whole: sourceTopicSchema.optional(),
+    /**
+     * The topic, if the items are all facts that the sender has of it, and up to
+     * where it knows the topic; absent from VMs of earlier versions.
+     */
+    snapshot: z.object({
+      topic: sourceTopicSchema,
+      readPositions: readPositionsSchema,
+    }).optional(),
   }),
   /** Running requests at backend servers, and the objects requested there. */
   z.object({
--- a/src/members/payloads.ts
+++ b/src/members/payloads.ts
@@ -113,18 +113,20 @@
  *
  * @param factStore The facts of this VM.
  * @param topic The topic.
- * @returns The messages; if it is only one, it is marked as whole if this VM holds
- *   all facts of the topic, so that the receiver can drop facts that a restore
- *   lost.
+ * @returns The messages. If it is only one, it says up to where this VM knows the
+ *   topic's history, so that the receiver can drop facts that were removed, and
+ *   whether this VM holds all facts of the topic, so that the receiver can drop
+ *   those that a restore lost.
  */
 export function makeTopicMessages(
   factStore: FactStore,
   topic: Topic,
 ): FactMessage[] {
   const messages = makeFactMessages(factStore, factStore.listTopic(topic));
-  const isWhole = topic !== "suspects" && factStore.isComplete(topic);
-  if (!isWhole || messages.length > 1) return messages;
-  return [{ ...messages[0], whole: topic }];
+  if (topic === "suspects" || messages.length > 1) return messages;
+  const readPositions = factStore.listReadPositions(topic);
+  const whole = factStore.isComplete(topic) ? { whole: topic } : {};
+  return [{ ...messages[0], ...whole, snapshot: { topic, readPositions } }];
 }
 
 /** Dependencies of the payload receiver. */
@@ -165,7 +167,7 @@
 
   function receiveFacts(
     link: VmLink,
-    { items, epochs, whole }: FactMessage,
+    { items, epochs, whole, snapshot }: FactMessage,
   ): void {
     for (const topic of SOURCE_TOPICS) {
       factStore.recordEpochs(topic, epochs?.[topic] ?? []);
@@ -173,13 +175,15 @@
     const received = decodeUpdates(items, factStore.getLatestEpoch);
     logInvalid(link, received.invalid);
     logRemoved(link, received.updates);
-    const updates = whole === undefined
+    const topic = snapshot?.topic ?? whole;
+    const updates = topic === undefined
       ? factStore.apply(received.updates)
-      : factStore.applyPeerSnapshot(
-        whole,
-        received.updates,
-        received.invalid.map(({ key }) => key),
-      );
+      : factStore.applyPeerSnapshot(topic, {
+        updates: received.updates,
+        invalidKeys: received.invalid.map(({ key }) => key),
+        readPositions: snapshot?.readPositions,
+        isWhole: whole === topic,
+      });
     if (updates.length === 0) return;
     logConfiguration(link, updates);
     for (const message of makeFactMessages(factStore, updates)) {
--- a/src/news/fact_store.ts
+++ b/src/news/fact_store.ts
@@ -6,7 +6,11 @@
  */
 import type { Clock } from "../runtime/clock.ts";
 import { createEpochTracker, type EpochTracker } from "./epochs.ts";
-import { createReadPositions, type ReadPositions } from "./read_positions.ts";
+import {
+  createReadPositions,
+  findPosition,
+  type ReadPositions,
+} from "./read_positions.ts";
 import {
   CONFIGURATION_KEY,
   type Fact,
@@ -30,6 +34,17 @@
   previous: Fact | undefined,
 ) => void;
 
+/** All facts of a topic that another VM has. */
+export interface PeerSnapshot {
+  updates: readonly FactUpdate[];
+  /** Facts of the other VM that are invalid here: what is known of them stays. */
+  invalidKeys?: readonly string[];
+  /** By epoch, the position up to which the other VM knows the topic's history. */
+  readPositions?: readonly FactVersion[];
+  /** Whether the other VM knows the whole topic. */
+  isWhole?: boolean;
+}
+
 /** The facts of one VM. A configuration is replaced, but never removed. */
 export interface FactStore {
   /**
@@ -59,21 +74,16 @@
    */
   applySnapshot(topic: Topic, batch: FactBatch): FactUpdate[];
   /**
-   * Applies all facts of a topic as sent by another VM that knows the whole
-   * topic. Facts that it lacks and that are older than the settled epoch were
-   * lost in a restore, and are removed.
+   * Applies all facts of a topic that another VM has. Of the facts that it lacks,
+   * those before its position were removed, and are removed here. Where it knows
+   * the whole topic, those that are older than the settled epoch were lost in a
+   * restore, and are removed as well.
    *
    * @param topic The topic.
-   * @param updates All facts of the other VM.
-   * @param invalidKeys Facts of the other VM that are invalid here; what is known
-   *   of them stays.
+   * @param snapshot What the other VM has.
    * @returns The updates that were new to this VM, including removals.
    */
-  applyPeerSnapshot(
-    topic: Topic,
-    updates: readonly FactUpdate[],
-    invalidKeys?: readonly string[],
-  ): FactUpdate[];
+  applyPeerSnapshot(topic: Topic, snapshot: PeerSnapshot): FactUpdate[];
   /**
    * @param topic The topic.
    * @returns All its facts and removals, for a VM that lacks some of them.
@@ -85,6 +95,14 @@
    *   history up to a later position.
    */
   isKnownRemoved(update: FactUpdate): boolean;
+  /**
+   * Records that this VM has the same facts of a topic as another VM, which knows
+   * its history up to some positions.
+   *
+   * @param topic The topic.
+   * @param positions The other VM's positions.
+   */
+  recordReadPositions(topic: Topic, positions: readonly FactVersion[]): void;
   /**
    * @param topic The topic.
    * @returns By epoch, the position up to which this VM knows the topic's history.
@@ -164,8 +182,9 @@
 }
 
 /**
- * Removals are kept so that a late message can't restore a removed fact. Two
- * minutes exceed every delay of the links between VMs.
+ * Minimum time for which removals are kept, so that a late message can't restore
+ * a removed fact. They are kept on until the position up to which the topic is
+ * known shows as well that the fact was removed.
  */
 const REMOVAL_RETENTION_MS = 120_000;
 
@@ -237,9 +256,13 @@
     return { facts, versionSum, epochSum, epochs: starts };
   }
 
-  function applyUpdate(update: FactUpdate): boolean {
+  function applyUpdate(
+    update: FactUpdate,
+    listedThrough: readonly FactVersion[],
+  ): boolean {
     const previous = stored.get(update.key);
     if (removesConfiguration(update, previous?.update)) return false;
+    if (isRemovedSince(update, listedThrough)) return false;
     const state = topicStates.get(update.topic)!;
     const isNewer = previous === undefined
       ? update.version.epoch >= state.epochs.getSettled()
@@ -260,9 +283,18 @@
     return true;
   }
 
-  function apply(updates: readonly FactUpdate[]): FactUpdate[] {
+  /**
+   * @param updates The updates.
+   * @param listedThrough Where the updates are all facts of a topic, the positions
+   *   up to which the sender knows its history.
+   * @returns Those that were new to this VM.
+   */
+  function apply(
+    updates: readonly FactUpdate[],
+    listedThrough: readonly FactVersion[] = [],
+  ): FactUpdate[] {
     deleteExpiredRemovals();
-    return updates.filter(applyUpdate);
+    return updates.filter((update) => applyUpdate(update, listedThrough));
   }
 
   function isKnownRemoved({ topic, key, version }: FactUpdate): boolean {
@@ -270,10 +302,22 @@
     return topicStates.get(topic)!.readPositions.includes(version);
   }
 
+  /** Whether a fact was removed, and isn't in a listing that is as recent. */
+  function isRemovedSince(
+    update: FactUpdate,
+    listedThrough: readonly FactVersion[],
+  ): boolean {
+    if (!isKnownRemoved(update)) return false;
+    const listed = findPosition(update.version, listedThrough);
+    const positions = topicStates.get(update.topic)!.readPositions;
+    return listed === undefined || !positions.isReachedBy(listed);
+  }
+
   /** Records that this VM knows all facts of a topic as of a batch. */
   function recordRead(topic: Topic, batch: FactBatch): void {
-    if (batch.isEpochAssumed || !isDecoded(batch)) return;
-    topicStates.get(topic)!.readPositions.record(batch.version);
+    if (batch.isEpochAssumed) return;
+    if (!areDecoded(batch.items, batch.invalidKeys)) return;
+    recordReadPositions(topic, [batch.version]);
   }
 
   function applyChanges(topic: Topic, batch: FactBatch): FactUpdate[] {
@@ -288,22 +332,37 @@
     const removals = missing.map((update) =>
       makeRemoval(update, batch.version)
     );
-    const updates = apply([...batch.items, ...removals]);
+    const updates = apply([...batch.items, ...removals], [batch.version]);
     recordRead(topic, batch);
     return updates;
   }
 
   function applyPeerSnapshot(
     topic: Topic,
-    updates: readonly FactUpdate[],
-    invalidKeys?: readonly string[],
+    { updates, invalidKeys, readPositions = [], isWhole }: PeerSnapshot,
   ): FactUpdate[] {
     const settled = getEpochs(topic).getSettled();
-    const lost = listMissing(topic, updates, invalidKeys)
-      .filter(({ version }) => version.epoch < settled);
     const newest = getNewestVersion(updates, settled);
-    const removals = lost.map((update) => makeRemoval(update, newest));
-    return apply([...updates, ...removals]);
+    const removals: FactUpdate[] = [];
+    for (const fact of listMissing(topic, updates, invalidKeys)) {
+      const removedBy = findPosition(fact.version, readPositions);
+      const isLost = isWhole && fact.version.epoch < settled;
+      if (removedBy !== undefined) removals.push(makeRemoval(fact, removedBy));
+      else if (isLost) removals.push(makeRemoval(fact, newest));
+    }
+    const applied = apply([...updates, ...removals], readPositions);
+    if (areDecoded(updates, invalidKeys)) {
+      recordReadPositions(topic, readPositions);
+    }
+    return applied;
+  }
+
+  function recordReadPositions(
+    topic: Topic,
+    positions: readonly FactVersion[],
+  ): void {
+    const { readPositions } = topicStates.get(topic)!;
+    for (const position of positions) readPositions.record(position);
   }
 
   /** Lists the stored facts of a topic that a listing lacks. */
@@ -359,13 +418,21 @@
     const limitMs = clock.monotonicMs() - REMOVAL_RETENTION_MS;
     for (const [key, { update, storedAtMs }] of stored) {
       if (update.fact !== undefined || storedAtMs >= limitMs) continue;
+      if (isNeeded(update)) continue;
       stored.delete(key);
       topicStates.get(update.topic)!.keys--;
     }
   }
 
+  /** Whether only the removal shows that its fact was removed. */
+  function isNeeded({ topic, version }: FactUpdate): boolean {
+    const { epochs, readPositions } = topicStates.get(topic)!;
+    return version.epoch >= epochs.getSettled() &&
+      readPositions.list().length > 0 && !readPositions.includes(version);
+  }
+
   return {
-    apply,
+    apply: (updates) => apply(updates),
     applyChanges,
     applySnapshot,
     applyPeerSnapshot,
@@ -373,6 +440,7 @@
       [...stored.values()].map(({ update }) => update)
         .filter((update) => update.topic === topic),
     isKnownRemoved,
+    recordReadPositions,
     listReadPositions: (topic) => topicStates.get(topic)!.readPositions.list(),
     get: (key) => stored.get(key)?.update,
     recordEpochs(topic, starts) {
@@ -426,12 +494,15 @@
 }
 
 /**
- * Whether a batch has an update for each of its facts. A configuration isn't
- * needed: its own number decides which one is in force.
+ * Whether there is an update for each fact that a topic has. For a configuration
+ * none is needed: its own number decides which one is in force.
  */
-function isDecoded({ items, invalidKeys = [] }: FactBatch): boolean {
+function areDecoded(
+  updates: readonly FactUpdate[],
+  invalidKeys: readonly string[] = [],
+): boolean {
   return invalidKeys.every((invalid) =>
-    invalid === CONFIGURATION_KEY || items.some(({ key }) => key === invalid)
+    invalid === CONFIGURATION_KEY || updates.some(({ key }) => key === invalid)
   );
 }
 
--- a/src/news/fact_store_test.ts
+++ b/src/news/fact_store_test.ts
@@ -1,9 +1,13 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
-import { makeServer, makeServerUpdate } from "../gateway/fixture.ts";
-import { createFakeClock } from "../runtime/clock.ts";
+import {
+  makeConfiguration,
+  makeServer,
+  makeServerUpdate,
+} from "../gateway/fixture.ts";
+import { createFakeClock, type FakeClock } from "../runtime/clock.ts";
 import { createFactStore, type FactStore } from "./fact_store.ts";
-import { type FactUpdate, isSameDigest } from "./types.ts";
+import { CONFIGURATION_KEY, type FactUpdate, isSameDigest } from "./types.ts";
 import { makeVersion } from "./version.ts";
 
 function makeRemoval(id: string, version: number): FactUpdate {
@@ -57,7 +61,11 @@
   const invalidKeys = [known.key];
   const version = makeVersion(10);
   store.applySnapshot("servers", { items: [], version, invalidKeys });
-  store.applyPeerSnapshot("servers", [], invalidKeys);
+  store.applyPeerSnapshot("servers", {
+    updates: [],
+    invalidKeys,
+    isWhole: true,
+  });
   assert.equal(store.listTopic("servers"), [known]);
 });
 
@@ -152,9 +160,10 @@
     isSettled: true,
   }]);
   assert.equal(listNames(store), ["server/joined", "server/old"]);
-  store.applyPeerSnapshot("servers", [
-    makeServerUpdate(makeServer("old"), 40, 2),
-  ]);
+  store.applyPeerSnapshot("servers", {
+    updates: [makeServerUpdate(makeServer("old"), 40, 2)],
+    isWhole: true,
+  });
   assert.equal(listNames(store), ["server/old"]);
 });
 
@@ -229,4 +238,117 @@
   assert.is(store.apply([other]).length, 0, "a key belongs to one topic");
 });
 
+/** Has read the servers up to 10, when one had left whose removal it missed. */
+function createStoreThatListed(clock: FakeClock = createFakeClock()) {
+  const store = createFactStore(clock);
+  store.applySnapshot("servers", {
+    items: [makeServerUpdate(makeServer("kept"), 6)],
+    version: makeVersion(10),
+  });
+  return store;
+}
+
+// Guards against VMs that missed a removal and bring the fact back to VMs that
+// started after it.
+test("a fact that a listing lacks is not taken from a VM that still has it", () => {
+  const store = createStoreThatListed();
+  const left = makeServerUpdate(makeServer("left"), 5);
+  assert.ok(store.isKnownRemoved(left));
+  assert.equal(store.apply([left]), []);
+  const kept = makeServerUpdate(makeServer("kept"), 6);
+  const snapshot = { updates: [left, kept], readPositions: [makeVersion(8)] };
+  store.applyPeerSnapshot("servers", snapshot);
+  assert.equal(listNames(store), ["server/kept"]);
+  const joined = makeServerUpdate(makeServer("joined"), 12);
+  assert.equal(store.apply([joined]), [joined]);
+});
+
+// Guards against a listing that can't correct what a VM has wrongly inferred.
+test("a fact is taken from a listing that is as recent as what is known", () => {
+  const store = createStoreThatListed();
+  const fact = makeServerUpdate(makeServer("1"), 5);
+  const version = makeVersion(10);
+  store.applySnapshot("servers", { items: [fact], version });
+  assert.equal(listNames(store), ["server/1"]);
+});
+
+// Guards against VMs without contact to the source that keep what has left.
+test("a VM drops what another VM knows to be removed, and nothing newer", () => {
+  const store = createFactStore(createFakeClock());
+  store.apply([
+    makeServerUpdate(makeServer("left"), 5),
+    makeServerUpdate(makeServer("kept"), 6),
+    makeServerUpdate(makeServer("joined"), 12),
+  ]);
+  store.applyPeerSnapshot("servers", {
+    updates: [makeServerUpdate(makeServer("kept"), 6)],
+    readPositions: [makeVersion(10)],
+  });
+  assert.equal(listNames(store), ["server/joined", "server/kept"]);
+  assert.equal(store.apply([makeServerUpdate(makeServer("left"), 5)]), []);
+  assert.ok(store.isKnownRemoved(makeServerUpdate(makeServer("past"), 4)));
+});
+
+// Guards against removals that are forgotten before the absent VM is back.
+test("a removed fact stays removed however late a VM sends it", () => {
+  const clock = createFakeClock();
+  const store = createStoreThatListed(clock);
+  store.applyChanges("servers", {
+    items: [makeServerUpdate(makeServer("1"), 12)],
+    version: makeVersion(12),
+  });
+  store.apply([makeRemoval("1", 15)]);
+  clock.advance(130_000);
+  assert.equal(store.apply([makeServerUpdate(makeServer("1"), 13)]), []);
+  store.recordReadPositions("servers", [makeVersion(20)]);
+  store.apply([]);
+  assert.equal(listNames(store), ["server/kept"]);
+  assert.is(store.listTopic("servers").length, 1, "the removal isn't needed");
+  assert.equal(store.apply([makeServerUpdate(makeServer("1"), 13)]), []);
+});
+
+// Guards against VMs that take a fact for removed that they could only not read.
+test("a listing with unreadable facts shows nothing about what it lacks", () => {
+  const store = createFactStore(createFakeClock());
+  const known = makeServerUpdate(makeServer("1"), 5);
+  const version = makeVersion(10);
+  const invalidKeys = [known.key];
+  store.applySnapshot("servers", { items: [], version, invalidKeys });
+  assert.equal(store.apply([known]), [known]);
+});
+
+// Guards against the loss of the configuration in force with its row.
+test("a configuration is taken from a VM though a listing has none", () => {
+  const store = createFactStore(createFakeClock());
+  store.applySnapshot("operations", { items: [], version: makeVersion(10) });
+  const update: FactUpdate = {
+    topic: "operations",
+    key: CONFIGURATION_KEY,
+    version: makeVersion(5),
+    fact: { kind: "configuration", configuration: makeConfiguration([], 1) },
+  };
+  assert.equal(store.apply([update]), [update]);
+});
+
+// Guards against a restored copy that hides what was written after the copy.
+test("a listing of a restored copy shows nothing about facts of other epochs", () => {
+  const store = createFactStore(createFakeClock());
+  store.recordEpochs("servers", RESTORED);
+  store.applySnapshot("servers", { items: [], version: makeVersion(50, 2) });
+  const joined = makeServerUpdate(makeServer("joined"), 45, 1);
+  assert.equal(store.apply([joined]), [joined]);
+  const left = makeServerUpdate(makeServer("left"), 45, 2);
+  assert.equal(store.apply([left]), []);
+});
+
+// Guards against positions of one epoch that are taken for those of another.
+test("an answer without epoch shows nothing about what it lacks", () => {
+  const store = createFactStore(createFakeClock());
+  store.recordEpochs("servers", RESTORED);
+  const version = makeVersion(90, 2);
+  store.applySnapshot("servers", { items: [], version, isEpochAssumed: true });
+  const joined = makeServerUpdate(makeServer("joined"), 60, 2);
+  assert.equal(store.apply([joined]), [joined]);
+});
+
 test.run();
--- a/src/news/read_positions.ts
+++ b/src/news/read_positions.ts
@@ -23,6 +23,11 @@
    * @returns Whether it lies within the history that is known.
    */
   includes(version: FactVersion): boolean;
+  /**
+   * @param position A position.
+   * @returns Whether it isn't before the one that is recorded for its epoch.
+   */
+  isReachedBy(position: FactVersion): boolean;
   /** @returns The positions, in ascending order of their epochs. */
   list(): FactVersion[];
 }
@@ -53,29 +58,19 @@
 
   return {
     record(position) {
-      if (isWithin(position, positions)) return;
+      if (findPosition(position, positions) !== undefined) return;
       positions = [
         ...list().filter(({ epoch }) => epoch !== position.epoch),
         position,
       ].sort((a, b) => a.epoch - b.epoch).slice(-MAX_POSITIONS);
     },
-    includes: (version) => isWithin(version, positions),
+    includes: (version) => findPosition(version, positions) !== undefined,
+    isReachedBy: ({ epoch, number }) =>
+      positions.every((own) => own.epoch !== epoch || own.number <= number),
     list,
   };
 }
 
-/**
- * @param version A version.
- * @param positions Positions of one topic, by epoch.
- * @returns Whether the version isn't after the position of its epoch.
- */
-export function isWithin(
-  version: FactVersion,
-  positions: readonly FactVersion[],
-): boolean {
-  return findPosition(version, positions) !== undefined;
-}
-
 /**
  * @param version A version.
  * @param positions Positions of one topic, by epoch.
