Make failed assertions of the bundle cheap

Callers saw: after an answer whose status line said 000, a VM read and answered nothing for five seconds, its readiness check included, once after each start.

Cause: undici asserts its state without messages, and Node.js makes a message from the source of the failed call: it reads the file and parses it from the call's line on, again for each further 8 KB. Lines of the minified bundle are up to 270 KB long. So any failed assertion of any package costs seconds, but only in the bundle.

Fix: the bundle takes an `assert` of its own, which makes no text from sources, in place of Node's, as it does for other modules. It holds for all packages in it, whichever input fails their assertions.

--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -13,6 +13,8 @@
   npx esbuild "platform/$1.ts" --bundle --platform=node --target=node20 \
     --format=cjs --minify-whitespace --minify-syntax --log-level=warning \
     --tsconfig=tsconfig.bundle.json --alias:https=./platform/bundle/https.ts \
+    --alias:assert=./platform/bundle/assert.cts \
+    --alias:node:assert=./platform/bundle/assert.cts \
     --alias:tls=./platform/bundle/tls.ts \
     --alias:child_process=./platform/bundle/child_process.ts \
     --alias:node:http2=./platform/bundle/http2.ts \
