Treat answers with a status that HTTP doesn't define as broken

Callers saw: an answer of status 600 to 999 was passed on unchanged, with its server's stamp, directly and by way of another VM. One below 100 ended in 502 only since a check deep in undici failed on it.

Cause: nothing decided which statuses are an answer. RFC 9110, section 15: 100 to 599.

Fix: one function decides for servers, other VMs, the store, the product's own entries, hand-overs between them, probes and the callers' library. Such an answer counts as malformed, like one of another protocol: no promise, no stamp, repeated where the request may be. An exception while an answer is parsed counts as malformed too, not as a cut connection, which is put down to a crash.

--- a/src/caller/caller_test.ts
+++ b/src/caller/caller_test.ts
@@ -10,6 +10,10 @@
   startEndlessServer,
 } from "../standin/endless_server.ts";
 import { listHeadCuts, startCutServer } from "../standin/cut_server.ts";
+import {
+  startStatusServer,
+  UNDEFINED_STATUSES,
+} from "../standin/status_server.ts";
 import { createSystemClock } from "../runtime/clock.ts";
 import { type Call, type Caller, createCaller } from "./mod.ts";
 
@@ -241,4 +245,20 @@
   entry.close();
 });
 
+test("an entry's answer with an undefined status is not passed off as an answer", async (context) => {
+  const entry = await startStatusServer(() => `${HEADERS.outcome}: answer\r\n`);
+  const steer = await serveLookups(
+    context,
+    JSON.stringify(makeLookupAnswer(entry.address)),
+  );
+  const caller = startCaller(context, steer);
+  for (const status of UNDEFINED_STATUSES) {
+    entry.setStatus(status);
+    assert.is((await caller.call(call)).kind, "unknown", status);
+  }
+  entry.setStatus("200");
+  assert.is((await caller.call(call)).kind, "answer");
+  entry.close();
+});
+
 test.run();
--- a/src/forwarding/backend_client_test.ts
+++ b/src/forwarding/backend_client_test.ts
@@ -17,6 +17,10 @@
   startEndlessServer,
 } from "../standin/endless_server.ts";
 import { listHeadCuts, startCutServer } from "../standin/cut_server.ts";
+import {
+  startStatusServer,
+  UNDEFINED_STATUSES,
+} from "../standin/status_server.ts";
 import {
   type AnswerMode,
   type BackendFaults,
@@ -327,4 +331,21 @@
   server.close();
 });
 
+// Guards against callers that get a status which no caller knows.
+test("an answer with an undefined status is not passed off as an answer", async (context) => {
+  const server = await startStatusServer(() => `${HEADERS.requestId}: r1\r\n`);
+  context.document.backendServers[0].address = server.address;
+  for (const status of UNDEFINED_STATUSES) {
+    server.setStatus(status);
+    assert.is((await send(context)).kind, "failed", status);
+    const report = await context.client.probe(
+      context.document.backendServers[0],
+    );
+    assert.is(report.state, "failing", status);
+  }
+  server.setStatus("200");
+  assert.is((await send(context)).kind, "answer");
+  server.close();
+});
+
 test.run();
--- a/src/forwarding/peer_client_test.ts
+++ b/src/forwarding/peer_client_test.ts
@@ -9,6 +9,10 @@
   ENDLESS_ANSWERS,
   startEndlessServer,
 } from "../standin/endless_server.ts";
+import {
+  startStatusServer,
+  UNDEFINED_STATUSES,
+} from "../standin/status_server.ts";
 import { type HandoverResult, HttpPeerClient } from "./peer_client.ts";
 import { type ForwardRequest, HEADERS } from "./types.ts";
 
@@ -106,4 +110,19 @@
   });
 }
 
+// Guards against callers that get such a status by way of another entry.
+test("an undefined status of another entry is not passed off as an answer", async (context) => {
+  const peer = await startStatusServer(() =>
+    `${HEADERS.requestId}: r1\r\n${HEADERS.outcome}: answer\r\n`
+  );
+  for (const status of UNDEFINED_STATUSES) {
+    peer.setStatus(status);
+    const { kind } = await handOver(context, peer.address);
+    assert.is(kind, "failed", status);
+  }
+  peer.setStatus("200");
+  assert.is((await handOver(context, peer.address)).kind, "outcome");
+  peer.close();
+});
+
 test.run();
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -15,6 +15,7 @@
   type ResponseMeter,
   type ResponseMeters,
 } from "../serving/response_meter.ts";
+import { findInvalidStatus } from "../serving/response_status.ts";
 import { createBodyBuffer } from "./body_buffer.ts";
 
 /** Responses of lower status are interim, and precede the response. */
@@ -168,6 +169,8 @@
       onResponseStart(controller, status, headers, message) {
         meter = meters.getCurrent();
         meter?.recordHead();
+        const invalid = findInvalidStatus(status);
+        if (invalid !== undefined) return controller.abort(invalid);
         if (status < MIN_FINAL_STATUS) {
           if (++interimResponses <= MAX_INTERIM_RESPONSES) return;
           const reason = `${interimResponses} interim responses`;
--- a/src/serving/http_attempt.ts
+++ b/src/serving/http_attempt.ts
@@ -14,11 +14,13 @@
 import { describeError } from "../runtime/errors.ts";
 import { NO_SIGNALS } from "../servers/signals.ts";
 import { LARGE_BODY_BYTES } from "./body_budget.ts";
+import { MalformedResponse } from "./connection_errors.ts";
 import {
   ExcessiveResponse,
   MAX_HEADERS,
   type ResponseMeter,
 } from "./response_meter.ts";
+import { findInvalidStatus } from "./response_status.ts";
 import { ConnectError } from "./server_connector.ts";
 import type {
   AnswerMetadata,
@@ -226,6 +228,8 @@
           onResponse();
           meter = getMeter();
           meter?.recordHead();
+          const invalid = findInvalidStatus(statusCode);
+          if (invalid !== undefined) return started.abort(invalid);
           if (statusCode < MIN_FINAL_STATUS) {
             if (++interimResponses <= MAX_INTERIM_RESPONSES) return;
             return started.abort(
@@ -351,6 +355,7 @@
     };
   }
   const isMalformed = error instanceof ExcessiveResponse ||
+    error instanceof MalformedResponse ||
     MALFORMED_ERROR_NAMES.has(error.name);
   return { kind: "lost", reason: isMalformed ? "malformed" : "cut", detail };
 }
