Count a crash from when it was seen, not from when a VM heard of it

Found by going through the facts that a VM can hand back. VMs keep a crash that makes a request suspect for ten minutes from its arrival. A VM that started meanwhile kept it for longer, and gave it back to the others two minutes after they had forgotten it, for ten minutes more: with a start in each ten minutes for ever, and a request set aside for as long.

Fix: its age is that of the time at which it was seen, which it carries.

Test: "a VM that starts later keeps a crash no longer than the others" fails before (the later VM still has the facts of the crash).

--- a/src/quarantine/suspect_tracker.ts
+++ b/src/quarantine/suspect_tracker.ts
@@ -139,7 +139,7 @@
       ends: new Map(),
       seenAtMs: 0,
       probedAtMs: -Infinity,
-      changedAtMs: clock.monotonicMs(),
+      changedAtMs: -Infinity,
     };
     suspects.set(request, suspect);
     return suspect;
@@ -204,14 +204,20 @@
 
   function applyCrash(fact: Extract<Fact, { kind: "server_end" }>): void {
     const { request, round, server, vm, seenAtMs } = fact;
+    // By wall clocks, which differ by seconds: otherwise a VM that started later
+    // would keep the crash longer, and hand it back to the others.
+    const ageMs = Math.max(0, clock.now().getTime() - seenAtMs);
+    if (ageMs >= CRASH_LIFETIME_MS) {
+      return forget([makeCrashRemoval(request, round, server)]);
+    }
     const suspect = getOrCreateSuspect(request);
     if (round < suspect.round) {
       return forget([makeCrashRemoval(request, round, server)]);
     }
     if (round > suspect.round) startRound(suspect, round);
-    const atMs = clock.monotonicMs();
+    const atMs = clock.monotonicMs() - ageMs;
     suspect.ends.set(server, { server, vm, atMs });
-    suspect.changedAtMs = atMs;
+    suspect.changedAtMs = Math.max(suspect.changedAtMs, atMs);
     suspect.seenAtMs = Math.max(suspect.seenAtMs, seenAtMs);
     const ends = suspect.ends.size;
     log.info({ request, round, server, by: vm, ends }, "server crashed");
--- a/src/quarantine/suspect_tracker_test.ts
+++ b/src/quarantine/suspect_tracker_test.ts
@@ -269,4 +269,21 @@
   assert.equal(vms[0].unsent, []);
 });
 
+// Guards against crashes that VMs hand back to each other for ever.
+test("a VM that starts later keeps a crash no longer than the others", () => {
+  const clock = createFakeClock();
+  const [first] = startFleet(clock, 1).vms;
+  for (const server of ["1", "2", "3"]) first.tracker.recordCrash("r", server);
+  clock.advance(CRASH_LIFETIME_MS - MINUTE_MS);
+  const [later] = startFleet(clock, 1).vms;
+  later.store.apply(first.store.listTopic("suspects"));
+  assert.is(later.tracker.assess("r").kind, first.tracker.assess("r").kind);
+  clock.advance(2 * MINUTE_MS);
+  assert.is(first.store.getDigest("suspects").facts, 0);
+  assert.is(later.store.getDigest("suspects").facts, 0);
+  clock.advance(3 * MINUTE_MS);
+  first.store.apply(later.store.listTopic("suspects"));
+  assert.is(first.tracker.assess("r").kind, "clear");
+});
+
 test.run();
