--- a/src/serving/connection_errors.ts
+++ b/src/serving/connection_errors.ts
@@ -26,19 +26,13 @@
 
 /** What a server sent is no response in HTTP. */
 export class MalformedResponse extends ConnectionFailure {
-  /**
-   * @param message What is malformed.
-   * @param cause The error behind it, if any.
-   */
-  constructor(message: string, cause?: unknown) {
-    super(message, cause);
+  /** @param message What is malformed. */
+  constructor(message: string) {
+    super(message);
     this.name = "MalformedResponse";
   }
 }
 
-/** Event in which undici parses what has arrived on a connection. */
-const PARSING_EVENT = "readable";
-
 /**
  * Makes any failure of a connection end the request that it carries, and no
  * other. To be called before undici gets the socket.
@@ -60,11 +54,7 @@
       return emit(event, ...args);
     } catch (cause) {
       const message = `${String(event)} failed: ${describeError(cause)}`;
-      socket.destroy(
-        event === PARSING_EVENT
-          ? new MalformedResponse(message, cause)
-          : new ConnectionFailure(message, cause),
-      );
+      socket.destroy(new ConnectionFailure(message, cause));
       return true;
     }
   }
